Meta: Lay out the workspace

Cause: the project has no tree yet. Ruled out: one library for all, since embedders want the coordination parts without the daemon.

--- /dev/null
+++ b/Meta/CMake/Library.cmake
@@ -0,0 +1,23 @@
+# Declares one library of the workspace: every .cpp of its folder, and the libraries that it may use.
+function(sassafrasshift_library name)
+    cmake_parse_arguments(ARG "" "" "USES" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+    add_library(${name} STATIC ${sources})
+    target_include_directories(${name} PUBLIC
+        $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/Libraries>
+        $<INSTALL_INTERFACE:include/sassafrasshift>)
+    target_link_libraries(${name} PUBLIC ${ARG_USES})
+    set_property(GLOBAL APPEND PROPERTY SASSAFRASSHIFT_LIBRARIES ${name})
+endfunction()
+
+# Declares the one test program of a library; CTest runs it by the library's name.
+function(sassafrasshift_test name)
+    cmake_parse_arguments(ARG "" "" "USES" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
+    add_executable(Test${name} ${sources})
+    target_link_libraries(Test${name} PRIVATE ${ARG_USES} boost_unit_test_framework)
+    target_include_directories(Test${name} PRIVATE ${CMAKE_SOURCE_DIR}/Tests)
+    target_compile_definitions(Test${name} PRIVATE BOOST_TEST_DYN_LINK
+        SOURCE_DIRECTORY="${CMAKE_SOURCE_DIR}")
+    add_test(NAME ${name} COMMAND Test${name} --report_level=short)
+endfunction()
