--- /dev/null
+++ b/Libraries/LibBase/Clock.cpp
@@ -0,0 +1,40 @@
+#include <LibBase/Clock.h>
+
+namespace Sassafrasshift {
+
+Instant SystemClock::now() const
+{
+    return std::chrono::steady_clock::now();
+}
+
+WallTime SystemClock::wallNow() const
+{
+    return std::chrono::system_clock::now();
+}
+
+Instant ManualClock::now() const
+{
+    return Instant {} + this->elapsed;
+}
+
+WallTime ManualClock::wallNow() const
+{
+    return WallTime {} + std::chrono::duration_cast<WallTime::duration>(this->elapsed);
+}
+
+void ManualClock::advance(std::chrono::nanoseconds step)
+{
+    this->elapsed += step;
+}
+
+int64_t unixMilliseconds(WallTime time)
+{
+    return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count();
+}
+
+double toMilliseconds(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibBase/Error.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <LibBase/Verdict.h>
+#include <chrono>
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace Sassafrasshift {
+
+/// Why something was refused or failed. Each has a stable spelling that callers may match on.
+enum class Reason {
+    InvalidInput,
+    NotFound,
+    Conflict,
+    TooLarge,
+    Overloaded,
+    DeadlineExceeded,
+    Cancelled,
+    NoConfiguration,
+    NoTarget,
+    CannotRun,
+    QuotaExceeded,
+    Unreachable,
+    ConnectionLost,
+    AnswerTruncated,
+    TargetFailed,
+    NotLeader,
+    NoQuorum,
+    KeyExpired,
+    KeyReused,
+    ShuttingDown,
+    StorageFailed,
+    StorageFull,
+    Damaged,
+    Internal,
+};
+
+/// The stable spelling of a reason, such as "deadline-exceeded".
+[[nodiscard]] std::string_view toString(Reason);
+
+/// The reason with this spelling, or Reason::Internal where there is none.
+[[nodiscard]] Reason reasonFromString(std::string_view);
+
+/// A refusal or a failure, with what is known about the work that it concerns.
+struct Error {
+    Reason reason { Reason::Internal };
+    Verdict verdict { Verdict::NotRun };
+    std::string detail;
+    /// How long a caller should wait before another attempt; nothing where another attempt does not help.
+    std::optional<std::chrono::milliseconds> retryAfter {};
+
+    [[nodiscard]] static Error notRun(Reason, std::string detail);
+    [[nodiscard]] static Error mayHaveRun(Reason, std::string detail);
+    [[nodiscard]] static Error ran(Reason, std::string detail);
+    [[nodiscard]] Error withRetryAfter(std::chrono::milliseconds) const;
+
+    friend auto operator<=>(const Error&, const Error&) = default;
+};
+
+template <typename Value>
+using ErrorOr = tl::expected<Value, Error>;
+
+}
