--- /dev/null
+++ b/Libraries/LibTransport/Endpoint.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibBase/Error.h>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+struct sockaddr_in;
+
+namespace Sassafrasshift::Transport {
+
+/// An IPv4 address in dotted form and a TCP port.
+struct Endpoint {
+    std::string address;
+    uint16_t port { 0 };
+
+    /// Reads "127.0.0.1:8080". Fails with Reason::InvalidInput where either part is malformed.
+    [[nodiscard]] static ErrorOr<Endpoint> parse(std::string_view);
+
+    [[nodiscard]] std::string toText() const;
+    [[nodiscard]] sockaddr_in toSocketAddress() const;
+
+    friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -0,0 +1,254 @@
+#include <LibTransport/H2O.h>
+#include <LibTransport/HttpClient.h>
+#include <map>
+#include <utility>
+
+namespace Sassafrasshift::Transport {
+
+static constexpr uint64_t inputOutputTimeoutMilliseconds = 120'000;
+static constexpr uint64_t idleConnectionMilliseconds = 5'000;
+
+struct HttpClient::Implementation {
+    EventLoop* loop { nullptr };
+    Limits limits;
+    h2o_timeout_t inputOutputTimeout {};
+    h2o_http1client_ctx_t context {};
+    std::map<Endpoint, std::shared_ptr<h2o_socketpool_t>> pools;
+
+    std::shared_ptr<h2o_socketpool_t> poolFor(const Endpoint&);
+};
+
+// The states of one call, shared between its owner and the callbacks of the library.
+struct CallState {
+    h2o_http1client_t* native { nullptr };
+    std::shared_ptr<h2o_socketpool_t> pool;
+    EventLoop* loop { nullptr };
+    HttpClient::Completion completion;
+    std::unique_ptr<Timer> deadline;
+    std::string head;
+    std::string body;
+    h2o_iovec_t buffers[2] {};
+    HttpResponse response;
+    size_t maximumBody { 0 };
+    bool methodIsHead { false };
+    bool sent { false };
+    bool lengthKnown { false };
+
+    void finish(ErrorOr<HttpResponse> result)
+    {
+        this->native = nullptr;
+        this->deadline.reset();
+        if (auto function = std::move(this->completion)) {
+            this->completion = nullptr;
+            function(std::move(result));
+        }
+    }
+
+    // Closes the connection; no callback of the library follows.
+    void abort();
+
+    [[nodiscard]] Error failure(Reason reason, std::string detail) const
+    {
+        return this->sent ? Error::mayHaveRun(reason, std::move(detail)) : Error::notRun(reason, std::move(detail));
+    }
+};
+
+class HttpCallImplementation final : public HttpCall {
+public:
+    explicit HttpCallImplementation(std::shared_ptr<CallState> state)
+        : state(std::move(state))
+    {
+    }
+
+    ~HttpCallImplementation() override
+    {
+        this->state->completion = nullptr;
+        this->state->deadline.reset();
+        this->state->abort();
+    }
+
+    std::shared_ptr<CallState> state;
+};
+
+// The library's callbacks carry a raw pointer; this keeps the state alive while a callback of the owner runs.
+struct NativeData {
+    std::weak_ptr<CallState> state;
+};
+
+void CallState::abort()
+{
+    if (auto* client = std::exchange(this->native, nullptr)) {
+        delete static_cast<NativeData*>(client->data);
+        h2o_http1client_cancel(client);
+    }
+}
+
+static std::shared_ptr<CallState> stateOf(h2o_http1client_t* client)
+{
+    return static_cast<NativeData*>(client->data)->state.lock();
+}
+
+static void finishNative(h2o_http1client_t* client, ErrorOr<HttpResponse> result)
+{
+    auto* data = static_cast<NativeData*>(client->data);
+    auto state = data->state.lock();
+    delete data;
+    if (!state)
+        return;
+    state->native = nullptr;
+    // The completion runs after the library has disposed of the connection, so that it may start another call.
+    state->deadline.reset();
+    state->loop->defer([state, result = std::move(result)]() mutable { state->finish(std::move(result)); });
+}
+
+static int onBody(h2o_http1client_t* client, const char* error)
+{
+    auto state = stateOf(client);
+    auto* input = client->sock->input;
+    if (state) {
+        if (state->response.body.size() + input->size > state->maximumBody) {
+            finishNative(client, tl::unexpected(Error::ran(Reason::TooLarge, "the answer is longer than the limit")));
+            return -1;
+        }
+        state->response.body.append(input->bytes, input->size);
+    }
+    h2o_buffer_consume(&client->sock->input, input->size);
+    if (!error)
+        return 0;
+    if (error != h2o_http1client_error_is_eos)
+        finishNative(client, tl::unexpected(Error::mayHaveRun(Reason::AnswerTruncated, error)));
+    else if (state && !state->lengthKnown)
+        finishNative(client, tl::unexpected(Error::mayHaveRun(Reason::AnswerTruncated, "the answer has no length, so that it cannot be told to be whole")));
+    else
+        finishNative(client, state ? ErrorOr<HttpResponse>(std::move(state->response)) : HttpResponse {});
+    return 0;
+}
+
+static h2o_http1client_body_cb onHead(h2o_http1client_t* client, const char* error, int, int status, h2o_iovec_t,
+    h2o_header_t* headers, size_t headerCount, int)
+{
+    auto state = stateOf(client);
+    if (error && error != h2o_http1client_error_is_eos) {
+        finishNative(client, tl::unexpected(Error::mayHaveRun(Reason::ConnectionLost, error)));
+        return nullptr;
+    }
+    if (state) {
+        state->response.status = status;
+        for (size_t i = 0; i < headerCount; ++i) {
+            HttpHeader header { std::string(headers[i].name->base, headers[i].name->len), std::string(headers[i].value.base, headers[i].value.len) };
+            if (header.name == "content-length" || header.name == "transfer-encoding")
+                state->lengthKnown = true;
+            state->response.headers.push_back(std::move(header));
+        }
+    }
+    if (error) {
+        finishNative(client, state ? ErrorOr<HttpResponse>(std::move(state->response)) : HttpResponse {});
+        return nullptr;
+    }
+    return onBody;
+}
+
+static h2o_http1client_head_cb onConnect(h2o_http1client_t* client, const char* error, h2o_iovec_t** buffers, size_t* bufferCount, int* methodIsHead)
+{
+    auto state = stateOf(client);
+    if (error || !state) {
+        finishNative(client, tl::unexpected(Error::notRun(Reason::Unreachable, error ? error : "the call was dropped")));
+        return nullptr;
+    }
+    state->sent = true;
+    *buffers = state->buffers;
+    *bufferCount = state->body.empty() ? 1 : 2;
+    *methodIsHead = state->methodIsHead;
+    return onHead;
+}
+
+std::shared_ptr<h2o_socketpool_t> HttpClient::Implementation::poolFor(const Endpoint& endpoint)
+{
+    auto& pool = this->pools[endpoint];
+    if (!pool) {
+        pool = std::shared_ptr<h2o_socketpool_t>(new h2o_socketpool_t {}, [](h2o_socketpool_t* pool) {
+            h2o_socketpool_dispose(pool);
+            delete pool;
+        });
+        auto address = endpoint.toSocketAddress();
+        h2o_socketpool_init_by_address(pool.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address), 0, this->limits.idleConnections);
+        h2o_socketpool_set_timeout(pool.get(), this->loop->native(), idleConnectionMilliseconds);
+    }
+    return pool;
+}
+
+HttpClient::HttpClient()
+    : implementation(std::make_unique<Implementation>())
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpClient> HttpClient::create(EventLoop& loop, Limits limits)
+{
+    std::unique_ptr<HttpClient> client(new HttpClient);
+    auto& state = *client->implementation;
+    state.loop = &loop;
+    state.limits = limits;
+    h2o_timeout_init(loop.native(), &state.inputOutputTimeout, inputOutputTimeoutMilliseconds);
+    state.context.loop = loop.native();
+    state.context.getaddr_receiver = loop.addressReceiver();
+    state.context.io_timeout = &state.inputOutputTimeout;
+    return client;
+}
+
+static std::string formatHead(const Endpoint& endpoint, const HttpRequest& request)
+{
+    std::string head = request.method + " " + request.target + " HTTP/1.1\r\nhost: " + endpoint.toText() + "\r\n";
+    for (const auto& header : request.headers)
+        head += header.name + ": " + header.value + "\r\n";
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+        head += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+    head += "\r\n";
+    return head;
+}
+
+std::unique_ptr<HttpCall> HttpClient::send(const Endpoint& endpoint, HttpRequest request, Milliseconds timeout, Completion completion)
+{
+    auto& client = *this->implementation;
+    auto state = std::make_shared<CallState>();
+    state->loop = client.loop;
+    state->pool = client.poolFor(endpoint);
+    state->completion = std::move(completion);
+    state->maximumBody = client.limits.maximumBody;
+    state->methodIsHead = request.method == "HEAD";
+    state->head = formatHead(endpoint, request);
+    state->body = std::move(request.body);
+    state->buffers[0] = h2o_iovec_init(state->head.data(), state->head.size());
+    state->buffers[1] = h2o_iovec_init(state->body.data(), state->body.size());
+    state->deadline = client.loop->after(timeout, [this, endpoint, weak = std::weak_ptr(state)] {
+        auto state = weak.lock();
+        if (!state || !state->native)
+            return;
+        auto error = state->failure(Reason::DeadlineExceeded, "no whole answer within the time given");
+        state->abort();
+        // The other idle connections may have fallen silent as well.
+        this->forgetConnections(endpoint);
+        state->finish(tl::unexpected(std::move(error)));
+    });
+    auto call = std::make_unique<HttpCallImplementation>(state);
+    // Started in a callback of the loop; see EventLoop.
+    client.loop->defer([this, weak = std::weak_ptr(state)] {
+        auto state = weak.lock();
+        if (!state || !state->completion)
+            return;
+        h2o_http1client_connect_with_pool(&state->native, new NativeData { state }, &this->implementation->context, state->pool.get(), onConnect);
+    });
+    return call;
+}
+
+void HttpClient::forgetConnections(const Endpoint& endpoint)
+{
+    auto position = this->implementation->pools.find(endpoint);
+    if (position == this->implementation->pools.end())
+        return;
+    // Calls in progress share the pool, so that it lives until the last of them has returned its connection.
+    this->implementation->pools.erase(position);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTransport/HttpMessage.cpp
@@ -0,0 +1,52 @@
+#include <LibTransport/HttpMessage.h>
+#include <algorithm>
+#include <array>
+#include <strings.h>
+
+namespace Sassafrasshift::Transport {
+
+static bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::string_view headerValue(const HttpHeaders& headers, std::string_view name)
+{
+    for (const auto& header : headers) {
+        if (equalsIgnoringCase(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+bool isHopByHopHeader(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 10> names {
+        "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
+        "te", "trailer", "transfer-encoding", "upgrade", "http2-settings"
+    };
+    return std::any_of(names.begin(), names.end(), [&](auto candidate) { return equalsIgnoringCase(candidate, name); });
+}
+
+std::string_view HttpRequest::path() const
+{
+    return std::string_view(this->target).substr(0, this->target.find('?'));
+}
+
+std::string_view HttpRequest::queryParameter(std::string_view name) const
+{
+    auto start = this->target.find('?');
+    if (start == std::string::npos)
+        return {};
+    auto rest = std::string_view(this->target).substr(start + 1);
+    while (!rest.empty()) {
+        auto pair = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        auto equals = pair.find('=');
+        if (pair.substr(0, equals) == name)
+            return equals == std::string_view::npos ? std::string_view {} : pair.substr(equals + 1);
+    }
+    return {};
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -0,0 +1,271 @@
+#include <LibBase/Try.h>
+#include <LibTransport/H2O.h>
+#include <LibTransport/HttpServer.h>
+#include <cstring>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Sassafrasshift::Transport {
+
+static constexpr int listenBacklog = 4096;
+static constexpr uint64_t idleTimeoutMilliseconds = 60'000;
+static constexpr size_t maximumConcurrentStreams = 256;
+// HTTP/1.1 connections are not read while a request is handled, so that a caller's hang-up has to be looked for.
+static constexpr Milliseconds hangUpCheckInterval { 100 };
+static constexpr size_t exchangesCheckedPerTick = 512;
+
+struct HandlerWithServer {
+    h2o_handler_t super;
+    void* server;
+};
+
+class ExchangeImplementation;
+
+struct HttpServer::Implementation {
+    EventLoop* loop { nullptr };
+    Handler handler;
+    h2o_globalconf_t configuration {};
+    h2o_context_t context {};
+    h2o_accept_ctx_t acceptContext {};
+    h2o_socket_t* listener { nullptr };
+    std::vector<std::weak_ptr<ExchangeImplementation>> open;
+    std::unique_ptr<Timer> hangUpTimer;
+    size_t openCount { 0 };
+    size_t checkPosition { 0 };
+
+    void checkHangUps();
+};
+
+class ExchangeImplementation final : public HttpExchange {
+public:
+    ExchangeImplementation(h2o_req_t* request, HttpServer::Implementation* server)
+        : nativeRequest(request)
+        , server(server)
+    {
+        this->received.method.assign(request->method.base, request->method.len);
+        this->received.target.assign(request->path.base, request->path.len);
+        this->received.body.assign(request->entity.base ? request->entity.base : "", request->entity.len);
+        for (size_t i = 0; i < request->headers.size; ++i) {
+            const auto& header = request->headers.entries[i];
+            this->received.headers.push_back({ std::string(header.name->base, header.name->len), std::string(header.value.base, header.value.len) });
+        }
+        ++this->server->openCount;
+    }
+
+    ~ExchangeImplementation() override
+    {
+        if (this->nativeRequest)
+            this->respond(HttpResponse { 500, {}, {} });
+    }
+
+    const HttpRequest& request() const override { return this->received; }
+
+    bool isClosed() const override { return this->nativeRequest == nullptr || this->abandoned; }
+
+    void whenAbandoned(std::function<void()> function) override { this->onAbandoned = std::move(function); }
+
+    void closeConnection() override
+    {
+        if (this->nativeRequest)
+            this->nativeRequest->http1_is_persistent = 0;
+        this->closesConnection = true;
+    }
+
+    void respond(HttpResponse response) override
+    {
+        if (!this->nativeRequest)
+            return;
+        auto* request = this->nativeRequest;
+        this->release();
+        request->res.status = response.status;
+        request->res.reason = "";
+        for (const auto& header : response.headers)
+            this->addHeader(request, header);
+        request->res.content_length = response.body.size();
+        h2o_send_inline(request, response.body.data(), response.body.size());
+    }
+
+    // Called by the library when the request's memory is about to be freed.
+    void requestDisposed()
+    {
+        if (!this->nativeRequest)
+            return;
+        this->release();
+        this->notifyAbandoned();
+    }
+
+    bool callerHungUp()
+    {
+        if (!this->nativeRequest || this->nativeRequest->version >= 0x200 || this->abandoned)
+            return false;
+        auto* connection = this->nativeRequest->conn;
+        if (!connection->callbacks->get_socket)
+            return false;
+        auto* socket = connection->callbacks->get_socket(connection);
+        char byte = 0;
+        return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
+    void notifyAbandoned()
+    {
+        if (this->abandoned)
+            return;
+        this->abandoned = true;
+        if (auto function = std::move(this->onAbandoned))
+            function();
+    }
+
+private:
+    void release()
+    {
+        this->nativeRequest = nullptr;
+        --this->server->openCount;
+    }
+
+    static void addHeader(h2o_req_t* request, const HttpHeader& header)
+    {
+        auto name = h2o_strdup(&request->pool, header.name.data(), header.name.size());
+        h2o_strtolower(name.base, name.len);
+        auto value = h2o_strdup(&request->pool, header.value.data(), header.value.size());
+        h2o_add_header_by_str(&request->pool, &request->res.headers, name.base, name.len, 1, nullptr, value.base, value.len);
+    }
+
+    h2o_req_t* nativeRequest;
+    HttpServer::Implementation* server;
+    HttpRequest received;
+    std::function<void()> onAbandoned;
+    bool abandoned { false };
+    bool closesConnection { false };
+};
+
+struct ExchangeReference {
+    std::weak_ptr<ExchangeImplementation> exchange;
+};
+
+static int onRequest(h2o_handler_t* self, h2o_req_t* request)
+{
+    auto* server = static_cast<HttpServer::Implementation*>(reinterpret_cast<HandlerWithServer*>(self)->server);
+    auto exchange = std::make_shared<ExchangeImplementation>(request, server);
+    auto* memory = h2o_mem_alloc_shared(&request->pool, sizeof(ExchangeReference), [](void* pointer) {
+        auto* reference = static_cast<ExchangeReference*>(pointer);
+        if (auto exchange = reference->exchange.lock())
+            exchange->requestDisposed();
+        reference->~ExchangeReference();
+    });
+    new (memory) ExchangeReference { exchange };
+    server->open.push_back(exchange);
+    server->handler(exchange);
+    return 0;
+}
+
+static void onAccept(h2o_socket_t* listener, const char* error)
+{
+    if (error)
+        return;
+    auto* server = static_cast<HttpServer::Implementation*>(listener->data);
+    // Accepting a bounded number a time keeps the connections that are open already served.
+    for (int accepted = 0; accepted < 64; ++accepted) {
+        auto* socket = h2o_evloop_socket_accept(listener);
+        if (!socket)
+            return;
+        h2o_accept(&server->acceptContext, socket);
+    }
+}
+
+void HttpServer::Implementation::checkHangUps()
+{
+    // Open exchanges are looked at in turn, a bounded number in each tick.
+    for (size_t checked = 0; checked < exchangesCheckedPerTick && this->checkPosition < this->open.size(); ++checked) {
+        auto exchange = this->open[this->checkPosition].lock();
+        if (!exchange || exchange->isClosed()) {
+            this->open[this->checkPosition] = std::move(this->open.back());
+            this->open.pop_back();
+            continue;
+        }
+        if (exchange->callerHungUp())
+            exchange->notifyAbandoned();
+        ++this->checkPosition;
+    }
+    if (this->checkPosition >= this->open.size())
+        this->checkPosition = 0;
+    this->hangUpTimer = this->loop->after(hangUpCheckInterval, [this] { this->checkHangUps(); });
+}
+
+HttpServer::HttpServer()
+    : implementation(std::make_unique<Implementation>())
+{
+}
+
+HttpServer::~HttpServer()
+{
+    this->stopAccepting();
+}
+
+static ErrorOr<int> openListener(const Endpoint& endpoint)
+{
+    auto failure = [&](const char* what) {
+        return tl::unexpected(Error::notRun(Reason::InvalidInput, std::string(what) + " " + endpoint.toText() + ": " + std::strerror(errno)));
+    };
+    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (descriptor < 0)
+        return failure("cannot open a socket for");
+    int enabled = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    auto address = endpoint.toSocketAddress();
+    if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 || listen(descriptor, listenBacklog) != 0) {
+        close(descriptor);
+        return failure("cannot listen on");
+    }
+    return descriptor;
+}
+
+ErrorOr<std::unique_ptr<HttpServer>> HttpServer::create(EventLoop& loop, const Endpoint& endpoint, Limits limits, Handler handler)
+{
+    int descriptor = TRY(openListener(endpoint));
+    std::unique_ptr<HttpServer> server(new HttpServer);
+    auto& state = *server->implementation;
+    state.loop = &loop;
+    state.handler = std::move(handler);
+    h2o_config_init(&state.configuration);
+    state.configuration.server_name = h2o_iovec_init(H2O_STRLIT("sassafrasshift"));
+    state.configuration.max_request_entity_size = limits.maximumBody;
+    state.configuration.http1.req_timeout = idleTimeoutMilliseconds;
+    state.configuration.http2.idle_timeout = idleTimeoutMilliseconds;
+    state.configuration.http2.max_concurrent_requests_per_connection = maximumConcurrentStreams;
+    auto* host = h2o_config_register_host(&state.configuration, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    auto* path = h2o_config_register_path(host, "/", 0);
+    auto* native = reinterpret_cast<HandlerWithServer*>(h2o_create_handler(path, sizeof(HandlerWithServer)));
+    native->super.on_req = onRequest;
+    native->server = &state;
+    h2o_context_init(&state.context, loop.native(), &state.configuration);
+    state.acceptContext.ctx = &state.context;
+    state.acceptContext.hosts = state.configuration.hosts;
+    state.listener = h2o_evloop_socket_create(loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+    state.listener->data = &state;
+    h2o_socket_read_start(state.listener, onAccept);
+    state.hangUpTimer = loop.after(hangUpCheckInterval, [&state] { state.checkHangUps(); });
+    return server;
+}
+
+void HttpServer::stopAccepting()
+{
+    if (!this->implementation->listener)
+        return;
+    h2o_socket_read_stop(this->implementation->listener);
+    h2o_socket_close(this->implementation->listener);
+    this->implementation->listener = nullptr;
+}
+
+void HttpServer::closeGracefully()
+{
+    h2o_context_request_shutdown(&this->implementation->context);
+}
+
+size_t HttpServer::openExchanges() const
+{
+    return this->implementation->openCount;
+}
+
+}
