--- /dev/null
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Sassafrasshift::Telemetry {
+
+/// Counters, gauges and latency histograms of one process, written in the Prometheus text format (version 0.0.4).
+class Metrics {
+public:
+    Metrics();
+    ~Metrics();
+
+    /// Adds to a counter. The labels, if any, are part of the name, as in requests_total{verdict="ran"}.
+    void count(std::string_view name, uint64_t amount = 1);
+
+    void setGauge(std::string_view name, double value);
+
+    /// Records a duration in a histogram, whose bins grow by a constant factor.
+    void observeMilliseconds(std::string_view name, double milliseconds);
+
+    [[nodiscard]] uint64_t counter(std::string_view name) const;
+
+    [[nodiscard]] std::string toPrometheusText() const;
+
+private:
+    struct LatencyHistogram;
+    std::map<std::string, uint64_t, std::less<>> counters;
+    std::map<std::string, double, std::less<>> gauges;
+    std::map<std::string, std::unique_ptr<LatencyHistogram>, std::less<>> histograms;
+};
+
+}
