--- /dev/null
+++ b/Libraries/LibSettings/MappingReader.cpp
@@ -0,0 +1,256 @@
+#include <LibBase/NearestName.h>
+#include <LibSettings/MappingReader.h>
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <yaml-cpp/yaml.h>
+
+namespace Sassafrasshift::Settings {
+
+struct Unit {
+    std::string_view suffix;
+    int64_t factor;
+};
+
+static constexpr std::array durationUnits { Unit { "ms", 1 }, Unit { "min", 60'000 }, Unit { "s", 1000 }, Unit { "h", 3'600'000 } };
+static constexpr std::array byteUnits { Unit { "KiB", 1024 }, Unit { "MiB", 1024 * 1024 }, Unit { "GiB", 1024 * 1024 * 1024 }, Unit { "B", 1 } };
+
+struct MappingReader::Implementation {
+    YAML::Node node;
+    std::string file;
+    Faults* faults;
+    std::vector<std::string> knownKeys;
+
+    YAML::Node find(std::string_view key);
+    std::string scalar(std::string_view key, bool required);
+};
+
+YAML::Node MappingReader::Implementation::find(std::string_view key)
+{
+    std::string name(key);
+    if (std::find(this->knownKeys.begin(), this->knownKeys.end(), name) == this->knownKeys.end())
+        this->knownKeys.push_back(name);
+    if (!this->node.IsMap())
+        return YAML::Node(YAML::NodeType::Undefined);
+    const YAML::Node& constant = this->node;
+    return constant[name];
+}
+
+MappingReader::MappingReader(const YAML::Node& node, std::string file, Faults& faults)
+    : implementation(std::make_unique<Implementation>(Implementation { node, std::move(file), &faults, {} }))
+{
+    if (!node.IsMap())
+        this->report({}, "a mapping of keys to values is expected here");
+}
+
+MappingReader::~MappingReader() = default;
+MappingReader::MappingReader(MappingReader&&) noexcept = default;
+
+Place MappingReader::place(std::string_view key) const
+{
+    auto mark = this->implementation->node.Mark();
+    if (!key.empty()) {
+        auto value = this->implementation->find(key);
+        if (value.IsDefined())
+            mark = value.Mark();
+    }
+    return Place { mark.line + 1, mark.column + 1 };
+}
+
+void MappingReader::report(std::string_view key, std::string message)
+{
+    auto [line, column] = this->place(key);
+    this->implementation->faults->push_back(Fault { this->implementation->file, line, column, std::move(message) });
+}
+
+bool MappingReader::has(std::string_view key) const
+{
+    return this->implementation->find(key).IsDefined();
+}
+
+std::string MappingReader::text(std::string_view key, std::optional<std::string> fallback)
+{
+    auto value = this->implementation->find(key);
+    if (!value.IsDefined()) {
+        if (!fallback)
+            this->report({}, "\"" + std::string(key) + "\" is missing");
+        return fallback.value_or("");
+    }
+    if (!value.IsScalar() || value.Scalar().empty()) {
+        this->report(key, "\"" + std::string(key) + "\" must be a text that is not empty");
+        return fallback.value_or("");
+    }
+    return value.Scalar();
+}
+
+int64_t MappingReader::integer(std::string_view key, int64_t minimum, int64_t maximum, std::optional<int64_t> fallback)
+{
+    if (!this->has(key) && fallback)
+        return *fallback;
+    auto content = this->text(key);
+    if (content.empty())
+        return fallback.value_or(minimum);
+    int64_t result = 0;
+    auto [end, code] = std::from_chars(content.data(), content.data() + content.size(), result);
+    if (code == std::errc {} && end == content.data() + content.size() && result >= minimum && result <= maximum)
+        return result;
+    this->report(key, "\"" + std::string(key) + "\" must be a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum) + ", not \"" + content + "\"");
+    return fallback.value_or(minimum);
+}
+
+double MappingReader::number(std::string_view key, double minimum, double maximum, std::optional<double> fallback)
+{
+    if (!this->has(key) && fallback)
+        return *fallback;
+    auto content = this->text(key);
+    if (content.empty())
+        return fallback.value_or(minimum);
+    double result = 0;
+    auto [end, code] = std::from_chars(content.data(), content.data() + content.size(), result);
+    if (code == std::errc {} && end == content.data() + content.size() && result >= minimum && result <= maximum)
+        return result;
+    this->report(key, "\"" + std::string(key) + "\" must be a number from " + std::to_string(minimum) + " to " + std::to_string(maximum) + ", not \"" + content + "\"");
+    return fallback.value_or(minimum);
+}
+
+bool MappingReader::boolean(std::string_view key, std::optional<bool> fallback)
+{
+    if (!this->has(key) && fallback)
+        return *fallback;
+    auto content = this->text(key);
+    if (content == "true" || content == "false")
+        return content == "true";
+    if (!content.empty())
+        this->report(key, "\"" + std::string(key) + "\" must be true or false, not \"" + content + "\"");
+    return fallback.value_or(false);
+}
+
+static std::optional<int64_t> parseWithUnit(const std::string& content, std::span<const Unit> units)
+{
+    double amount = 0;
+    auto [end, code] = std::from_chars(content.data(), content.data() + content.size(), amount);
+    if (code != std::errc {} || !std::isfinite(amount) || amount < 0)
+        return std::nullopt;
+    auto suffix = std::string_view(end, static_cast<size_t>(content.data() + content.size() - end));
+    for (const auto& unit : units) {
+        if (unit.suffix == suffix && amount <= 9e18 / static_cast<double>(unit.factor))
+            return std::llround(amount * static_cast<double>(unit.factor));
+    }
+    return std::nullopt;
+}
+
+Milliseconds MappingReader::duration(std::string_view key, Milliseconds minimum, Milliseconds maximum, std::optional<Milliseconds> fallback)
+{
+    if (!this->has(key) && fallback)
+        return *fallback;
+    auto content = this->text(key);
+    if (content.empty())
+        return fallback.value_or(minimum);
+    auto result = parseWithUnit(content, durationUnits);
+    if (result && *result >= minimum.count() && *result <= maximum.count())
+        return Milliseconds(*result);
+    this->report(key, "\"" + std::string(key) + "\" must be a duration from " + std::to_string(minimum.count()) + "ms to " + std::to_string(maximum.count()) + "ms, with its unit (ms, s, min, h), not \"" + content + "\"");
+    return fallback.value_or(minimum);
+}
+
+int64_t MappingReader::bytes(std::string_view key, int64_t minimum, int64_t maximum, std::optional<int64_t> fallback)
+{
+    if (!this->has(key) && fallback)
+        return *fallback;
+    auto content = this->text(key);
+    if (content.empty())
+        return fallback.value_or(minimum);
+    auto result = parseWithUnit(content, byteUnits);
+    if (result && *result >= minimum && *result <= maximum)
+        return *result;
+    this->report(key, "\"" + std::string(key) + "\" must be a size from " + std::to_string(minimum) + "B to " + std::to_string(maximum) + "B, with its unit (B, KiB, MiB, GiB), not \"" + content + "\"");
+    return fallback.value_or(minimum);
+}
+
+std::string MappingReader::oneOf(std::string_view key, std::span<const std::string> choices, std::optional<std::string> fallback)
+{
+    if (!this->has(key) && fallback)
+        return *fallback;
+    auto content = this->text(key);
+    if (std::find(choices.begin(), choices.end(), content) != choices.end())
+        return content;
+    if (!content.empty()) {
+        std::string message = "\"" + content + "\" is not a value of \"" + std::string(key) + "\"; known are";
+        for (const auto& choice : choices)
+            message += " " + choice;
+        this->report(key, message);
+    }
+    return fallback.value_or(choices.front());
+}
+
+std::vector<std::string> MappingReader::texts(std::string_view key)
+{
+    std::vector<std::string> result;
+    auto value = this->implementation->find(key);
+    if (!value.IsDefined())
+        return result;
+    if (!value.IsSequence()) {
+        this->report(key, "\"" + std::string(key) + "\" must be a sequence");
+        return result;
+    }
+    for (const auto& element : value) {
+        if (element.IsScalar() && !element.Scalar().empty())
+            result.push_back(element.Scalar());
+        else
+            this->report(key, "\"" + std::string(key) + "\" must hold texts that are not empty");
+    }
+    return result;
+}
+
+std::vector<MappingReader> MappingReader::mappings(std::string_view key)
+{
+    std::vector<MappingReader> result;
+    auto value = this->implementation->find(key);
+    if (!value.IsDefined() || !value.IsSequence()) {
+        this->report(key, "\"" + std::string(key) + "\" must be a sequence of mappings");
+        return result;
+    }
+    for (const auto& element : value)
+        result.emplace_back(element, this->implementation->file, *this->implementation->faults);
+    return result;
+}
+
+void MappingReader::finish()
+{
+    auto& state = *this->implementation;
+    if (!state.node.IsMap())
+        return;
+    std::vector<std::string> seen;
+    for (const auto& pair : state.node) {
+        auto key = pair.first.IsScalar() ? pair.first.Scalar() : std::string();
+        auto mark = pair.first.Mark();
+        auto fault = [&](std::string message) {
+            state.faults->push_back(Fault { state.file, mark.line + 1, mark.column + 1, std::move(message) });
+        };
+        if (std::find(seen.begin(), seen.end(), key) != seen.end())
+            fault("\"" + key + "\" is given twice");
+        seen.push_back(key);
+        if (std::find(state.knownKeys.begin(), state.knownKeys.end(), key) != state.knownKeys.end())
+            continue;
+        auto nearest = nearestName(key, state.knownKeys);
+        fault("unknown key \"" + key + "\"" + (nearest.empty() ? "" : "; did you mean \"" + nearest + "\"?"));
+    }
+}
+
+std::vector<YAML::Node> parseDocuments(const std::string& text, const std::string& file, Faults& faults)
+{
+    try {
+        std::vector<YAML::Node> documents;
+        for (const auto& node : YAML::LoadAll(text)) {
+            if (!node.IsNull())
+                documents.push_back(node);
+        }
+        return documents;
+    } catch (const YAML::Exception& error) {
+        faults.push_back(Fault { file, error.mark.line + 1, error.mark.column + 1, "not valid YAML: " + error.msg });
+        return {};
+    }
+}
+
+}
