--- /dev/null
+++ b/Libraries/LibCatalog/Catalog.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <LibCatalog/Objects.h>
+#include <LibSettings/Fault.h>
+#include <compare>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace Sassafrasshift::Catalog {
+
+/// One file of named objects, as the operator wrote it.
+struct SourceFile {
+    std::string name;
+    std::string text;
+
+    CODEC_FIELDS(name, text);
+    friend auto operator<=>(const SourceFile&, const SourceFile&) = default;
+};
+
+/// A whole set of named objects whose references have been checked.
+class Catalog {
+public:
+    /// Checks the whole set. Fails with every fault that it has.
+    [[nodiscard]] static tl::expected<Catalog, Settings::Faults> create(const std::vector<SourceFile>&);
+
+    [[nodiscard]] const Service* findService(std::string_view name) const;
+    [[nodiscard]] const TaskKind* findTaskKind(std::string_view name) const;
+    [[nodiscard]] const Pool* findPool(std::string_view name) const;
+    [[nodiscard]] const Policy* findPolicy(std::string_view name) const;
+    [[nodiscard]] const Team* findTeam(std::string_view name) const;
+    [[nodiscard]] const FailureDomain* findFailureDomain(std::string_view name) const;
+
+    template <typename Object>
+    using ByName = std::map<std::string, Object, std::less<>>;
+
+    ByName<Service> services;
+    ByName<TaskKind> taskKinds;
+    ByName<Pool> pools;
+    ByName<Policy> policies;
+    ByName<Team> teams;
+    ByName<FailureDomain> failureDomains;
+
+    friend bool operator==(const Catalog&, const Catalog&) = default;
+};
+
+/// One object that differs between two sets, as "added service rota-desk".
+[[nodiscard]] std::vector<std::string> describeChanges(const Catalog& before, const Catalog& after);
+
+}
