LibLedger: Add the replicated log

Cause: configuration and jobs must survive lost hosts, and there is no outside store. Ruled out: whole-log rewriting on each write (several ms a sync for nothing). Conclusion: not yet tested under failure; tests follow.

--- /dev/null
+++ b/Libraries/LibLedger/DiskStore.cpp
@@ -0,0 +1,232 @@
+#include <LibBase/Try.h>
+#include <LibLedger/DiskStore.h>
+#include <LibLedger/FileOperations.h>
+#include <LibLedger/Frame.h>
+#include <LibTransport/Codec.h>
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace Sassafrasshift::Ledger {
+
+// Room is reserved ahead, so that a full disk is noticed before a command is accepted.
+static constexpr size_t reservationStep = 4 * 1024 * 1024;
+static constexpr std::string_view segmentPrefix = "log-";
+
+using OperationList = std::vector<StoreOperation>;
+
+DiskStore::DiskStore(std::string folder)
+    : folder(std::move(folder))
+{
+}
+
+DiskStore::~DiskStore()
+{
+    if (this->descriptor >= 0)
+        close(this->descriptor);
+}
+
+std::string DiskStore::segmentPath(uint64_t number) const
+{
+    auto digits = std::to_string(number);
+    return this->folder + "/" + std::string(segmentPrefix) + std::string(20 - digits.size(), '0') + digits;
+}
+
+ErrorOr<std::unique_ptr<DiskStore>> DiskStore::open(const std::string& folder, Random& random)
+{
+    std::error_code code;
+    std::filesystem::create_directories(folder, code);
+    if (code)
+        return tl::unexpected(Error::notRun(Reason::StorageFailed, "cannot create data folder " + folder + ": " + code.message()));
+    std::unique_ptr<DiskStore> store(new DiskStore(folder));
+    TRY_VOID(store->loadIdentity(random));
+    TRY_VOID(store->recover());
+    return store;
+}
+
+ErrorOr<void> DiskStore::loadIdentity(Random& random)
+{
+    auto path = this->folder + "/identity";
+    auto content = readFile(path);
+    if (content && content->size() == 32) {
+        this->folderIdentity = *content;
+        return {};
+    }
+    if (content && !content->empty())
+        return tl::unexpected(Error::notRun(Reason::Damaged, path + " does not hold an identity"));
+    this->folderIdentity = makeRandomIdentity(random);
+    return replaceFile(path, this->folderIdentity);
+}
+
+static std::vector<uint64_t> listSegments(const std::string& folder)
+{
+    std::vector<uint64_t> numbers;
+    for (const auto& file : std::filesystem::directory_iterator(folder)) {
+        auto name = file.path().filename().string();
+        if (name.starts_with(segmentPrefix) && !name.ends_with(temporarySuffix))
+            numbers.push_back(std::stoull(name.substr(segmentPrefix.size())));
+    }
+    std::sort(numbers.begin(), numbers.end());
+    return numbers;
+}
+
+ErrorOr<void> DiskStore::recover()
+{
+    auto segments = listSegments(this->folder);
+    if (segments.empty())
+        return this->startSegment({});
+    // A segment gets its name only once its first frame is durable, so that the latest one is complete in itself.
+    this->segmentNumber = segments.back();
+    auto path = this->segmentPath(this->segmentNumber);
+    auto content = readFile(path);
+    if (!content)
+        return tl::unexpected(Error::notRun(Reason::StorageFailed, "cannot read " + path));
+    TRY_VOID(this->replay(*content, this->writeOffset));
+    this->descriptor = ::open(path.c_str(), O_RDWR | O_CLOEXEC);
+    // What a cut frame left behind is overwritten with zeros by shortening the file.
+    if (this->descriptor < 0 || ftruncate(this->descriptor, static_cast<off_t>(this->writeOffset)) != 0 || fsync(this->descriptor) != 0)
+        return tl::unexpected(Error::notRun(Reason::StorageFailed, "cannot open " + path + ": " + std::strerror(errno)));
+    this->reservedBytes = this->writeOffset;
+    this->removeSegmentsBefore(this->segmentNumber);
+    return {};
+}
+
+ErrorOr<void> DiskStore::replay(const std::string& bytes, size_t& validBytes)
+{
+    size_t offset = 0;
+    auto damaged = [&](std::string_view what) {
+        return tl::unexpected(Error::notRun(Reason::Damaged, this->segmentPath(this->segmentNumber) + ": " + std::string(what) + " at byte " + std::to_string(offset) + "; move the data folder away and start again, so that this host joins with a new identity"));
+    };
+    while (offset < bytes.size()) {
+        auto rest = std::string_view(bytes).substr(offset);
+        auto frame = Frame::read(rest);
+        if (frame.condition == Frame::Condition::End)
+            break;
+        if (frame.condition == Frame::Condition::Damaged)
+            return damaged("damaged record");
+        if (frame.condition == Frame::Condition::Torn) {
+            if (offset == 0 || Frame::anyWholeFrameAfter(rest))
+                return damaged("damaged record before others");
+            break;
+        }
+        auto operations = Transport::decodeValue<OperationList>(frame.payload);
+        if (!operations)
+            return damaged("record of an unknown form");
+        for (const auto& operation : *operations)
+            applyOperation(this->recoveredState, operation);
+        offset += frame.size;
+    }
+    validBytes = offset;
+    return {};
+}
+
+void applyOperation(StoredState& state, const StoreOperation& operation)
+{
+    struct Visitor {
+        StoredState& state;
+
+        void operator()(const HardState& hardState) const { this->state.hardState = hardState; }
+
+        void operator()(const TruncateOperation& truncate) const
+        {
+            while (!this->state.entries.empty() && this->state.entries.back().index >= truncate.from)
+                this->state.entries.pop_back();
+        }
+
+        void operator()(const AppendOperation& append) const
+        {
+            this->state.entries.insert(this->state.entries.end(), append.entries.begin(), append.entries.end());
+        }
+
+        void operator()(const SnapshotOperation& snapshot) const
+        {
+            this->state = StoredState { snapshot.snapshot, snapshot.hardState, snapshot.retained };
+        }
+    };
+    std::visit(Visitor { state }, operation);
+}
+
+ErrorOr<void> DiskStore::startSegment(const SnapshotOperation& base)
+{
+    OperationList operations { base };
+    auto frame = Frame::encode(Transport::encodeValue(operations));
+    auto number = this->segmentNumber + 1;
+    TRY_VOID(replaceFile(this->segmentPath(number), frame));
+    int newDescriptor = ::open(this->segmentPath(number).c_str(), O_RDWR | O_CLOEXEC);
+    if (newDescriptor < 0)
+        return tl::unexpected(Error::notRun(Reason::StorageFailed, "cannot open a new log segment: " + std::string(std::strerror(errno))));
+    if (this->descriptor >= 0)
+        close(this->descriptor);
+    this->descriptor = newDescriptor;
+    this->segmentNumber = number;
+    this->writeOffset = frame.size();
+    this->reservedBytes = frame.size();
+    this->totalBytes += frame.size();
+    this->removeSegmentsBefore(number);
+    return {};
+}
+
+void DiskStore::removeSegmentsBefore(uint64_t number)
+{
+    for (auto segment : listSegments(this->folder)) {
+        if (segment < number)
+            unlink(this->segmentPath(segment).c_str());
+    }
+}
+
+ErrorOr<void> DiskStore::reserve(size_t bytes)
+{
+    if (this->writeOffset + bytes <= this->reservedBytes)
+        return {};
+    auto target = this->writeOffset + bytes + reservationStep;
+    int code = posix_fallocate(this->descriptor, static_cast<off_t>(this->reservedBytes), static_cast<off_t>(target - this->reservedBytes));
+    if (code == ENOSPC || code == EFBIG || code == EDQUOT)
+        return tl::unexpected(Error::notRun(Reason::StorageFull, "no room in " + this->folder));
+    if (code != 0)
+        return tl::unexpected(Error::mayHaveRun(Reason::StorageFailed, "cannot extend the log: " + std::string(std::strerror(code))));
+    this->reservedBytes = target;
+    // The new size is made durable once, so that the syncs of single batches need not write it.
+    if (fsync(this->descriptor) != 0)
+        return tl::unexpected(Error::mayHaveRun(Reason::StorageFailed, "cannot sync the log: " + std::string(std::strerror(errno))));
+    return {};
+}
+
+ErrorOr<void> DiskStore::appendFrame(const std::string& payload)
+{
+    auto frame = Frame::encode(payload);
+    TRY_VOID(this->reserve(frame.size()));
+    size_t written = 0;
+    while (written < frame.size()) {
+        auto count = pwrite(this->descriptor, frame.data() + written, frame.size() - written, static_cast<off_t>(this->writeOffset + written));
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count <= 0)
+            return tl::unexpected(Error::mayHaveRun(Reason::StorageFailed, "cannot write the log: " + std::string(std::strerror(errno))));
+        written += static_cast<size_t>(count);
+    }
+    if (fdatasync(this->descriptor) != 0)
+        return tl::unexpected(Error::mayHaveRun(Reason::StorageFailed, "cannot sync the log: " + std::string(std::strerror(errno))));
+    this->writeOffset += frame.size();
+    this->totalBytes += frame.size();
+    return {};
+}
+
+ErrorOr<void> DiskStore::store(std::span<const StoreOperation> operations)
+{
+    // A snapshot stands for everything before it, so that only the last one starts a segment.
+    auto isSnapshot = [](const auto& operation) { return std::holds_alternative<SnapshotOperation>(operation); };
+    auto last = std::find_if(operations.rbegin(), operations.rend(), isSnapshot);
+    if (last != operations.rend()) {
+        TRY_VOID(this->startSegment(std::get<SnapshotOperation>(*last)));
+        operations = operations.subspan(static_cast<size_t>(operations.rend() - last));
+    }
+    if (operations.empty())
+        return {};
+    return this->appendFrame(Transport::encodeValue(OperationList(operations.begin(), operations.end())));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLedger/FileOperations.cpp
@@ -0,0 +1,63 @@
+#include <LibLedger/FileOperations.h>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace Sassafrasshift::Ledger {
+
+std::optional<std::string> readFile(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        return std::nullopt;
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+static bool writeAll(int descriptor, std::string_view content)
+{
+    while (!content.empty()) {
+        auto count = write(descriptor, content.data(), content.size());
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count <= 0)
+            return false;
+        content.remove_prefix(static_cast<size_t>(count));
+    }
+    return true;
+}
+
+ErrorOr<void> replaceFile(const std::string& path, std::string_view content)
+{
+    auto temporary = path + std::string(temporarySuffix);
+    int descriptor = open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+    auto fail = [&](int code) {
+        if (descriptor >= 0)
+            close(descriptor);
+        unlink(temporary.c_str());
+        auto reason = code == ENOSPC || code == EFBIG || code == EDQUOT ? Reason::StorageFull : Reason::StorageFailed;
+        return tl::unexpected(Error::notRun(reason, "cannot write " + path + ": " + std::strerror(code)));
+    };
+    if (descriptor < 0 || !writeAll(descriptor, content) || fsync(descriptor) != 0)
+        return fail(errno);
+    close(descriptor);
+    descriptor = -1;
+    if (std::rename(temporary.c_str(), path.c_str()) != 0)
+        return fail(errno);
+    auto folder = std::filesystem::path(path).parent_path().string();
+    int folderDescriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    bool synced = folderDescriptor >= 0 && fsync(folderDescriptor) == 0;
+    if (folderDescriptor >= 0)
+        close(folderDescriptor);
+    if (!synced)
+        return tl::unexpected(Error::mayHaveRun(Reason::StorageFailed, "cannot sync " + folder + ": " + std::strerror(errno)));
+    return {};
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLedger/Replica.cpp
@@ -0,0 +1,561 @@
+#include <LibBase/Try.h>
+#include <LibLedger/Replica.h>
+#include <LibTransport/Codec.h>
+#include <algorithm>
+
+namespace Sassafrasshift::Ledger {
+
+// Entries that stay in memory after a snapshot, so that a follower a little behind needs no snapshot.
+static constexpr Index retainedEntries = 1024;
+static constexpr int snapshotRetryElections = 4;
+
+bool Replica::Effects::isEmpty() const
+{
+    return this->operations.empty() && this->immediateMessages.empty() && this->messagesAfterStore.empty()
+        && !this->restored && this->committed.empty();
+}
+
+Replica::Replica(Options options, const StoredState& stored, Random random, Instant now)
+    : options(std::move(options))
+    , random(random)
+    , now(now)
+    , hardState(stored.hardState)
+    , log(stored)
+    , latestSnapshot(stored.snapshot)
+    , committedIndex(stored.snapshot.index)
+    , handedOutIndex(stored.snapshot.index)
+    , storedIndex(log.lastIndex())
+    , lastLeaderContact(now)
+{
+    if (stored.snapshot.index > 0)
+        this->effects.restored = stored.snapshot;
+    this->resetElectionTimer();
+}
+
+void Replica::resetElectionTimer()
+{
+    std::uniform_int_distribution<int64_t> spread(0, this->options.electionTimeout.count() * 1000);
+    this->electionDeadline = this->now + this->options.electionTimeout + Microseconds(spread(this->random));
+}
+
+std::string Replica::leaderHost() const
+{
+    if (this->currentRole == Role::Leader)
+        return this->options.host;
+    const auto* member = this->log.membership().find(this->leaderIdentity);
+    return member ? member->host : std::string();
+}
+
+bool Replica::isEstablishedLeader() const
+{
+    return this->currentRole == Role::Leader && this->committedIndex >= this->firstIndexOfTerm;
+}
+
+Message Replica::messageTo(const Member& member, MessageBody body) const
+{
+    return Message { this->options.group, this->options.identity, this->options.host, member.identity, member.host, std::move(body) };
+}
+
+Message Replica::reply(const Message& request, MessageBody body) const
+{
+    return Message { this->options.group, this->options.identity, this->options.host, request.from, request.fromHost, std::move(body) };
+}
+
+void Replica::tick(Instant time)
+{
+    this->now = time;
+    if (this->currentRole == Role::Leader) {
+        this->checkQuorum();
+        if (this->currentRole != Role::Leader)
+            return;
+        this->advanceJoins();
+        if (this->now >= this->nextHeartbeat)
+            this->sendHeartbeats();
+        return;
+    }
+    if (this->now >= this->electionDeadline && this->log.membership().isVoter(this->options.identity))
+        this->startPreVote();
+}
+
+void Replica::receive(const Message& message, Instant time)
+{
+    this->now = time;
+    if (message.to != this->options.identity || message.group != this->options.group)
+        return;
+    std::visit([&](const auto& body) { this->handle(message, body); }, message.body);
+}
+
+void Replica::becomeFollower(Term term, std::string leader)
+{
+    if (term > this->hardState.term) {
+        this->hardState = HardState { term, {} };
+        this->effects.operations.emplace_back(this->hardState);
+    }
+    this->currentRole = Role::Follower;
+    this->leaderIdentity = std::move(leader);
+    this->progress.clear();
+    this->joins.clear();
+    this->grants.clear();
+    this->resetElectionTimer();
+}
+
+// A pre-vote keeps a replica that was cut off from raising the term and so ending the term of a working leader.
+void Replica::startPreVote()
+{
+    this->currentRole = Role::PreCandidate;
+    this->leaderIdentity.clear();
+    this->resetElectionTimer();
+    this->grants = { this->options.identity };
+    if (this->isQuorum(this->grants)) {
+        this->startElection();
+        return;
+    }
+    this->askForVotes(VoteStage::PreVote, this->hardState.term + 1);
+}
+
+void Replica::startElection()
+{
+    this->currentRole = Role::Candidate;
+    this->hardState = HardState { this->hardState.term + 1, this->options.identity };
+    this->effects.operations.emplace_back(this->hardState);
+    this->resetElectionTimer();
+    this->grants = { this->options.identity };
+    if (this->isQuorum(this->grants)) {
+        this->becomeLeader();
+        return;
+    }
+    this->askForVotes(VoteStage::Vote, this->hardState.term);
+}
+
+void Replica::askForVotes(VoteStage stage, Term term)
+{
+    for (const auto& member : this->log.membership().members) {
+        if (member.role != MemberRole::Voter || member.identity == this->options.identity)
+            continue;
+        auto message = this->messageTo(member, VoteRequest { stage, term, this->log.lastIndex(), this->log.lastTerm() });
+        // The vote for itself has to be durable before another one can complete a majority with it.
+        if (stage == VoteStage::Vote)
+            this->effects.messagesAfterStore.push_back(std::move(message));
+        else
+            this->effects.immediateMessages.push_back(std::move(message));
+    }
+}
+
+bool Replica::isQuorum(const std::set<std::string>& identities) const
+{
+    const auto& membership = this->log.membership();
+    auto votes = std::count_if(identities.begin(), identities.end(), [&](const auto& identity) { return membership.isVoter(identity); });
+    return static_cast<size_t>(votes) >= membership.quorum() && membership.voterCount() > 0;
+}
+
+bool Replica::isUpToDate(const VoteRequest& request) const
+{
+    if (request.lastTerm != this->log.lastTerm())
+        return request.lastTerm > this->log.lastTerm();
+    return request.lastIndex >= this->log.lastIndex();
+}
+
+bool Replica::heardFromLeaderRecently() const
+{
+    if (this->currentRole == Role::Leader)
+        return true;
+    return this->hasHeardLeader && this->now < this->lastLeaderContact + this->options.electionTimeout;
+}
+
+void Replica::handle(const Message& message, const VoteRequest& request)
+{
+    // While a leader is heard, requests of replicas that cannot hear it are ignored (Ongaro, section 4.2.3).
+    if (this->heardFromLeaderRecently())
+        return;
+    if (request.stage == VoteStage::PreVote) {
+        bool granted = request.term > this->hardState.term && this->isUpToDate(request);
+        this->effects.immediateMessages.push_back(this->reply(message, VoteResponse { VoteStage::PreVote, granted ? request.term : this->hardState.term, granted }));
+        return;
+    }
+    if (request.term > this->hardState.term)
+        this->becomeFollower(request.term, {});
+    bool granted = request.term == this->hardState.term && this->isUpToDate(request)
+        && (this->hardState.vote.empty() || this->hardState.vote == message.from);
+    if (granted && this->hardState.vote.empty()) {
+        this->hardState.vote = message.from;
+        this->effects.operations.emplace_back(this->hardState);
+        this->resetElectionTimer();
+    }
+    this->effects.messagesAfterStore.push_back(this->reply(message, VoteResponse { VoteStage::Vote, this->hardState.term, granted }));
+}
+
+void Replica::handle(const Message& message, const VoteResponse& response)
+{
+    if (!response.granted) {
+        if (response.term > this->hardState.term)
+            this->becomeFollower(response.term, {});
+        return;
+    }
+    if (response.stage == VoteStage::PreVote) {
+        if (this->currentRole != Role::PreCandidate || response.term != this->hardState.term + 1)
+            return;
+        this->grants.insert(message.from);
+        if (this->isQuorum(this->grants))
+            this->startElection();
+        return;
+    }
+    if (this->currentRole != Role::Candidate || response.term != this->hardState.term)
+        return;
+    this->grants.insert(message.from);
+    if (this->isQuorum(this->grants))
+        this->becomeLeader();
+}
+
+void Replica::becomeLeader()
+{
+    this->currentRole = Role::Leader;
+    this->leaderIdentity = this->options.identity;
+    this->progress.clear();
+    this->joins.clear();
+    for (const auto& member : this->log.membership().members)
+        this->progressOf(member.identity);
+    this->firstIndexOfTerm = this->log.lastIndex() + 1;
+    this->appendOwn(EntryKind::NoOperation, {});
+    // The first membership stands before the log; a replica that starts empty learns it from an entry.
+    if (this->log.membershipIndex() == 0)
+        this->proposeMembership(Membership(this->log.membership()));
+    this->nextHeartbeat = this->now;
+}
+
+Replica::Progress& Replica::progressOf(const std::string& identity)
+{
+    auto [position, isNew] = this->progress.try_emplace(identity);
+    if (isNew) {
+        position->second.nextIndex = this->log.lastIndex() + 1;
+        position->second.lastContact = this->now;
+    }
+    return position->second;
+}
+
+void Replica::appendOwn(EntryKind kind, std::string payload)
+{
+    Entry entry { this->hardState.term, this->log.lastIndex() + 1, kind, std::move(payload) };
+    this->log.append(entry);
+    if (!this->effects.operations.empty()) {
+        if (auto* append = std::get_if<AppendOperation>(&this->effects.operations.back())) {
+            append->entries.push_back(std::move(entry));
+            return;
+        }
+    }
+    this->effects.operations.emplace_back(AppendOperation { { std::move(entry) } });
+}
+
+ErrorOr<Index> Replica::propose(std::string payload)
+{
+    if (this->currentRole != Role::Leader)
+        return tl::unexpected(Error::notRun(Reason::NotLeader, "this replica does not lead"));
+    this->appendOwn(EntryKind::Command, std::move(payload));
+    return this->log.lastIndex();
+}
+
+bool Replica::mayChangeMembership() const
+{
+    // A change is proposed only where the one before it and an entry of this term are committed (Ongaro, section 4.1).
+    return this->isEstablishedLeader() && this->log.membershipIndex() <= this->committedIndex;
+}
+
+void Replica::proposeMembership(const Membership& membership)
+{
+    this->appendOwn(EntryKind::Membership, Transport::encodeValue(membership));
+}
+
+ErrorOr<Index> Replica::proposeRemoval(std::string_view identity)
+{
+    if (this->currentRole != Role::Leader)
+        return tl::unexpected(Error::notRun(Reason::NotLeader, "this replica does not lead"));
+    if (!this->log.membership().find(identity))
+        return tl::unexpected(Error::notRun(Reason::NotFound, "there is no member \"" + std::string(identity) + "\""));
+    if (identity == this->options.identity)
+        return tl::unexpected(Error::notRun(Reason::Conflict, "the leader does not remove itself; stop its process first"));
+    if (!this->mayChangeMembership())
+        return tl::unexpected(Error::notRun(Reason::Conflict, "another change of the membership is under way"));
+    this->proposeMembership(this->log.membership().without(identity));
+    return this->log.lastIndex();
+}
+
+void Replica::requestJoin(const std::string& host, const std::string& identity)
+{
+    if (this->currentRole == Role::Leader && !this->log.membership().isVoter(identity))
+        this->joins[host] = identity;
+}
+
+void Replica::advanceJoins()
+{
+    for (auto position = this->joins.begin(); position != this->joins.end();) {
+        auto [host, identity] = *position;
+        if (this->log.membership().isVoter(identity)) {
+            position = this->joins.erase(position);
+            continue;
+        }
+        ++position;
+        if (this->mayChangeMembership())
+            this->advanceJoin(host, identity);
+    }
+}
+
+bool Replica::isInContact(const std::string& identity) const
+{
+    if (identity == this->options.identity)
+        return true;
+    auto position = this->progress.find(identity);
+    return position != this->progress.end() && this->now < position->second.lastContact + this->options.electionTimeout;
+}
+
+void Replica::advanceJoin(const std::string& host, const std::string& identity)
+{
+    const auto& membership = this->log.membership();
+    if (!membership.find(identity)) {
+        this->proposeMembership(membership.with(Member { identity, host, MemberRole::Learner }));
+        return;
+    }
+    // A learner counts in the quorum only once it holds everything that is committed.
+    if (this->progressOf(identity).matchIndex < this->committedIndex || !this->isInContact(identity))
+        return;
+    auto sameHost = [&](const Member& member) { return member.host == host && member.identity != identity; };
+    auto former = std::find_if(membership.members.begin(), membership.members.end(), sameHost);
+    if (former == membership.members.end()) {
+        this->proposeMembership(membership.with(Member { identity, host, MemberRole::Voter }));
+        return;
+    }
+    if (former->identity == this->options.identity)
+        return;
+    auto remaining = membership.without(former->identity);
+    size_t reachable = 0;
+    for (const auto& member : remaining.members) {
+        if (member.role == MemberRole::Voter && this->isInContact(member.identity))
+            ++reachable;
+    }
+    if (reachable >= remaining.quorum())
+        this->proposeMembership(remaining);
+}
+
+void Replica::checkQuorum()
+{
+    const auto& membership = this->log.membership();
+    size_t reachable = 0;
+    for (const auto& member : membership.members) {
+        if (member.role == MemberRole::Voter && this->isInContact(member.identity))
+            ++reachable;
+    }
+    // A leader that was removed hands over once the removal is committed.
+    bool removed = !membership.isVoter(this->options.identity) && this->log.membershipIndex() <= this->committedIndex;
+    if (reachable < membership.quorum() || removed)
+        this->becomeFollower(this->hardState.term, {});
+}
+
+void Replica::sendHeartbeats()
+{
+    this->nextHeartbeat = this->now + this->options.heartbeatInterval;
+    for (const auto& member : this->log.membership().members) {
+        if (member.identity == this->options.identity)
+            continue;
+        auto& progress = this->progressOf(member.identity);
+        if (progress.snapshotSentAt && this->now >= *progress.snapshotSentAt + snapshotRetryElections * this->options.electionTimeout)
+            progress.snapshotSentAt.reset();
+        this->sendAppend(member, progress);
+    }
+}
+
+void Replica::sendAppends()
+{
+    for (const auto& member : this->log.membership().members) {
+        if (member.identity == this->options.identity)
+            continue;
+        auto& progress = this->progressOf(member.identity);
+        if (progress.nextIndex <= this->log.lastIndex())
+            this->sendAppend(member, progress);
+    }
+}
+
+void Replica::sendAppend(const Member& member, Progress& progress)
+{
+    if (!this->log.covers(progress.nextIndex - 1)) {
+        if (!progress.snapshotSentAt)
+            this->sendSnapshot(member, progress);
+        return;
+    }
+    AppendRequest request;
+    request.term = this->hardState.term;
+    request.previousIndex = progress.nextIndex - 1;
+    request.previousTerm = this->log.termAt(request.previousIndex);
+    request.commitIndex = this->committedIndex;
+    request.entries = this->log.slice(progress.nextIndex, this->options.maximumAppendBytes);
+    // The next batch is sent without waiting for the answer; a refusal sets the index back.
+    progress.nextIndex += request.entries.size();
+    this->effects.immediateMessages.push_back(this->messageTo(member, std::move(request)));
+}
+
+void Replica::sendSnapshot(const Member& member, Progress& progress)
+{
+    progress.snapshotSentAt = this->now;
+    this->effects.immediateMessages.push_back(this->messageTo(member, SnapshotRequest { this->hardState.term, this->latestSnapshot }));
+}
+
+void Replica::handle(const Message& message, const AppendRequest& request)
+{
+    if (request.term < this->hardState.term) {
+        this->effects.messagesAfterStore.push_back(this->reply(message, AppendResponse { this->hardState.term, false, this->log.lastIndex() }));
+        return;
+    }
+    if (request.term > this->hardState.term || this->currentRole != Role::Follower)
+        this->becomeFollower(request.term, message.from);
+    this->leaderIdentity = message.from;
+    this->hasHeardLeader = true;
+    this->lastLeaderContact = this->now;
+    this->resetElectionTimer();
+
+    auto refuse = [&](Index hint) {
+        this->effects.messagesAfterStore.push_back(this->reply(message, AppendResponse { this->hardState.term, false, hint }));
+    };
+    if (request.previousIndex > this->log.lastIndex())
+        return refuse(this->log.lastIndex());
+    if (request.previousIndex >= this->log.base() && this->log.termAt(request.previousIndex) != request.previousTerm) {
+        // Everything of the conflicting term is skipped at once.
+        auto hint = request.previousIndex;
+        while (hint > this->log.base() && hint > this->committedIndex && this->log.termAt(hint) == this->log.termAt(request.previousIndex))
+            --hint;
+        return refuse(hint);
+    }
+    this->appendReceived(request.entries);
+    auto matched = request.previousIndex + request.entries.size();
+    this->commitUpTo(std::min(request.commitIndex, matched));
+    this->effects.messagesAfterStore.push_back(this->reply(message, AppendResponse { this->hardState.term, true, matched }));
+}
+
+void Replica::appendReceived(const std::vector<Entry>& entries)
+{
+    AppendOperation append;
+    for (const auto& entry : entries) {
+        if (entry.index <= this->log.base())
+            continue;
+        if (entry.index <= this->log.lastIndex()) {
+            if (this->log.termAt(entry.index) == entry.term)
+                continue;
+            VERIFY(entry.index > this->committedIndex);
+            this->log.truncate(entry.index);
+            this->storedIndex = std::min(this->storedIndex, entry.index - 1);
+            this->effects.operations.emplace_back(TruncateOperation { entry.index });
+        }
+        this->log.append(entry);
+        append.entries.push_back(entry);
+    }
+    if (!append.entries.empty())
+        this->effects.operations.emplace_back(std::move(append));
+}
+
+void Replica::handle(const Message& message, const AppendResponse& response)
+{
+    if (response.term > this->hardState.term) {
+        this->becomeFollower(response.term, {});
+        return;
+    }
+    if (this->currentRole != Role::Leader || response.term != this->hardState.term)
+        return;
+    auto& progress = this->progressOf(message.from);
+    progress.lastContact = this->now;
+    progress.snapshotSentAt.reset();
+    if (!response.accepted) {
+        progress.nextIndex = std::clamp(response.matchIndex + 1, progress.matchIndex + 1, this->log.lastIndex() + 1);
+        return;
+    }
+    if (response.matchIndex > progress.matchIndex) {
+        progress.matchIndex = response.matchIndex;
+        this->advanceCommit();
+    }
+    progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
+}
+
+void Replica::advanceCommit()
+{
+    if (this->currentRole != Role::Leader)
+        return;
+    const auto& membership = this->log.membership();
+    std::vector<Index> matches;
+    for (const auto& member : membership.members) {
+        if (member.role != MemberRole::Voter)
+            continue;
+        matches.push_back(member.identity == this->options.identity ? this->storedIndex : this->progressOf(member.identity).matchIndex);
+    }
+    if (matches.empty())
+        return;
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    auto candidate = matches[membership.quorum() - 1];
+    // Entries of earlier terms commit only with one of this term (Ongaro and Ousterhout, section 5.4.2).
+    if (candidate > this->committedIndex && this->log.termAt(candidate) == this->hardState.term)
+        this->commitUpTo(candidate);
+}
+
+void Replica::commitUpTo(Index index)
+{
+    this->committedIndex = std::max(this->committedIndex, std::min(index, this->log.lastIndex()));
+}
+
+void Replica::handle(const Message& message, const SnapshotRequest& request)
+{
+    if (request.term < this->hardState.term)
+        return;
+    if (request.term > this->hardState.term || this->currentRole != Role::Follower)
+        this->becomeFollower(request.term, message.from);
+    this->leaderIdentity = message.from;
+    this->hasHeardLeader = true;
+    this->lastLeaderContact = this->now;
+    this->resetElectionTimer();
+    const auto& snapshot = request.snapshot;
+    if (this->log.covers(snapshot.index) && this->log.termAt(snapshot.index) == snapshot.term) {
+        // Entries behind the snapshot were acknowledged and may count in a quorum, so that they are kept.
+        this->commitUpTo(snapshot.index);
+    } else if (snapshot.index > this->committedIndex) {
+        this->log.reset(snapshot);
+        this->latestSnapshot = snapshot;
+        this->committedIndex = snapshot.index;
+        this->handedOutIndex = snapshot.index;
+        this->storedIndex = snapshot.index;
+        this->effects.restored = snapshot;
+        this->effects.committed.clear();
+        this->effects.operations.emplace_back(SnapshotOperation { snapshot, this->hardState, {} });
+    }
+    this->effects.messagesAfterStore.push_back(this->reply(message, AppendResponse { this->hardState.term, true, snapshot.index }));
+}
+
+Replica::Effects Replica::takeEffects()
+{
+    if (this->currentRole == Role::Leader)
+        this->sendAppends();
+    for (; this->handedOutIndex < this->committedIndex; ++this->handedOutIndex)
+        this->effects.committed.push_back(this->log.at(this->handedOutIndex + 1));
+    Effects result;
+    std::swap(result, this->effects);
+    result.ticket = this->nextTicket++;
+    this->pendingTickets.push_back(PendingTicket { result.ticket, this->log.lastIndex(), this->log.lastTerm() });
+    return result;
+}
+
+void Replica::stored(uint64_t ticket)
+{
+    while (!this->pendingTickets.empty() && this->pendingTickets.front().ticket <= ticket) {
+        auto pending = this->pendingTickets.front();
+        this->pendingTickets.erase(this->pendingTickets.begin());
+        // What was truncated since then is not stored any more.
+        if (this->log.covers(pending.lastIndex) && this->log.termAt(pending.lastIndex) == pending.lastTerm)
+            this->storedIndex = std::max(this->storedIndex, pending.lastIndex);
+    }
+    this->advanceCommit();
+}
+
+void Replica::compact(Index index, std::string state)
+{
+    VERIFY(index <= this->handedOutIndex);
+    if (index <= this->latestSnapshot.index)
+        return;
+    this->latestSnapshot = Snapshot { index, this->log.termAt(index), this->log.membershipAt(index), std::move(state) };
+    this->effects.operations.emplace_back(SnapshotOperation { this->latestSnapshot, this->hardState, this->log.suffix(index + 1) });
+    if (index > this->log.base() + retainedEntries)
+        this->log.forget(index - retainedEntries);
+}
+
+}
