--- /dev/null
+++ b/Libraries/LibDurableState/DurableState.cpp
@@ -0,0 +1,233 @@
+#include <LibBase/Try.h>
+#include <LibDurableState/DurableState.h>
+#include <LibTransport/Codec.h>
+#include <algorithm>
+
+namespace Sassafrasshift::DurableState {
+
+static constexpr size_t rememberedChanges = 20'000;
+static constexpr size_t rememberedVersions = 1000;
+
+DurableState::DurableState(Milliseconds keyRetention, Observer observer)
+    : keyRetention(keyRetention)
+    , observer(std::move(observer))
+{
+}
+
+std::string DurableState::apply(Ledger::Index, const std::string& bytes)
+{
+    auto command = Transport::decodeValue<Command>(bytes);
+    // Every replica has to come to the same content, so that a command that cannot be read changes nothing.
+    if (!command)
+        return Transport::encodeValue(JobUpdateResult { JobStatus::Conflict });
+    return std::visit([&](const auto& alternative) { return this->handle(alternative); }, *command);
+}
+
+std::string DurableState::save() const
+{
+    return Transport::encodeValue(this->content);
+}
+
+void DurableState::restore(const std::string& state)
+{
+    auto restored = Transport::decodeValue<Content>(state);
+    VERIFY(restored.has_value());
+    this->content = std::move(restored).value();
+    if (this->content.configuration.version > 0 && this->observer.configurationPublished)
+        this->observer.configurationPublished(this->content.configuration);
+    for (const auto& [key, job] : this->content.jobs)
+        this->changed(job);
+}
+
+const JobRecord* DurableState::findJob(std::string_view key) const
+{
+    auto position = this->content.jobs.find(key);
+    return position == this->content.jobs.end() ? nullptr : &position->second;
+}
+
+void DurableState::changed(const JobRecord& job)
+{
+    if (this->observer.jobChanged)
+        this->observer.jobChanged(job);
+}
+
+std::string DurableState::handle(const PublishCommand& command)
+{
+    auto& state = this->content;
+    auto known = state.publishResults.find(command.changeId);
+    if (known != state.publishResults.end())
+        return Transport::encodeValue(known->second);
+    PublishResult result;
+    if (command.baseVersion == state.configuration.version) {
+        state.configuration = PublishedConfiguration { state.configuration.version + 1, command.author, command.changeId, command.proposedAt, command.files };
+        state.history.push_back(HistoryEntry { state.configuration.version, command.author, command.changeId, command.proposedAt });
+        if (state.history.size() > rememberedVersions)
+            state.history.pop_front();
+        result.status = PublishStatus::Accepted;
+    }
+    result.version = state.configuration.version;
+    result.author = state.configuration.author;
+    result.changeId = state.configuration.changeId;
+    state.publishResults.emplace(command.changeId, result);
+    state.publishOrder.push_back(command.changeId);
+    if (state.publishOrder.size() > rememberedChanges) {
+        state.publishResults.erase(state.publishOrder.front());
+        state.publishOrder.pop_front();
+    }
+    if (result.status == PublishStatus::Accepted && this->observer.configurationPublished)
+        this->observer.configurationPublished(state.configuration);
+    return Transport::encodeValue(result);
+}
+
+// Time moves only with the commands, so that all replicas forget the same keys at the same entry.
+void DurableState::advanceTime(int64_t time)
+{
+    auto& state = this->content;
+    state.latestTime = std::max(state.latestTime, time);
+    auto oldest = state.latestTime - this->keyRetention.count();
+    while (!state.finishedByAge.empty() && state.finishedByAge.begin()->first < oldest) {
+        state.jobs.erase(state.finishedByAge.begin()->second);
+        state.finishedByAge.erase(state.finishedByAge.begin());
+    }
+    while (!state.refusalsByAge.empty() && state.refusalsByAge.begin()->first < state.latestTime - refusalHold.count()) {
+        state.refusals.erase(state.refusalsByAge.begin()->second);
+        state.refusalsByAge.erase(state.refusalsByAge.begin());
+    }
+}
+
+std::optional<JobUpdateResult> DurableState::findKey(std::string_view key, uint64_t contentHash, int64_t createdAt) const
+{
+    if (const auto* job = this->findJob(key)) {
+        bool same = job->contentHash == contentHash && job->createdAt == createdAt;
+        return JobUpdateResult { same ? JobStatus::Joined : JobStatus::KeyReused, job->epoch, job->ownerHost, job->ownerIncarnation };
+    }
+    // Such a key may have been used and forgotten.
+    if (createdAt < this->content.latestTime - this->keyRetention.count())
+        return JobUpdateResult { JobStatus::KeyExpired, 0, {} };
+    return std::nullopt;
+}
+
+std::string DurableState::handle(const RefuseJobCommand& command)
+{
+    auto& state = this->content;
+    this->advanceTime(command.proposedAt);
+    if (auto known = this->findKey(command.key, command.contentHash, command.createdAt))
+        return Transport::encodeValue(*known);
+    auto position = state.refusals.find(command.key);
+    if (position != state.refusals.end())
+        state.refusalsByAge.erase({ position->second, command.key });
+    state.refusals[command.key] = state.latestTime;
+    state.refusalsByAge.emplace(state.latestTime, command.key);
+    return Transport::encodeValue(JobUpdateResult { JobStatus::Refused, 0, {} });
+}
+
+JobUpdateResult DurableState::accept(const AcceptJobCommand& command)
+{
+    auto& state = this->content;
+    this->advanceTime(command.proposedAt);
+    if (auto known = this->findKey(command.key, command.contentHash, command.createdAt))
+        return *known;
+    if (state.refusals.contains(command.key) || command.arrivedAt < state.latestTime - refusalHold.count())
+        return { JobStatus::Refused, 0, {} };
+    JobRecord job;
+    job.key = command.key;
+    job.contentHash = command.contentHash;
+    job.createdAt = command.createdAt;
+    job.acceptedAt = command.proposedAt;
+    job.content = command.content;
+    job.ownerHost = command.ownerHost;
+    job.ownerIncarnation = command.ownerIncarnation;
+    for (const auto& intent : command.intents)
+        job.intents.emplace(intent.task, intent);
+    state.openJobs.insert(command.key);
+    auto& stored = state.jobs[command.key];
+    stored = std::move(job);
+    this->changed(stored);
+    return { JobStatus::Accepted, stored.epoch, stored.ownerHost };
+}
+
+std::string DurableState::handle(const AcceptJobCommand& command)
+{
+    return Transport::encodeValue(this->accept(command));
+}
+
+tl::expected<JobRecord*, JobUpdateResult> DurableState::findForOwner(std::string_view key, uint64_t epoch)
+{
+    auto position = this->content.jobs.find(key);
+    if (position == this->content.jobs.end())
+        return tl::unexpected(JobUpdateResult { JobStatus::Unknown });
+    auto& job = position->second;
+    if (job.epoch != epoch)
+        return tl::unexpected(JobUpdateResult { JobStatus::Fenced, job.epoch, job.ownerHost });
+    return &job;
+}
+
+std::string DurableState::handle(const RecordIntentsCommand& command)
+{
+    auto found = this->findForOwner(command.key, command.epoch);
+    if (!found)
+        return Transport::encodeValue(found.error());
+    auto& job = **found;
+    auto isAllowed = [&](const Intent& intent) {
+        auto known = job.intents.find(intent.task);
+        if (known == job.intents.end())
+            return intent.attempt == 1;
+        // The same command may arrive twice; a further attempt follows the one before.
+        return intent == known->second || intent.attempt == known->second.attempt + 1;
+    };
+    bool allowed = !job.finished && std::all_of(command.intents.begin(), command.intents.end(), isAllowed);
+    if (!allowed)
+        return Transport::encodeValue(JobUpdateResult { JobStatus::Conflict, job.epoch, job.ownerHost });
+    for (const auto& intent : command.intents)
+        job.intents[intent.task] = intent;
+    this->changed(job);
+    return Transport::encodeValue(JobUpdateResult { JobStatus::Done, job.epoch, job.ownerHost });
+}
+
+std::string DurableState::handle(const RecordOutcomeCommand& command)
+{
+    auto found = this->findForOwner(command.key, command.epoch);
+    if (!found)
+        return Transport::encodeValue(found.error());
+    auto& job = **found;
+    if (!job.finished) {
+        job.finished = true;
+        job.outcome = command.outcome;
+        this->content.openJobs.erase(job.key);
+        this->content.finishedByAge.emplace(job.createdAt, job.key);
+        this->changed(job);
+    } else if (job.outcome != command.outcome) {
+        return Transport::encodeValue(JobUpdateResult { JobStatus::Conflict, job.epoch, job.ownerHost });
+    }
+    return Transport::encodeValue(JobUpdateResult { JobStatus::Done, job.epoch, job.ownerHost });
+}
+
+std::string DurableState::handle(const TakeOverCommand& command)
+{
+    auto found = this->findForOwner(command.key, command.expectedEpoch);
+    if (!found)
+        return Transport::encodeValue(found.error());
+    auto& job = **found;
+    if (job.finished)
+        return Transport::encodeValue(JobUpdateResult { JobStatus::Conflict, job.epoch, job.ownerHost });
+    ++job.epoch;
+    job.ownerHost = command.ownerHost;
+    job.ownerIncarnation = command.ownerIncarnation;
+    this->changed(job);
+    return Transport::encodeValue(JobUpdateResult { JobStatus::Done, job.epoch, job.ownerHost });
+}
+
+std::string DurableState::handle(const CancelJobCommand& command)
+{
+    auto position = this->content.jobs.find(command.key);
+    if (position == this->content.jobs.end())
+        return Transport::encodeValue(JobUpdateResult { JobStatus::Unknown });
+    auto& job = position->second;
+    if (!job.finished && !job.cancelRequested) {
+        job.cancelRequested = true;
+        this->changed(job);
+    }
+    return Transport::encodeValue(JobUpdateResult { JobStatus::Done, job.epoch, job.ownerHost });
+}
+
+}
