--- /dev/null
+++ b/Libraries/LibDispatch/FairQueue.cpp
@@ -0,0 +1,160 @@
+#include <LibBase/Try.h>
+#include <LibDispatch/FairQueue.h>
+#include <functional>
+
+namespace Sassafrasshift::Dispatch {
+
+size_t FairQueue::RequestIdHash::operator()(const RequestId& id) const
+{
+    return std::hash<std::string> {}(id.host) ^ std::hash<uint64_t> {}(id.number * 0x9e3779b97f4a7c15ULL);
+}
+
+void FairQueue::push(GrantRequest request, Instant deadline)
+{
+    auto id = request.id;
+    auto& level = this->levelOf(request.priority);
+    auto& line = level.teams[request.team];
+    line.weight = request.teamWeight;
+    line.order.push_back(id);
+    level.waitingGrants += request.count;
+    this->waitingGrants += request.count;
+    this->deadlines.emplace(deadline, id);
+    this->activate(level, request.team);
+    this->requests.emplace(id, Waiting { std::move(request), deadline, this->nextArrival++ });
+}
+
+void FairQueue::activate(Level& level, const std::string& team)
+{
+    auto& line = level.teams[team];
+    if (line.active || line.order.empty() || this->heldTeams.contains(team))
+        return;
+    // A team that was idle gets no credit for that time.
+    line.virtualTime = std::max(line.virtualTime, level.virtualTime);
+    line.active = true;
+    level.active.emplace(line.virtualTime, team);
+}
+
+void FairQueue::deactivate(Level& level, const std::string& team)
+{
+    auto& line = level.teams[team];
+    if (!line.active)
+        return;
+    line.active = false;
+    level.active.erase({ line.virtualTime, team });
+}
+
+// Requests are removed from the middle of a line without a search; their ids are dropped when they reach its front.
+void FairQueue::dropServedFromFront(TeamLine& line)
+{
+    while (!line.order.empty() && !this->requests.contains(line.order.front()))
+        line.order.pop_front();
+}
+
+FairQueue::Waiting* FairQueue::front()
+{
+    for (auto& level : this->levels) {
+        while (!level.active.empty()) {
+            auto team = level.active.begin()->second;
+            auto& line = level.teams[team];
+            this->dropServedFromFront(line);
+            if (!line.order.empty())
+                return &this->requests.at(line.order.front());
+            this->deactivate(level, team);
+            level.teams.erase(team);
+        }
+    }
+    return nullptr;
+}
+
+FairQueue::Waiting* FairQueue::find(const RequestId& id)
+{
+    auto position = this->requests.find(id);
+    return position == this->requests.end() ? nullptr : &position->second;
+}
+
+void FairQueue::charge(const Waiting& waiting)
+{
+    const auto& request = waiting.request;
+    auto& level = this->levelOf(request.priority);
+    auto& line = level.teams[request.team];
+    bool wasActive = line.active;
+    this->deactivate(level, request.team);
+    level.virtualTime = std::max(level.virtualTime, line.virtualTime);
+    line.virtualTime += static_cast<double>(request.needs.milliCores) / 1000.0 / line.weight;
+    if (wasActive)
+        this->activate(level, request.team);
+}
+
+void FairQueue::serveFront()
+{
+    auto* waiting = this->front();
+    VERIFY(waiting);
+    this->serve(waiting->request.id);
+}
+
+void FairQueue::serve(const RequestId& id)
+{
+    auto& waiting = this->requests.at(id);
+    this->charge(waiting);
+    --waiting.request.count;
+    --this->waitingGrants;
+    --this->levelOf(waiting.request.priority).waitingGrants;
+    if (waiting.request.count == 0)
+        this->erase(id);
+}
+
+void FairQueue::erase(const RequestId& id)
+{
+    auto position = this->requests.find(id);
+    this->deadlines.erase({ position->second.deadline, id });
+    this->requests.erase(position);
+}
+
+uint32_t FairQueue::remove(const RequestId& id)
+{
+    auto position = this->requests.find(id);
+    if (position == this->requests.end())
+        return 0;
+    auto count = position->second.request.count;
+    this->waitingGrants -= count;
+    this->levelOf(position->second.request.priority).waitingGrants -= count;
+    this->erase(id);
+    return count;
+}
+
+void FairQueue::setTeamHeld(const std::string& team, bool held)
+{
+    if (held)
+        this->heldTeams.insert(team);
+    else
+        this->heldTeams.erase(team);
+    for (auto& level : this->levels) {
+        auto position = level.teams.find(team);
+        if (position == level.teams.end())
+            continue;
+        if (held)
+            this->deactivate(level, team);
+        else
+            this->activate(level, team);
+    }
+}
+
+std::optional<GrantRequest> FairQueue::popExpired(Instant now)
+{
+    if (this->deadlines.empty() || this->deadlines.begin()->first > now)
+        return std::nullopt;
+    auto id = this->deadlines.begin()->second;
+    auto request = this->requests.at(id).request;
+    this->remove(id);
+    return request;
+}
+
+size_t FairQueue::sizeAhead(Catalog::Priority priority) const
+{
+    size_t total = 0;
+    for (size_t level = 0; level <= static_cast<size_t>(priority); ++level)
+        total += this->levels[level].waitingGrants;
+    return total;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/FairQueue.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <LibDispatch/Types.h>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace Sassafrasshift::Dispatch {
+
+/// Requests that wait for places in one pool: urgent ones first, then weighted fair shares of the teams, then in order
+/// of arrival. Start-time fair queueing (Goyal et al., 1996), with the needs for cores as cost.
+class FairQueue {
+public:
+    struct Waiting {
+        GrantRequest request;
+        Instant deadline;
+        uint64_t arrival { 0 };
+    };
+
+    /// Adds a request at the end of its team's line.
+    void push(GrantRequest, Instant deadline);
+
+    /// The request to serve next, or null where there is none or all teams are held back.
+    [[nodiscard]] Waiting* front();
+
+    /// Counts one grant against the front request and removes the request once it has all.
+    void serveFront();
+
+    /// Counts one grant against any request, and removes it once it has all.
+    void serve(const RequestId&);
+
+    /// The request at a position in the order of service among the team at the front; used to look past the front.
+    [[nodiscard]] Waiting* find(const RequestId&);
+
+    /// Removes a request in constant time. Returns how many grants it still waited for.
+    uint32_t remove(const RequestId&);
+
+    /// Holds a team back, or lets it go on.
+    void setTeamHeld(const std::string& team, bool held);
+
+    /// Removes and returns a request whose deadline has passed, if there is one.
+    [[nodiscard]] std::optional<GrantRequest> popExpired(Instant now);
+
+    /// Grants that are waited for.
+    [[nodiscard]] size_t size() const { return this->waitingGrants; }
+    [[nodiscard]] bool isEmpty() const { return this->requests.empty(); }
+    /// Grants that are waited for at a priority and above it.
+    [[nodiscard]] size_t sizeAhead(Catalog::Priority) const;
+
+private:
+    struct TeamLine {
+        std::deque<RequestId> order;
+        double virtualTime { 0 };
+        double weight { 1 };
+        bool active { false };
+    };
+
+    struct Level {
+        std::map<std::string, TeamLine> teams;
+        std::set<std::pair<double, std::string>> active;
+        double virtualTime { 0 };
+        size_t waitingGrants { 0 };
+    };
+
+    struct RequestIdHash {
+        size_t operator()(const RequestId&) const;
+    };
+
+    static constexpr size_t levelCount = 3;
+
+    [[nodiscard]] Level& levelOf(Catalog::Priority priority) { return this->levels[static_cast<size_t>(priority)]; }
+    void activate(Level&, const std::string& team);
+    void deactivate(Level&, const std::string& team);
+    void dropServedFromFront(TeamLine&);
+    void charge(const Waiting&);
+    void erase(const RequestId&);
+
+    Level levels[levelCount];
+    std::unordered_map<RequestId, Waiting, RequestIdHash> requests;
+    std::set<std::pair<Instant, RequestId>> deadlines;
+    std::set<std::string> heldTeams;
+    size_t waitingGrants { 0 };
+    uint64_t nextArrival { 0 };
+};
+
+}
