--- /dev/null
+++ b/Services/sassafrasshiftd/ConfigurationKeeper.cpp
@@ -0,0 +1,63 @@
+#include "ConfigurationKeeper.h"
+#include <LibBase/Try.h>
+#include <LibLedger/FileOperations.h>
+#include <LibTelemetry/Log.h>
+#include <LibTransport/Codec.h>
+
+namespace Sassafrasshift::Daemon {
+
+using Telemetry::LogLevel;
+
+ConfigurationKeeper::ConfigurationKeeper(Context& context)
+    : context(context)
+{
+}
+
+std::string ConfigurationKeeper::path() const
+{
+    return this->context.settings.dataFolder + "/configuration";
+}
+
+ErrorOr<void> ConfigurationKeeper::load()
+{
+    if (this->context.settings.dataFolder.empty())
+        return {};
+    auto content = Ledger::readFile(this->path());
+    if (!content)
+        return {};
+    auto stored = Transport::decodeValue<DurableState::PublishedConfiguration>(*content);
+    if (!stored || !this->enforce(*stored))
+        return tl::unexpected(Error::notRun(Reason::Damaged, this->path() + " is damaged; remove it, and the peers' configuration is taken"));
+    return {};
+}
+
+bool ConfigurationKeeper::enforce(const DurableState::PublishedConfiguration& configuration)
+{
+    auto checked = Catalog::Catalog::create(configuration.files);
+    if (!checked) {
+        Telemetry::log(LogLevel::Error, "configuration-refused", "a published configuration does not pass the check of this version", { { "version", std::to_string(configuration.version) }, { "faults", Settings::toText(checked.error()) } });
+        return false;
+    }
+    this->current = std::make_unique<const Catalog::Catalog>(std::move(checked).value());
+    this->inForce = configuration;
+    this->context.timeLine.record("configuration-in-force", { { "version", std::to_string(configuration.version) }, { "changeId", configuration.changeId } });
+    return true;
+}
+
+void ConfigurationKeeper::offer(const DurableState::PublishedConfiguration& configuration)
+{
+    if (configuration.version <= this->inForce.version)
+        return;
+    if (!this->context.settings.dataFolder.empty()) {
+        // FIXME: This write blocks the loop for a synced write; at many changes a second it should move to a thread.
+        auto written = Ledger::replaceFile(this->path(), Transport::encodeValue(configuration));
+        if (!written) {
+            Telemetry::log(LogLevel::Error, "configuration-not-stored", "the configuration could not be stored and is not put in force", { { "detail", written.error().detail } });
+            return;
+        }
+    }
+    if (this->enforce(configuration) && this->onChange)
+        this->onChange();
+}
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Context.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "PeerNetwork.h"
+#include <LibBase/Random.h>
+#include <LibMembership/PeerTable.h>
+#include <LibSettings/DaemonSettings.h>
+#include <LibTelemetry/Metrics.h>
+#include <LibTelemetry/TimeLine.h>
+#include <LibTransport/EventLoop.h>
+#include <LibTransport/HttpClient.h>
+#include <functional>
+#include <string>
+
+namespace Sassafrasshift::Daemon {
+
+/// What the parts of the daemon share. It outlives all of them.
+struct Context {
+    const Settings::DaemonSettings& settings;
+    Transport::EventLoop& loop;
+    Telemetry::Metrics& metrics;
+    Telemetry::TimeLine& timeLine;
+    Membership::PeerTable& peers;
+    Transport::HttpClient& client;
+    Random& random;
+    /// Tells this process from an earlier one on the same host.
+    std::string incarnation;
+    std::function<void(const std::string& host, const PeerMessage&)> send;
+
+    [[nodiscard]] Instant now() const { return this->loop.now(); }
+    [[nodiscard]] int64_t wallMilliseconds() const { return unixMilliseconds(this->loop.wallNow()); }
+};
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/DispatcherService.cpp
@@ -0,0 +1,166 @@
+#include "DispatcherService.h"
+#include <algorithm>
+
+namespace Sassafrasshift::Daemon {
+
+using namespace Dispatch;
+using Membership::TargetReport;
+
+static Dispatcher::Options makeOptions(const Settings::DaemonSettings& settings)
+{
+    Dispatcher::Options options;
+    options.host = settings.host;
+    options.targets.lease = settings.targetLease;
+    return options;
+}
+
+DispatcherService::DispatcherService(Context& context, ConfigurationKeeper& configuration)
+    : context(context)
+    , configuration(configuration)
+    , core(makeOptions(context.settings), static_cast<uint64_t>(context.wallMilliseconds()) << 20, context.now())
+{
+}
+
+ErrorOr<void> DispatcherService::announce(const TargetReport& report)
+{
+    const auto* catalog = this->configuration.catalog();
+    if (!catalog)
+        return tl::unexpected(Error::notRun(Reason::NoConfiguration, "no configuration is in force").withRetryAfter(Milliseconds(500)));
+    const auto* pool = catalog->findPool(report.pool);
+    if (!pool)
+        return tl::unexpected(Error::notRun(Reason::NotFound, "there is no pool \"" + report.pool + "\""));
+    if (std::find(pool->failureDomains.begin(), pool->failureDomains.end(), report.failureDomain) == pool->failureDomains.end())
+        return tl::unexpected(Error::notRun(Reason::InvalidInput, "pool \"" + report.pool + "\" does not extend to failure domain \"" + report.failureDomain + "\""));
+    auto now = this->context.now();
+    for (const auto& [host, domain] : this->context.peers.failureDomains()) {
+        if (domain != report.failureDomain || !this->context.peers.isAlive(host, now))
+            continue;
+        if (host == this->context.settings.host)
+            this->onTargetReport(report);
+        else
+            this->context.send(host, report);
+    }
+    return {};
+}
+
+void DispatcherService::onTargetReport(const TargetReport& report)
+{
+    auto effective = report;
+    const auto* catalog = this->configuration.catalog();
+    const auto* domain = catalog ? catalog->findFailureDomain(report.failureDomain) : nullptr;
+    if (domain && domain->isolated)
+        effective.state = Membership::TargetState::Leaving;
+    auto known = this->core.findPool(report.pool);
+    auto* before = known ? const_cast<TargetPool*>(known)->find(report.identity) : nullptr;
+    if (!before || before->report.state != effective.state || before->report.incarnation != effective.incarnation)
+        this->context.timeLine.record("target-announced", { { "target", report.identity }, { "incarnation", report.incarnation }, { "state", effective.state == Membership::TargetState::Serving ? "serving" : "leaving" } });
+    this->core.announce(effective, this->context.now());
+    this->carryOut();
+}
+
+void DispatcherService::onMessage(const std::string&, const GrantRequest& request)
+{
+    this->core.request(request, this->context.now());
+    this->carryOut();
+}
+
+void DispatcherService::onMessage(const std::string&, const CancelGrantRequest& message)
+{
+    this->core.cancel(message.request);
+    this->carryOut();
+}
+
+void DispatcherService::onMessage(const std::string&, const Release& release)
+{
+    this->core.release(release, this->context.now());
+    this->carryOut();
+}
+
+void DispatcherService::onMessage(const std::string&, const HeldGrants& held)
+{
+    this->core.reportHeld(held.grants, held.needs, held.pool, this->context.now());
+    this->carryOut();
+}
+
+void DispatcherService::onMessage(const std::string&, const DomainView& view)
+{
+    this->core.observe(view, this->context.now());
+    this->carryOut();
+}
+
+void DispatcherService::onMessage(const std::string&, const HandOver& message)
+{
+    this->core.handOver(message, this->context.now());
+    this->carryOut();
+}
+
+void DispatcherService::onMessage(const std::string& from, const HandOverResult& result)
+{
+    if (result.returned > 0)
+        this->context.metrics.count("messages_wasted_total", 2);
+    this->core.handOverResult(from, result, this->context.now());
+    this->carryOut();
+}
+
+void DispatcherService::tick()
+{
+    this->refreshDispatchers();
+    this->core.tick(this->context.now());
+    this->carryOut();
+}
+
+void DispatcherService::refreshDispatchers()
+{
+    auto now = this->context.now();
+    std::map<std::string, std::string> current;
+    for (const auto& [host, domain] : this->context.peers.failureDomains()) {
+        if (domain == this->context.settings.self().failureDomain || current.contains(domain))
+            continue;
+        auto dispatcher = this->context.peers.dispatcherOf(domain, now);
+        if (!dispatcher.empty())
+            current.emplace(domain, dispatcher);
+    }
+    if (current == this->otherDispatchers)
+        return;
+    for (const auto& [domain, dispatcher] : this->otherDispatchers) {
+        auto position = current.find(domain);
+        if (position == current.end() || position->second != dispatcher)
+            this->core.forgetDispatcher(dispatcher);
+    }
+    this->otherDispatchers = std::move(current);
+    // A new dispatcher knows nothing of the places here.
+    this->core.announceAll();
+}
+
+void DispatcherService::carryOut()
+{
+    for (const auto& command : this->core.takeCommands())
+        std::visit([this](const auto& alternative) { this->send(alternative); }, command);
+}
+
+void DispatcherService::send(const Grant& grant)
+{
+    this->context.send(grant.request.host, grant);
+}
+
+void DispatcherService::send(const Refusal& refusal)
+{
+    this->context.send(refusal.request.host, refusal);
+}
+
+void DispatcherService::send(const SendToDispatcher& command)
+{
+    std::visit([&](const auto& message) { this->context.send(command.host, message); }, command.message);
+}
+
+void DispatcherService::send(const DomainView& view)
+{
+    auto own = this->context.peers.dispatcherOf(this->context.settings.self().failureDomain, this->context.now());
+    // Only the chosen dispatcher of the domain may be handed requests.
+    if (own != this->context.settings.host)
+        return;
+    for (const auto& [domain, dispatcher] : this->otherDispatchers)
+        this->context.send(dispatcher, view);
+}
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/HttpApi.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "ConfigurationKeeper.h"
+#include "Context.h"
+#include "DispatcherService.h"
+#include "JobService.h"
+#include "LedgerService.h"
+#include "RequestForwarder.h"
+#include <LibTransport/HttpServer.h>
+#include <memory>
+
+namespace Sassafrasshift::Daemon {
+
+/// Everything that callers, targets, the platform and operators reach over HTTP. docs/api.md describes it.
+class HttpApi {
+public:
+    struct Parts {
+        ConfigurationKeeper& configuration;
+        DispatcherService& dispatcher;
+        GrantClient& grants;
+        LedgerService& ledger;
+        RequestForwarder& requests;
+        JobService& jobs;
+        PeerNetwork& network;
+    };
+
+    HttpApi(Context&, Parts);
+
+    void handle(const std::shared_ptr<Transport::HttpExchange>&);
+
+    /// From then on the host reports itself as not ready, and refuses publications.
+    void startLeaving() { this->leaving = true; }
+
+private:
+    using Exchange = std::shared_ptr<Transport::HttpExchange>;
+
+    void handleTargets(const Exchange&);
+    void handleConfiguration(const Exchange&);
+    void publish(const Exchange&);
+    void handleHistory(const Exchange&);
+    void handleReadiness(const Exchange&);
+    void handleStatus(const Exchange&);
+    void handleMetrics(const Exchange&);
+    void handleTimeLine(const Exchange&);
+
+    Context& context;
+    Parts parts;
+    bool leaving { false };
+};
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/JobService.cpp
@@ -0,0 +1,477 @@
+#include "JobService.h"
+#include "Problem.h"
+#include <LibBase/Try.h>
+#include <LibTelemetry/Log.h>
+#include <LibTransport/Codec.h>
+#include <charconv>
+
+namespace Sassafrasshift::Daemon {
+
+using namespace Dispatch;
+using DurableState::Intent;
+using DurableState::JobStatus;
+using DurableState::JobUpdateResult;
+using Transport::HttpExchange;
+using Transport::HttpResponse;
+
+static constexpr std::string_view jobsPrefix = "/v1/jobs/";
+static constexpr Milliseconds proposalTimeout { 3000 };
+static constexpr Milliseconds reportInterval { 500 };
+// How long a worker holds back the answer to a question while the attempt runs.
+static constexpr Milliseconds questionWait { 800 };
+static constexpr Milliseconds questionTimeout { 2000 };
+// A little more than the runner's own time, so that one timer does.
+static constexpr Milliseconds gatherTimerDelay { 6 };
+static constexpr size_t maximumJobs = 20'000;
+
+JobService::JobService(Context& context, ConfigurationKeeper& configuration, GrantClient& grants, LedgerService& ledger)
+    : context(context)
+    , configuration(configuration)
+    , grants(grants)
+    , ledger(ledger)
+{
+    LedgerService::JobObserver observer;
+    observer.answered = [this](const std::string& key, const JobQueryAnswer& answer) { this->onJobAnswered(key, answer); };
+    this->ledger.setJobObserver(std::move(observer));
+}
+
+void JobService::handle(const std::shared_ptr<HttpExchange>& exchange)
+{
+    auto key = std::string(exchange->request().path().substr(jobsPrefix.size()));
+    if (!isJobKey(key)) {
+        exchange->respond(makeProblem(Error::notRun(Reason::InvalidInput, "a key has 1 to 128 letters, digits and \"._~-\"")));
+        return;
+    }
+    const auto& method = exchange->request().method;
+    if (method == "POST" || method == "PUT") {
+        this->submit(key, exchange);
+    } else if (method == "GET") {
+        this->read(key, exchange);
+    } else if (method == "DELETE") {
+        this->cancel(key, exchange);
+    } else {
+        exchange->respond(HttpResponse { 405, { { "allow", "GET, POST, PUT, DELETE" } }, {} });
+    }
+}
+
+void JobService::submit(const std::string& key, const std::shared_ptr<HttpExchange>& exchange)
+{
+    this->context.metrics.count("jobs_submitted_total");
+    const auto* catalog = this->configuration.catalog();
+    auto refuse = [&](const Error& error) { exchange->respond(makeProblem(error)); };
+    if (!catalog)
+        return refuse(Error::mayHaveRun(Reason::NoConfiguration, "no configuration is in force on this host; whether the key is known is not known here").withRetryAfter(Milliseconds(1000)));
+    auto submission = parseSubmission(exchange->request().body, *catalog, this->context.wallMilliseconds());
+    if (!submission)
+        return refuse(submission.error());
+    Waiter waiter { exchange, exchange->request().queryParameter("wait") == "accepted" };
+    auto known = this->jobs.find(key);
+    if (known != this->jobs.end()) {
+        auto& job = *known->second;
+        if (job.contentHash != submission->contentHash || job.createdAt != submission->createdAt)
+            return refuse(Error::notRun(Reason::KeyReused, "the key belongs to a job with other content"));
+        if (waiter.acceptanceOnly && job.runner->isAccepted()) {
+            exchange->respond(describeRunning(key, 202));
+            return;
+        }
+        job.waiters.push_back(std::move(waiter));
+        return;
+    }
+    if (this->jobs.size() >= maximumJobs)
+        return refuse(Error::mayHaveRun(Reason::Overloaded, "too many jobs are in progress on this host; whether the key is known was not looked up").withRetryAfter(Milliseconds(500)));
+    this->startJob(key, *submission, std::move(waiter));
+}
+
+void JobService::startJob(const std::string& key, const JobSubmission& submission, Waiter waiter)
+{
+    auto job = std::make_shared<Job>();
+    job->key = key;
+    job->contentHash = submission.contentHash;
+    job->createdAt = submission.createdAt;
+    job->arrivedAt = this->context.wallMilliseconds();
+    job->arrived = this->context.now();
+    job->waiters.push_back(std::move(waiter));
+    job->runner = std::make_unique<JobRunner>(submission.content, this->context.now());
+    this->jobs.emplace(key, job);
+    this->context.timeLine.record("job-received", { { "job", key }, { "tasks", std::to_string(submission.content.tasks.size()) } });
+    this->pump(job);
+    // A job that gets no grant at once is recorded all the same.
+    job->gatherTimer = this->context.loop.after(gatherTimerDelay, [this, job] { this->scheduleFlush(job); });
+}
+
+void JobService::pump(const JobPointer& job)
+{
+    while (true) {
+        auto commands = job->runner->takeCommands();
+        if (commands.empty())
+            break;
+        for (const auto& command : commands)
+            std::visit([&](const auto& alternative) { this->carryOut(job, alternative); }, command);
+    }
+    if (job->runner->isDone())
+        this->drop(job);
+}
+
+// The grants of one batch of messages are proposed together.
+void JobService::scheduleFlush(const JobPointer& job)
+{
+    if (job->flushScheduled)
+        return;
+    job->flushScheduled = true;
+    this->context.loop.defer([this, job] {
+        job->flushScheduled = false;
+        job->runner->flush(this->context.now());
+        this->pump(job);
+    });
+}
+
+void JobService::drop(const JobPointer& job)
+{
+    auto position = this->jobs.find(job->key);
+    if (position != this->jobs.end() && position->second == job)
+        this->jobs.erase(position);
+    // The calls are destroyed by the loop, since this may run in one of their completions.
+    this->context.loop.defer([job] {
+        job->calls.clear();
+        job->gatherTimer.reset();
+    });
+}
+
+void JobService::carryOut(const JobPointer& job, const AskForGrants& command)
+{
+    const auto& content = job->runner->content();
+    GrantRequest request;
+    request.pool = content.pool;
+    request.kind = content.taskKind;
+    request.team = content.team;
+    request.priority = content.priority;
+    request.teamWeight = content.teamWeight;
+    request.teamLimit = content.teamLimit;
+    request.queueLimit = content.queueLimit;
+    request.needs = content.needs;
+    request.patience = content.patience;
+    request.count = command.count;
+    request.excludedTargets = command.excludedTargets;
+    GrantClient::Callbacks callbacks;
+    callbacks.granted = [this, job](const Grant& grant) {
+        job->runner->onGrant(grant, this->context.now());
+        this->pump(job);
+        this->scheduleFlush(job);
+    };
+    callbacks.refused = [this, job](const Refusal& refusal) {
+        job->runner->onRefusal(refusal, this->context.now());
+        this->pump(job);
+    };
+    job->grantRequests.push_back(this->grants.ask(std::move(request), std::move(callbacks)));
+}
+
+void JobService::carryOut(const JobPointer& job, const WithdrawGrants&)
+{
+    for (auto number : job->grantRequests)
+        this->grants.withdraw(number);
+    job->grantRequests.clear();
+}
+
+void JobService::carryOut(const JobPointer&, const ReleaseGrant& command)
+{
+    this->grants.release(command.grant, command.result, command.runTime);
+}
+
+void JobService::proposeUpdate(const JobPointer& job, const DurableState::Command& command, UpdateHandler handler)
+{
+    this->ledger.propose(command, proposalTimeout, [this, job, handler = std::move(handler)](ErrorOr<std::string> result) {
+        // The runner is called from the loop, so that it is never entered from within itself.
+        this->context.loop.defer([this, job, handler, result = std::move(result)] {
+            if (!result)
+                handler(tl::unexpected(result.error()));
+            else
+                handler(Transport::decodeValue<JobUpdateResult>(*result));
+            this->pump(job);
+        });
+    });
+}
+
+void JobService::carryOut(const JobPointer& job, const ProposeAcceptance& command)
+{
+    DurableState::AcceptJobCommand accept;
+    accept.key = job->key;
+    accept.contentHash = job->contentHash;
+    accept.createdAt = job->createdAt;
+    accept.content = Transport::encodeValue(job->runner->content());
+    accept.ownerHost = this->context.settings.host;
+    accept.ownerIncarnation = this->context.incarnation;
+    accept.intents = command.intents;
+    accept.arrivedAt = job->arrivedAt;
+    accept.proposedAt = this->context.wallMilliseconds();
+    this->proposeUpdate(job, accept, [this, job](const ErrorOr<JobUpdateResult>& result) {
+        auto effective = result;
+        // A proposal that was sent twice finds the job that its first copy made.
+        bool own = result && result->status == JobStatus::Joined && result->ownerHost == this->context.settings.host && result->ownerIncarnation == this->context.incarnation && result->epoch == 1;
+        if (own)
+            effective->status = JobStatus::Accepted;
+        job->runner->onAcceptance(effective, this->context.now());
+        if (job->runner->isAccepted()) {
+            this->context.timeLine.record("job-accepted", { { "job", job->key }, { "epoch", std::to_string(job->runner->epoch()) } });
+            this->answerAcceptance(*job);
+        }
+    });
+}
+
+void JobService::answerAcceptance(Job& job)
+{
+    std::vector<Waiter> remaining;
+    for (auto& waiter : job.waiters) {
+        if (waiter.acceptanceOnly)
+            waiter.exchange->respond(describeRunning(job.key, 202));
+        else
+            remaining.push_back(std::move(waiter));
+    }
+    job.waiters = std::move(remaining);
+}
+
+void JobService::carryOut(const JobPointer& job, const ProposeRefusal&)
+{
+    DurableState::RefuseJobCommand refuse { job->key, job->contentHash, job->createdAt, this->context.wallMilliseconds() };
+    this->proposeUpdate(job, refuse, [this, job](const auto& result) { job->runner->onAcceptance(result, this->context.now()); });
+}
+
+void JobService::carryOut(const JobPointer& job, const ProposeIntents& command)
+{
+    DurableState::RecordIntentsCommand record { job->key, job->runner->epoch(), command.intents };
+    this->proposeUpdate(job, record, [this, job](const auto& result) { job->runner->onIntentsRecorded(result, this->context.now()); });
+}
+
+void JobService::carryOut(const JobPointer& job, const ProposeOutcome& command)
+{
+    DurableState::RecordOutcomeCommand record { job->key, job->runner->epoch(), command.outcome };
+    this->proposeUpdate(job, record, [this, job](const auto& result) { job->runner->onOutcomeRecorded(result, this->context.now()); });
+}
+
+void JobService::carryOut(const JobPointer& job, const SendTask& command)
+{
+    const auto& intent = command.intent;
+    auto endpoint = Transport::Endpoint::parse(intent.targetAddress);
+    if (!endpoint) {
+        this->onTaskResponse(job, intent, tl::unexpected(endpoint.error()));
+        return;
+    }
+    this->context.metrics.count("messages_total{purpose=\"work\"}");
+    this->context.timeLine.record("task-sent", { { "job", job->key }, { "task", std::to_string(intent.task) }, { "attempt", std::to_string(intent.attempt) }, { "target", intent.target }, { "epoch", std::to_string(job->runner->epoch()) } });
+    auto request = makeTaskRequest(job->key, job->runner->epoch(), job->runner->content(), intent);
+    auto timeout = Milliseconds(job->runner->content().runLimit);
+    job->calls[intent.task].answer = this->context.client.send(*endpoint, std::move(request), timeout, [this, job, intent](const ErrorOr<HttpResponse>& response) {
+        this->onTaskResponse(job, intent, response);
+    });
+}
+
+void JobService::onTaskResponse(const JobPointer& job, const Intent& intent, const ErrorOr<HttpResponse>& response)
+{
+    auto answer = readTaskAnswer(response);
+    std::string result = answer ? "answered" : std::string(toString(answer.error().verdict));
+    this->context.timeLine.record("task-answered", { { "job", job->key }, { "task", std::to_string(intent.task) }, { "attempt", std::to_string(intent.attempt) }, { "result", result } });
+    job->runner->onTaskAnswer(intent.task, intent.attempt, answer, this->context.now());
+    this->pump(job);
+}
+
+void JobService::carryOut(const JobPointer& job, const ResolveAttempt& command)
+{
+    const auto& intent = command.intent;
+    auto endpoint = Transport::Endpoint::parse(intent.targetAddress);
+    if (!endpoint)
+        return;
+    // Idle connections may have fallen silent together with the one that gave no answer.
+    this->context.client.forgetConnections(*endpoint);
+    this->context.metrics.count("attempts_resolved_total");
+    auto request = makeQuestion(job->key, job->runner->epoch(), intent, questionWait);
+    job->calls[intent.task].question = this->context.client.send(*endpoint, std::move(request), questionTimeout, [this, job, intent](const ErrorOr<HttpResponse>& response) {
+        job->runner->onAttemptReport(intent.task, intent.attempt, readAttemptReport(response), this->context.now());
+        this->pump(job);
+    });
+}
+
+void JobService::carryOut(const JobPointer& job, const StopTask& command)
+{
+    const auto& intent = command.intent;
+    auto endpoint = Transport::Endpoint::parse(intent.targetAddress);
+    if (!endpoint)
+        return;
+    auto keeper = std::make_shared<std::unique_ptr<Transport::HttpCall>>();
+    *keeper = this->context.client.send(*endpoint, makeStop(job->key, job->runner->epoch(), intent), questionTimeout, [this, keeper](const auto&) {
+        this->context.loop.defer([keeper] { keeper->reset(); });
+    });
+}
+
+void JobService::answerWaiters(std::vector<Waiter>& waiters, const HttpResponse& response)
+{
+    for (auto& waiter : waiters)
+        waiter.exchange->respond(response);
+    waiters.clear();
+}
+
+void JobService::carryOut(const JobPointer& job, const AnswerJob& command)
+{
+    this->context.metrics.observeMilliseconds("job_duration_milliseconds", toMilliseconds(this->context.now() - job->arrived));
+    bool complete = command.outcome.result == DurableState::JobResult::Complete;
+    this->context.metrics.count(complete ? "jobs_finished_total{result=\"complete\"}" : "jobs_finished_total{result=\"failed\"}");
+    this->context.timeLine.record("job-finished", { { "job", job->key }, { "result", complete ? "complete" : "failed" }, { "verdict", std::string(toString(command.outcome.verdict)) } });
+    this->answerWaiters(job->waiters, describeOutcome(job->key, command.outcome));
+}
+
+void JobService::carryOut(const JobPointer& job, const RefuseSubmission& command)
+{
+    this->context.metrics.count("jobs_refused_total{verdict=\"" + std::string(toString(command.error.verdict)) + "\"}");
+    this->context.timeLine.record("job-refused", { { "job", job->key }, { "verdict", std::string(toString(command.error.verdict)) }, { "reason", std::string(toString(command.error.reason)) } });
+    this->answerWaiters(job->waiters, makeProblem(command.error));
+}
+
+void JobService::carryOut(const JobPointer& job, const FollowOwner&)
+{
+    this->follow(job->key, std::move(job->waiters));
+    job->waiters.clear();
+}
+
+void JobService::follow(const std::string& key, std::vector<Waiter> waiters)
+{
+    auto& followers = this->followers[key];
+    for (auto& waiter : waiters) {
+        if (waiter.acceptanceOnly)
+            waiter.exchange->respond(describeRunning(key, 202));
+        else
+            followers.push_back(std::move(waiter));
+    }
+    if (followers.empty())
+        this->followers.erase(key);
+    else
+        this->ledger.askForJob(key, QueryMode::WhenFinished);
+}
+
+void JobService::onJobAnswered(const std::string& key, const JobQueryAnswer& answer)
+{
+    auto position = this->followers.find(key);
+    if (position == this->followers.end())
+        return;
+    auto waiters = std::move(position->second);
+    this->followers.erase(position);
+    if (!answer.found)
+        this->answerWaiters(waiters, makeProblem(Error::mayHaveRun(Reason::NotFound, "the ledger knows no job with this key; it was never accepted, or its key is no longer remembered")));
+    else if (answer.finished)
+        this->answerWaiters(waiters, describeOutcome(key, answer.outcome));
+    else
+        this->answerWaiters(waiters, describeRunning(key, 200));
+}
+
+void JobService::read(const std::string& key, const std::shared_ptr<HttpExchange>& exchange)
+{
+    bool waits = exchange->request().queryParameter("wait") == "finished";
+    auto known = this->jobs.find(key);
+    if (known != this->jobs.end()) {
+        if (waits)
+            known->second->waiters.push_back(Waiter { exchange, false });
+        else
+            exchange->respond(describeRunning(key, 200));
+        return;
+    }
+    this->followers[key].push_back(Waiter { exchange, false });
+    if (!waits)
+        this->ledger.stopAsking(key);
+    this->ledger.askForJob(key, waits ? QueryMode::WhenFinished : QueryMode::Immediate);
+}
+
+void JobService::cancel(const std::string& key, const std::shared_ptr<HttpExchange>& exchange)
+{
+    auto known = this->jobs.find(key);
+    if (known != this->jobs.end() && !known->second->runner->isAccepted()) {
+        known->second->runner->cancel(this->context.now());
+        this->pump(known->second);
+    }
+    this->ledger.propose(DurableState::CancelJobCommand { key }, proposalTimeout, [exchange, key](const ErrorOr<std::string>& result) {
+        if (!result) {
+            exchange->respond(makeProblem(result.error()));
+            return;
+        }
+        auto update = Transport::decodeValue<JobUpdateResult>(*result);
+        if (update && update->status == JobStatus::Done)
+            exchange->respond(describeRunning(key, 202));
+        else
+            exchange->respond(makeProblem(Error::notRun(Reason::NotFound, "the ledger knows no job with this key")));
+    });
+}
+
+void JobService::onMessage(const std::string&, const CancelNotice& notice)
+{
+    auto position = this->jobs.find(notice.key);
+    if (position == this->jobs.end())
+        return;
+    auto job = position->second;
+    job->runner->cancel(this->context.now());
+    this->pump(job);
+}
+
+void JobService::onMessage(const std::string&, const AdoptJob& message)
+{
+    const auto& record = message.record;
+    if (record.ownerHost != this->context.settings.host || record.ownerIncarnation != this->context.incarnation || record.finished)
+        return;
+    std::vector<Waiter> waiters;
+    auto known = this->jobs.find(record.key);
+    if (known != this->jobs.end()) {
+        auto job = known->second;
+        if (job->runner->epoch() >= record.epoch && (job->runner->isAccepted() || record.epoch > 1))
+            return;
+        if (record.epoch == 1) {
+            // The answer to the acceptance was lost on the way.
+            job->runner->onAcceptance(JobUpdateResult { JobStatus::Accepted, 1, record.ownerHost, record.ownerIncarnation }, this->context.now());
+            this->pump(job);
+            return;
+        }
+        waiters = std::move(job->waiters);
+        this->carryOut(job, WithdrawGrants {});
+        this->drop(job);
+    }
+    auto content = Transport::decodeValue<JobContent>(record.content);
+    if (!content) {
+        Telemetry::log(Telemetry::LogLevel::Error, "job-unreadable", "a job of the ledger cannot be read by this version", { { "job", record.key } });
+        return;
+    }
+    auto job = std::make_shared<Job>();
+    job->key = record.key;
+    job->contentHash = record.contentHash;
+    job->createdAt = record.createdAt;
+    job->arrivedAt = record.acceptedAt;
+    job->arrived = this->context.now();
+    job->waiters = std::move(waiters);
+    this->context.timeLine.record("job-adopted", { { "job", record.key }, { "epoch", std::to_string(record.epoch) } });
+    job->runner = std::make_unique<JobRunner>(std::move(content).value(), record, this->context.now());
+    this->jobs.emplace(record.key, job);
+    this->pump(job);
+}
+
+void JobService::reportHeld()
+{
+    HeldJobs held { this->context.settings.host, this->context.incarnation, {} };
+    for (const auto& [key, job] : this->jobs) {
+        if (job->runner->isAccepted())
+            held.jobs.push_back(HeldJob { key, job->runner->epoch() });
+    }
+    auto leader = this->ledger.leaderHost();
+    if (!held.jobs.empty() && !leader.empty())
+        this->context.send(leader, held);
+}
+
+void JobService::tick()
+{
+    auto now = this->context.now();
+    std::vector<JobPointer> current;
+    for (const auto& [key, job] : this->jobs)
+        current.push_back(job);
+    for (const auto& job : current) {
+        job->runner->tick(now);
+        this->pump(job);
+    }
+    if (now >= this->nextReport) {
+        this->nextReport = now + reportInterval;
+        this->reportHeld();
+    }
+}
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/JobService.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "ConfigurationKeeper.h"
+#include "Context.h"
+#include "GrantClient.h"
+#include "JobApi.h"
+#include "LedgerService.h"
+#include <LibDispatch/JobRunner.h>
+#include <LibTransport/HttpServer.h>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace Sassafrasshift::Daemon {
+
+/// Takes in jobs, runs those that this host owns, and answers their callers.
+class JobService {
+public:
+    JobService(Context&, ConfigurationKeeper&, GrantClient&, LedgerService&);
+
+    /// Handles a request for /v1/jobs/KEY.
+    void handle(const std::shared_ptr<Transport::HttpExchange>&);
+
+    void onMessage(const std::string& from, const AdoptJob&);
+    void onMessage(const std::string& from, const CancelNotice&);
+    void tick();
+
+    [[nodiscard]] size_t owned() const { return this->jobs.size(); }
+
+private:
+    struct Waiter {
+        std::shared_ptr<Transport::HttpExchange> exchange;
+        /// Whether it wants to know only that the job was accepted.
+        bool acceptanceOnly { false };
+    };
+
+    struct TaskCall {
+        std::unique_ptr<Transport::HttpCall> answer;
+        std::unique_ptr<Transport::HttpCall> question;
+    };
+
+    struct Job {
+        std::string key;
+        uint64_t contentHash { 0 };
+        int64_t createdAt { 0 };
+        int64_t arrivedAt { 0 };
+        std::unique_ptr<Dispatch::JobRunner> runner;
+        std::vector<Waiter> waiters;
+        std::vector<uint64_t> grantRequests;
+        std::map<uint32_t, TaskCall> calls;
+        bool flushScheduled { false };
+        std::unique_ptr<Transport::Timer> gatherTimer;
+        Instant arrived {};
+    };
+
+    using JobPointer = std::shared_ptr<Job>;
+
+    void submit(const std::string& key, const std::shared_ptr<Transport::HttpExchange>&);
+    void read(const std::string& key, const std::shared_ptr<Transport::HttpExchange>&);
+    void cancel(const std::string& key, const std::shared_ptr<Transport::HttpExchange>&);
+    void startJob(const std::string& key, const JobSubmission&, Waiter);
+
+    /// Carries out what the runner asks for, until it asks for nothing more.
+    void pump(const JobPointer&);
+    void scheduleFlush(const JobPointer&);
+    void carryOut(const JobPointer&, const Dispatch::AskForGrants&);
+    void carryOut(const JobPointer&, const Dispatch::WithdrawGrants&);
+    void carryOut(const JobPointer&, const Dispatch::ReleaseGrant&);
+    void carryOut(const JobPointer&, const Dispatch::ProposeAcceptance&);
+    void carryOut(const JobPointer&, const Dispatch::ProposeRefusal&);
+    void carryOut(const JobPointer&, const Dispatch::ProposeIntents&);
+    void carryOut(const JobPointer&, const Dispatch::ProposeOutcome&);
+    void carryOut(const JobPointer&, const Dispatch::SendTask&);
+    void carryOut(const JobPointer&, const Dispatch::ResolveAttempt&);
+    void carryOut(const JobPointer&, const Dispatch::StopTask&);
+    void carryOut(const JobPointer&, const Dispatch::AnswerJob&);
+    void carryOut(const JobPointer&, const Dispatch::RefuseSubmission&);
+    void carryOut(const JobPointer&, const Dispatch::FollowOwner&);
+
+    using UpdateHandler = std::function<void(const ErrorOr<DurableState::JobUpdateResult>&)>;
+    void proposeUpdate(const JobPointer&, const DurableState::Command&, UpdateHandler);
+    void onTaskResponse(const JobPointer&, const DurableState::Intent&, const ErrorOr<Transport::HttpResponse>&);
+    void follow(const std::string& key, std::vector<Waiter>);
+    void onJobAnswered(const std::string& key, const JobQueryAnswer&);
+    void answerWaiters(std::vector<Waiter>&, const Transport::HttpResponse&);
+    void answerAcceptance(Job&);
+    void drop(const JobPointer&);
+    void reportHeld();
+
+    Context& context;
+    ConfigurationKeeper& configuration;
+    GrantClient& grants;
+    LedgerService& ledger;
+    std::map<std::string, JobPointer> jobs;
+    std::map<std::string, std::vector<Waiter>> followers;
+    Instant nextReport {};
+};
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/LedgerService.cpp
@@ -0,0 +1,417 @@
+#include "LedgerService.h"
+#include <LibBase/Try.h>
+#include <LibTelemetry/Log.h>
+#include <LibTransport/Codec.h>
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+
+namespace Sassafrasshift::Daemon {
+
+using DurableState::JobRecord;
+using Telemetry::LogLevel;
+
+static constexpr Milliseconds proposalResend { 400 };
+static constexpr Milliseconds supervisionInterval { 200 };
+static constexpr Milliseconds joinInterval { 500 };
+static constexpr Milliseconds questionResend { 1000 };
+// An owner that has not named a job for this long is told of it again.
+static constexpr Milliseconds ownerReminder { 2000 };
+static constexpr size_t maximumProposals = 65'536;
+static constexpr int storageFailureExitCode = 74;
+
+LedgerService::LedgerService(Context& context, ConfigurationKeeper& configuration)
+    : context(context)
+    , configuration(configuration)
+    , durableState(context.settings.jobKeyRetention, DurableState::DurableState::Observer { [this](const auto& published) { this->configuration.offer(published); }, [this](const auto& job) { this->onJobChanged(job); } })
+{
+}
+
+ErrorOr<void> LedgerService::start()
+{
+    if (!this->context.settings.self().replica)
+        return {};
+    auto store = Ledger::DiskStore::open(this->context.settings.dataFolder + "/ledger", this->context.random);
+    if (!store) {
+        if (store.error().reason != Reason::Damaged)
+            return tl::unexpected(store.error());
+        this->damageDetail = store.error().detail;
+        Telemetry::log(LogLevel::Error, "ledger-damaged", "the replica is damaged and takes no part in the ledger", { { "detail", this->damageDetail } });
+        return {};
+    }
+    this->identity = (*store)->identity();
+    this->waitingStore = std::move(store).value();
+    if (this->waitingStore->isInitialized())
+        this->startNode(nullptr);
+    return {};
+}
+
+// A first membership is made only when every replica of the settings is reachable and empty, so that all make the same.
+void LedgerService::initializeIfDue()
+{
+    if (!this->waitingStore)
+        return;
+    auto now = this->context.now();
+    bool allEmpty = true;
+    Ledger::StoredState first;
+    for (const auto& host : this->context.settings.hosts) {
+        if (!host.replica)
+            continue;
+        if (host.name == this->context.settings.host) {
+            first.snapshot.membership.members.push_back({ this->identity, host.name, Ledger::MemberRole::Voter });
+            continue;
+        }
+        const auto* heartbeat = this->context.peers.isAlive(host.name, now) ? this->context.peers.latest(host.name) : nullptr;
+        if (heartbeat && heartbeat->replicaInitialized) {
+            this->startNode(nullptr);
+            return;
+        }
+        if (!heartbeat || heartbeat->replicaIdentity.empty())
+            allEmpty = false;
+        else
+            first.snapshot.membership.members.push_back({ heartbeat->replicaIdentity, host.name, Ledger::MemberRole::Voter });
+    }
+    if (!allEmpty)
+        return;
+    std::sort(first.snapshot.membership.members.begin(), first.snapshot.membership.members.end());
+    this->startNode(&first);
+}
+
+void LedgerService::startNode(const Ledger::StoredState* first)
+{
+    if (first) {
+        std::vector<Ledger::StoreOperation> operations { Ledger::SnapshotOperation { first->snapshot, {}, {} } };
+        auto stored = this->waitingStore->store(operations);
+        if (!stored) {
+            this->endProcess(stored.error());
+            return;
+        }
+    }
+    Ledger::Node::Options options;
+    options.replica.identity = this->identity;
+    options.replica.host = this->context.settings.host;
+    options.replica.electionTimeout = this->context.settings.electionTimeout;
+    options.replica.heartbeatInterval = this->context.settings.electionTimeout / 6;
+    Ledger::Node::Environment environment;
+    environment.clock = &this->context.loop;
+    environment.send = [this](const Ledger::Message& message) { this->context.send(message.toHost, message); };
+    environment.post = [this](std::function<void()> function) { this->context.loop.post(std::move(function)); };
+    environment.storageFailed = [this](const Error& error) { this->endProcess(error); };
+    this->initialized = first || this->waitingStore->isInitialized();
+    auto stored = first ? *first : this->waitingStore->recovered();
+    this->node = std::make_unique<Ledger::Node>(options, std::move(this->waitingStore), stored, this->durableState, environment, Random(this->context.random()));
+    this->context.timeLine.record("ledger-started", { { "identity", this->identity }, { "initialized", this->initialized ? "true" : "false" } });
+}
+
+// What the disk holds is unknown after a failed sync; only a new process, which reads it again, can tell.
+void LedgerService::endProcess(const Error& error)
+{
+    Telemetry::log(LogLevel::Error, "storage-failed", "the data folder failed; the process ends", { { "detail", error.detail } });
+    this->context.timeLine.record("storage-failed", { { "detail", error.detail } });
+    this->context.timeLine.flush();
+    std::_Exit(storageFailureExitCode);
+}
+
+std::string LedgerService::leaderHost() const
+{
+    if (this->node) {
+        auto host = this->node->replica().leaderHost();
+        if (!host.empty())
+            return host;
+    }
+    auto now = this->context.now();
+    std::string leader;
+    uint64_t highest = 0;
+    for (const auto& [host, domain] : this->context.peers.failureDomains()) {
+        const auto* heartbeat = this->context.peers.isAlive(host, now) ? this->context.peers.latest(host) : nullptr;
+        if (!heartbeat || heartbeat->ledgerLeader.empty() || heartbeat->ledgerTerm < highest)
+            continue;
+        leader = heartbeat->ledgerLeader;
+        highest = heartbeat->ledgerTerm;
+    }
+    return leader;
+}
+
+uint64_t LedgerService::term() const
+{
+    return this->node ? this->node->replica().term() : 0;
+}
+
+void LedgerService::propose(const DurableState::Command& command, Milliseconds timeout, Completion completion)
+{
+    if (this->proposals.size() >= maximumProposals) {
+        completion(tl::unexpected(Error::notRun(Reason::Overloaded, "too many commands wait for the ledger").withRetryAfter(Milliseconds(200))));
+        return;
+    }
+    auto number = this->nextNumber++;
+    auto& proposal = this->proposals.emplace(number, Proposal { Transport::encodeValue(command), std::move(completion), this->context.now() + timeout, {}, {} }).first->second;
+    this->sendProposal(number, proposal);
+}
+
+void LedgerService::sendProposal(uint64_t number, Proposal& proposal)
+{
+    auto leader = this->leaderHost();
+    proposal.sentAt = this->context.now();
+    proposal.sentTo = leader;
+    if (leader.empty())
+        return;
+    proposal.everSent = true;
+    this->context.send(leader, ProposeRequest { number, proposal.command });
+}
+
+void LedgerService::completeProposal(uint64_t number, ErrorOr<std::string> result)
+{
+    auto position = this->proposals.find(number);
+    if (position == this->proposals.end())
+        return;
+    auto completion = std::move(position->second.completion);
+    this->proposals.erase(position);
+    completion(std::move(result));
+}
+
+void LedgerService::onMessage(const std::string& from, const ProposeRequest& request)
+{
+    auto respond = [this, from, number = request.number](ErrorOr<std::string> result) {
+        ProposeResponse response;
+        response.number = number;
+        response.succeeded = result.has_value();
+        if (result) {
+            response.result = std::move(result).value();
+        } else {
+            response.reason = result.error().reason;
+            response.verdict = result.error().verdict;
+            response.detail = result.error().detail;
+        }
+        this->context.send(from, response);
+    };
+    if (!this->node) {
+        respond(tl::unexpected(Error::notRun(Reason::NotLeader, "this host runs no replica")));
+        return;
+    }
+    this->node->propose(request.command, respond);
+}
+
+void LedgerService::onMessage(const std::string& from, const ProposeResponse& response)
+{
+    auto position = this->proposals.find(response.number);
+    if (position == this->proposals.end())
+        return;
+    if (response.succeeded) {
+        this->completeProposal(response.number, response.result);
+        return;
+    }
+    // Another leader may take it; it is sent again by the next tick.
+    if (response.reason == Reason::NotLeader) {
+        if (position->second.sentTo == from)
+            position->second.sentAt = this->context.now() - proposalResend + Milliseconds(50);
+        return;
+    }
+    Error error { response.reason, response.verdict, response.detail };
+    this->completeProposal(response.number, tl::unexpected(std::move(error)));
+}
+
+void LedgerService::retryProposals()
+{
+    auto now = this->context.now();
+    auto leader = this->leaderHost();
+    std::vector<uint64_t> expired;
+    for (auto& [number, proposal] : this->proposals) {
+        if (now >= proposal.deadline) {
+            expired.push_back(number);
+            continue;
+        }
+        bool leaderChanged = !leader.empty() && leader != proposal.sentTo;
+        if (leaderChanged || now >= proposal.sentAt + proposalResend) {
+            if (proposal.everSent)
+                this->context.metrics.count("messages_wasted_total");
+            this->sendProposal(number, proposal);
+        }
+    }
+    for (auto number : expired) {
+        bool everSent = this->proposals.at(number).everSent;
+        auto error = everSent ? Error::mayHaveRun(Reason::NoQuorum, "the ledger did not confirm the command in time") : Error::notRun(Reason::NoQuorum, "no leader of the ledger is reachable");
+        this->completeProposal(number, tl::unexpected(error.withRetryAfter(Milliseconds(1000))));
+    }
+}
+
+void LedgerService::onMessage(const std::string&, const Ledger::Message& message)
+{
+    if (this->node)
+        this->node->receive(message);
+}
+
+void LedgerService::onMessage(const std::string&, const JoinRequest& request)
+{
+    if (this->node)
+        this->node->requestJoin(request.host, request.identity);
+}
+
+void LedgerService::onMessage(const std::string&, const HeldJobs& held)
+{
+    auto now = this->context.now();
+    for (const auto& job : held.jobs) {
+        const auto* record = this->durableState.findJob(job.key);
+        if (record && !record->finished && record->ownerHost == held.host && record->epoch == job.epoch)
+            this->lastNamed[job.key] = now;
+    }
+}
+
+JobQueryAnswer LedgerService::describeJob(const std::string& key) const
+{
+    JobQueryAnswer answer;
+    const auto* record = this->durableState.findJob(key);
+    answer.found = record != nullptr;
+    if (record) {
+        answer.finished = record->finished;
+        answer.ownerHost = record->ownerHost;
+        answer.outcome = record->outcome;
+    }
+    return answer;
+}
+
+void LedgerService::onMessage(const std::string& from, const JobQuery& query)
+{
+    // Only an established leader knows that what it has applied is up to date.
+    if (!this->node || !this->node->replica().isEstablishedLeader())
+        return;
+    auto answer = this->describeJob(query.key);
+    answer.number = query.number;
+    if (query.mode == QueryMode::Immediate || answer.finished || !answer.found) {
+        this->context.send(from, answer);
+        return;
+    }
+    this->watchers[query.key].insert(Watcher { from, query.number });
+}
+
+void LedgerService::onMessage(const std::string&, const JobQueryAnswer& answer)
+{
+    for (auto position = this->questions.begin(); position != this->questions.end(); ++position) {
+        if (position->second.number != answer.number)
+            continue;
+        auto key = position->first;
+        this->questions.erase(position);
+        if (this->observer.answered)
+            this->observer.answered(key, answer);
+        return;
+    }
+}
+
+void LedgerService::askForJob(const std::string& key, QueryMode mode)
+{
+    auto [position, isNew] = this->questions.try_emplace(key, Question { this->nextNumber++, mode, {} });
+    if (isNew)
+        this->sendQuestion(key, position->second);
+}
+
+void LedgerService::stopAsking(const std::string& key)
+{
+    this->questions.erase(key);
+}
+
+void LedgerService::sendQuestion(const std::string& key, Question& question)
+{
+    question.askedAt = this->context.now();
+    auto leader = this->leaderHost();
+    if (!leader.empty())
+        this->context.send(leader, JobQuery { question.number, key, question.mode });
+}
+
+void LedgerService::onJobChanged(const JobRecord& job)
+{
+    if (job.finished) {
+        this->lastNamed.erase(job.key);
+        auto position = this->watchers.find(job.key);
+        if (position == this->watchers.end())
+            return;
+        auto answer = this->describeJob(job.key);
+        for (const auto& watcher : position->second) {
+            answer.number = watcher.number;
+            this->context.send(watcher.host, answer);
+        }
+        this->watchers.erase(position);
+        return;
+    }
+    if (job.cancelRequested && this->node && this->node->replica().role() == Ledger::Role::Leader)
+        this->context.send(job.ownerHost, CancelNotice { job.key });
+}
+
+// Prefers a host of the same failure domain, so that the job stays near its workers.
+std::string LedgerService::chooseOwner(const JobRecord& job) const
+{
+    auto serving = this->context.peers.serving(this->context.now());
+    const auto& domains = this->context.peers.failureDomains();
+    auto former = domains.find(job.ownerHost);
+    std::vector<std::string> near;
+    for (const auto& host : serving) {
+        if (former != domains.end() && domains.at(host) == former->second)
+            near.push_back(host);
+    }
+    const auto& candidates = near.empty() ? serving : near;
+    if (candidates.empty())
+        return {};
+    return candidates[std::hash<std::string> {}(job.key) % candidates.size()];
+}
+
+void LedgerService::superviseJobs()
+{
+    auto now = this->context.now();
+    if (!this->node || !this->node->replica().isEstablishedLeader()) {
+        this->lastNamed.clear();
+        this->watchers.clear();
+        return;
+    }
+    if (now < this->nextSupervision)
+        return;
+    this->nextSupervision = now + supervisionInterval;
+    for (const auto& key : this->durableState.openJobs())
+        this->superviseJob(*this->durableState.findJob(key), now);
+}
+
+void LedgerService::superviseJob(const JobRecord& job, Instant now)
+{
+    auto [position, isNew] = this->lastNamed.try_emplace(job.key, now);
+    if (!isNew && this->context.peers.isLost(job.ownerHost, job.ownerIncarnation, now)) {
+        auto owner = this->chooseOwner(job);
+        if (owner.empty())
+            return;
+        const auto* heartbeat = this->context.peers.latest(owner);
+        auto incarnation = owner == this->context.settings.host ? this->context.incarnation : heartbeat ? heartbeat->incarnation
+                                                                                                        : std::string();
+        this->context.timeLine.record("job-taken-over", { { "job", job.key }, { "from", job.ownerHost }, { "to", owner }, { "epoch", std::to_string(job.epoch + 1) } });
+        this->lastNamed.erase(position);
+        this->node->propose(Transport::encodeValue(DurableState::Command { DurableState::TakeOverCommand { job.key, job.epoch, owner, incarnation } }), [](const auto&) {});
+        return;
+    }
+    // The owner of a new epoch, or one whose acceptance was lost on the way, learns of the job from here.
+    bool newOwner = isNew && job.epoch > 1;
+    if (newOwner || now >= position->second + ownerReminder) {
+        position->second = now;
+        this->context.send(job.ownerHost, AdoptJob { job });
+    }
+}
+
+void LedgerService::tick()
+{
+    this->initializeIfDue();
+    if (this->node) {
+        this->node->tick();
+        auto now = this->context.now();
+        bool isMember = this->node->replica().membership().isVoter(this->identity);
+        this->initialized = this->initialized || isMember;
+        if (!isMember && now >= this->nextJoin) {
+            this->nextJoin = now + joinInterval;
+            auto leader = this->leaderHost();
+            if (!leader.empty() && leader != this->context.settings.host)
+                this->context.send(leader, JoinRequest { this->context.settings.host, this->identity });
+        }
+    }
+    this->retryProposals();
+    this->superviseJobs();
+    auto now = this->context.now();
+    for (auto& [key, question] : this->questions) {
+        if (now >= question.askedAt + questionResend)
+            this->sendQuestion(key, question);
+    }
+}
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/LedgerService.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "ConfigurationKeeper.h"
+#include "Context.h"
+#include <LibDurableState/DurableState.h>
+#include <LibLedger/Node.h>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace Sassafrasshift::Daemon {
+
+/// Reaches the ledger for the rest of the process, and runs this host's replica where it has one.
+class LedgerService {
+public:
+    using Completion = std::function<void(ErrorOr<std::string>)>;
+
+    /// What the ledger tells the part that runs jobs.
+    struct JobObserver {
+        std::function<void(const std::string& key, const JobQueryAnswer&)> answered;
+    };
+
+    LedgerService(Context&, ConfigurationKeeper&);
+
+    /// Opens the data folder, where this host keeps a replica. A damaged one is reported and not used.
+    [[nodiscard]] ErrorOr<void> start();
+    void setJobObserver(JobObserver observer) { this->observer = std::move(observer); }
+
+    /// Proposes a command to the leader, wherever it is. A command may be proposed more than once, so that each has to
+    /// be harmless when repeated. The verdict of a failure says whether it may still be applied.
+    void propose(const DurableState::Command&, Milliseconds timeout, Completion);
+
+    /// Asks for a job's state. The answer goes to JobObserver::answered; a question is repeated until answered.
+    void askForJob(const std::string& key, QueryMode);
+    void stopAsking(const std::string& key);
+
+    void onMessage(const std::string& from, const Ledger::Message&);
+    void onMessage(const std::string& from, const ProposeRequest&);
+    void onMessage(const std::string& from, const ProposeResponse&);
+    void onMessage(const std::string& from, const JoinRequest&);
+    void onMessage(const std::string& from, const HeldJobs&);
+    void onMessage(const std::string& from, const JobQuery&);
+    void onMessage(const std::string& from, const JobQueryAnswer&);
+    void tick();
+
+    /// The host that leads, as far as is known here; empty where none is.
+    [[nodiscard]] std::string leaderHost() const;
+    [[nodiscard]] uint64_t term() const;
+    [[nodiscard]] const std::string& replicaIdentity() const { return this->identity; }
+    [[nodiscard]] bool isInitialized() const { return this->node != nullptr && this->initialized; }
+    [[nodiscard]] const Ledger::Node* replicaNode() const { return this->node.get(); }
+    [[nodiscard]] const DurableState::DurableState& state() const { return this->durableState; }
+    [[nodiscard]] const std::string& damage() const { return this->damageDetail; }
+
+private:
+    struct Proposal {
+        std::string command;
+        Completion completion;
+        Instant deadline;
+        Instant sentAt;
+        std::string sentTo;
+        bool everSent { false };
+    };
+
+    struct Question {
+        uint64_t number;
+        QueryMode mode;
+        Instant askedAt;
+    };
+
+    struct Watcher {
+        std::string host;
+        uint64_t number;
+
+        friend auto operator<=>(const Watcher&, const Watcher&) = default;
+    };
+
+    void initializeIfDue();
+    void startNode(const Ledger::StoredState* first);
+    void sendProposal(uint64_t number, Proposal&);
+    void completeProposal(uint64_t number, ErrorOr<std::string>);
+    void onProposalResult(uint64_t number, const std::string& from, ErrorOr<std::string>);
+    void retryProposals();
+    void superviseJobs();
+    void superviseJob(const DurableState::JobRecord&, Instant now);
+    [[nodiscard]] std::string chooseOwner(const DurableState::JobRecord&) const;
+    void onJobChanged(const DurableState::JobRecord&);
+    [[nodiscard]] JobQueryAnswer describeJob(const std::string& key) const;
+    void sendQuestion(const std::string& key, Question&);
+    void endProcess(const Error&);
+
+    Context& context;
+    ConfigurationKeeper& configuration;
+    JobObserver observer;
+    DurableState::DurableState durableState;
+    std::unique_ptr<Ledger::DiskStore> waitingStore;
+    std::unique_ptr<Ledger::Node> node;
+    std::string identity;
+    bool initialized { false };
+    std::string damageDetail;
+    std::unordered_map<uint64_t, Proposal> proposals;
+    uint64_t nextNumber { 1 };
+    std::map<std::string, Question> questions;
+    std::map<std::string, std::set<Watcher>> watchers;
+    /// When a job was last named by its owner, or first seen by this leader.
+    std::map<std::string, Instant> lastNamed;
+    Instant nextSupervision {};
+    Instant nextJoin {};
+};
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Main.cpp
@@ -0,0 +1,131 @@
+#include "Daemon.h"
+#include <LibLedger/FileOperations.h>
+#include <LibTelemetry/Log.h>
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <getopt.h>
+#include <iostream>
+
+using namespace Sassafrasshift;
+
+enum ExitCode {
+    ExitSuccess = 0,
+    ExitUsage = 2,
+    ExitSettings = 3,
+    ExitStart = 4,
+};
+
+static constexpr const char* helpText = R"(Usage: sassafrasshiftd --settings FILE
+       sassafrasshiftd --check FILE
+
+Runs one entry host of the dispatcher.
+
+  -s, --settings FILE  run with the settings in FILE
+  -c, --check FILE     check the settings in FILE, print every fault, and end
+  -h, --help           print this text
+  -V, --version        print the version
+
+Example:
+  sassafrasshiftd --settings /etc/sassafrasshift/sassafrasshiftd.yaml
+
+SIGTERM and SIGINT let everything in progress end first; a second one ends the process at once.
+
+Exit codes: 0 success, 2 wrong arguments, 3 faults in the settings, 4 an address or the data folder cannot be used,
+74 the data folder failed while running.
+)";
+
+// A signal handler may do next to nothing; the daemon's next tick reads what it counted.
+static volatile std::sig_atomic_t pendingSignals = 0;
+
+static void onSignal(int)
+{
+    pendingSignals = pendingSignals + 1;
+}
+
+static tl::expected<Settings::DaemonSettings, Settings::Faults> loadSettings(const std::string& path)
+{
+    auto text = Ledger::readFile(path);
+    if (!text)
+        return tl::unexpected(Settings::Faults { Settings::Fault { path, 1, 1, "the file cannot be read" } });
+    return Settings::DaemonSettings::parse(*text, path);
+}
+
+static Telemetry::LogLevel logLevelOf(const std::string& name)
+{
+    if (name == "debug")
+        return Telemetry::LogLevel::Debug;
+    if (name == "warning")
+        return Telemetry::LogLevel::Warning;
+    if (name == "error")
+        return Telemetry::LogLevel::Error;
+    return Telemetry::LogLevel::Information;
+}
+
+static int runDaemon(const Settings::DaemonSettings& settings)
+{
+    Telemetry::startLog(settings.host, logLevelOf(settings.logLevel));
+    auto daemon = Daemon::Daemon::create(settings);
+    if (!daemon) {
+        std::cerr << "sassafrasshiftd: " << daemon.error().detail << "\n";
+        return ExitStart;
+    }
+    std::signal(SIGTERM, onSignal);
+    std::signal(SIGINT, onSignal);
+    (*daemon)->whenSignalled([handled = 0]() mutable {
+        bool pending = handled < pendingSignals;
+        handled = pendingSignals;
+        return pending;
+    });
+    (*daemon)->run();
+    // The parts of the daemon refer to each other; the process ends here, so that they are not taken apart.
+    std::cout.flush();
+    std::_Exit(ExitSuccess);
+}
+
+int main(int argc, char** argv)
+{
+    static const std::array<option, 5> options { {
+        { "settings", required_argument, nullptr, 's' },
+        { "check", required_argument, nullptr, 'c' },
+        { "help", no_argument, nullptr, 'h' },
+        { "version", no_argument, nullptr, 'V' },
+        { nullptr, 0, nullptr, 0 },
+    } };
+    std::string path;
+    bool checkOnly = false;
+    for (int choice = 0; (choice = getopt_long(argc, argv, "s:c:hV", options.data(), nullptr)) != -1;) {
+        switch (choice) {
+        case 's':
+            path = optarg;
+            break;
+        case 'c':
+            path = optarg;
+            checkOnly = true;
+            break;
+        case 'h':
+            std::cout << helpText;
+            return ExitSuccess;
+        case 'V':
+            std::cout << "sassafrasshiftd " << SASSAFRASSHIFT_VERSION << "\n";
+            return ExitSuccess;
+        default:
+            std::cerr << "Try 'sassafrasshiftd --help'.\n";
+            return ExitUsage;
+        }
+    }
+    if (path.empty() || optind != argc) {
+        std::cerr << "sassafrasshiftd: --settings FILE is needed\nTry 'sassafrasshiftd --help'.\n";
+        return ExitUsage;
+    }
+    auto settings = loadSettings(path);
+    if (!settings) {
+        std::cerr << Settings::toText(settings.error());
+        return ExitSettings;
+    }
+    if (checkOnly) {
+        std::cout << path << ": no faults\n";
+        return ExitSuccess;
+    }
+    return runDaemon(*settings);
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Problem.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <LibBase/Error.h>
+#include <LibTransport/HttpMessage.h>
+#include <string_view>
+
+namespace Sassafrasshift::Daemon {
+
+inline constexpr std::string_view verdictHeader = "sassafrasshift-verdict";
+inline constexpr std::string_view reasonHeader = "sassafrasshift-reason";
+inline constexpr std::string_view requestIdHeader = "x-request-id";
+inline constexpr std::string_view attemptHeader = "sassafrasshift-attempt";
+inline constexpr std::string_view teamHeader = "sassafrasshift-team";
+inline constexpr std::string_view deadlineHeader = "sassafrasshift-deadline-ms";
+
+/// The HTTP status for a reason.
+[[nodiscard]] int statusFor(Reason);
+
+/// A problem body (RFC 9457) with the verdict, the reason and, where it helps, Retry-After (RFC 9110 section 10.2.3).
+[[nodiscard]] Transport::HttpResponse makeProblem(const Error&);
+
+[[nodiscard]] Transport::HttpResponse makeJsonResponse(int status, std::string body);
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/RequestForwarder.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "ConfigurationKeeper.h"
+#include "Context.h"
+#include "GrantClient.h"
+#include <LibDispatch/RetryBudget.h>
+#include <LibTransport/HttpServer.h>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace Sassafrasshift::Daemon {
+
+/// Carries callers' requests to executors and the whole answers back.
+class RequestForwarder {
+public:
+    RequestForwarder(Context&, ConfigurationKeeper&, GrantClient&);
+
+    /// Handles a request for /v1/services/NAME/...
+    void handle(const std::shared_ptr<Transport::HttpExchange>&);
+
+    [[nodiscard]] size_t inProgress() const { return this->open.size(); }
+
+private:
+    struct Forwarding {
+        uint64_t number { 0 };
+        std::shared_ptr<Transport::HttpExchange> exchange;
+        std::string requestId;
+        std::string service;
+        bool idempotent { false };
+        double retryShare { 0 };
+        Dispatch::GrantRequest grantRequest;
+        std::optional<uint64_t> pendingGrant;
+        std::optional<Dispatch::Grant> grant;
+        std::unique_ptr<Transport::HttpCall> call;
+        std::string attempt;
+        uint32_t attempts { 0 };
+        Instant arrivedAt {};
+        Instant deadline {};
+        Instant sentAt {};
+    };
+
+    using ForwardingPointer = std::shared_ptr<Forwarding>;
+
+    [[nodiscard]] ErrorOr<ForwardingPointer> prepare(const std::shared_ptr<Transport::HttpExchange>&);
+    void askForGrant(const ForwardingPointer&);
+    void sendAttempt(const ForwardingPointer&, const Dispatch::Grant&);
+    [[nodiscard]] Transport::HttpRequest makeTargetRequest(const Forwarding&) const;
+    void onAnswer(const ForwardingPointer&, ErrorOr<Transport::HttpResponse>);
+    void onAttemptFailed(const ForwardingPointer&, const Error&);
+    void abandon(const ForwardingPointer&);
+    void releaseGrant(Forwarding&, Dispatch::WorkResult);
+    void finish(const ForwardingPointer&, Transport::HttpResponse, std::string_view event);
+    void refuse(const ForwardingPointer&, const Error&);
+    [[nodiscard]] Milliseconds remaining(const Forwarding&) const;
+
+    Context& context;
+    ConfigurationKeeper& configuration;
+    GrantClient& grants;
+    std::unordered_map<uint64_t, ForwardingPointer> open;
+    std::map<std::string, Dispatch::RetryBudget> budgets;
+    uint64_t nextNumber { 1 };
+};
+
+}
