--- a/Libraries/LibCatalog/Catalog.cpp
+++ b/Libraries/LibCatalog/Catalog.cpp
@@ -13,7 +13,7 @@
 using Settings::MappingReader;
 using namespace std::chrono_literals;
 
-static const std::array<std::string, 6> kinds { "service", "taskKind", "pool", "policy", "team", "failureDomain" };
+static const std::array<std::string, 7> kinds { "service", "taskKind", "pool", "policy", "team", "failureDomain", "drain" };
 static const std::array<std::string, 3> priorities { "urgent", "normal", "background" };
 static const std::array<std::string, 2> targetKinds { "executor", "worker" };
 
@@ -180,6 +180,8 @@
         this->readTaskKind(reader, name);
     } else if (kind == "team") {
         this->readTeam(reader, name);
+    } else if (kind == "drain") {
+        this->add(reader, this->catalog.drains, Drain { name });
     } else {
         auto nearest = nearestName(kind, kinds);
         if (!kind.empty())
@@ -263,6 +265,7 @@
 const Policy* Catalog::findPolicy(std::string_view name) const { return find(this->policies, name); }
 const Team* Catalog::findTeam(std::string_view name) const { return find(this->teams, name); }
 const FailureDomain* Catalog::findFailureDomain(std::string_view name) const { return find(this->failureDomains, name); }
+const Drain* Catalog::findDrain(std::string_view targetIdentity) const { return find(this->drains, targetIdentity); }
 
 template <typename Object>
 static void describe(std::string_view kind, const Catalog::ByName<Object>& before, const Catalog::ByName<Object>& after, std::vector<std::string>& changes)
@@ -289,6 +292,7 @@
     describe("service", before.services, after.services, changes);
     describe("taskKind", before.taskKinds, after.taskKinds, changes);
     describe("team", before.teams, after.teams, changes);
+    describe("drain", before.drains, after.drains, changes);
     return changes;
 }
 
--- a/Libraries/LibCatalog/Catalog.h
+++ b/Libraries/LibCatalog/Catalog.h
@@ -32,6 +32,7 @@
     [[nodiscard]] const Policy* findPolicy(std::string_view name) const;
     [[nodiscard]] const Team* findTeam(std::string_view name) const;
     [[nodiscard]] const FailureDomain* findFailureDomain(std::string_view name) const;
+    [[nodiscard]] const Drain* findDrain(std::string_view targetIdentity) const;
 
     template <typename Object>
     using ByName = std::map<std::string, Object, std::less<>>;
@@ -42,6 +43,7 @@
     ByName<Policy> policies;
     ByName<Team> teams;
     ByName<FailureDomain> failureDomains;
+    ByName<Drain> drains;
 
     friend bool operator==(const Catalog&, const Catalog&) = default;
 };
--- a/Libraries/LibCatalog/Objects.h
+++ b/Libraries/LibCatalog/Objects.h
@@ -102,6 +102,13 @@
     friend auto operator<=>(const TaskKind&, const TaskKind&) = default;
 };
 
+/// Takes one target out of service; its name is the target's identity.
+struct Drain {
+    std::string name;
+
+    friend auto operator<=>(const Drain&, const Drain&) = default;
+};
+
 struct Team {
     std::string name;
     /// The share that a team gets under contention, relative to the others.
--- a/Services/sassafrasshiftd/DispatcherService.cpp
+++ b/Services/sassafrasshiftd/DispatcherService.cpp
@@ -48,7 +48,7 @@
     auto effective = report;
     const auto* catalog = this->configuration.catalog();
     const auto* domain = catalog ? catalog->findFailureDomain(report.failureDomain) : nullptr;
-    if (domain && domain->isolated)
+    if ((domain && domain->isolated) || (catalog && catalog->findDrain(report.identity)))
         effective.state = Membership::TargetState::Leaving;
     auto known = this->core.findPool(report.pool);
     auto* before = known ? const_cast<TargetPool*>(known)->find(report.identity) : nullptr;
