--- /dev/null
+++ b/Meta/lint.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Checks the formatting of all sources and the names in them.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+cd "$root"
+mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.h' '*.cpp')
+clang-format --dry-run --Werror "${files[@]}"
+[ -f build/compile_commands.json ] || Meta/sassafrasshift.sh build >&2
+mapfile -t units < <(git ls-files --cached --others --exclude-standard '*.cpp' | grep -v '^Tests/Fuzz/')
+printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 4 clang-tidy -p build --quiet 2>/dev/null
+echo "lint: ${#files[@]} files are clean"
--- /dev/null
+++ b/Meta/sassafrasshift.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Builds, runs, tests and measures the project; --help lists the commands.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+cd "$root"
+
+usage() {
+    cat <<'H'
+Usage: Meta/sassafrasshift.sh COMMAND
+
+  install  install the packages that the build needs (Debian)
+  build    configure and build everything into build/
+  run      build, then run the whole path on this machine and check the outcome
+  test     build, then run all tests by CTest
+  faults   build, then run the fault scenarios with real processes
+  model    check the protocol models
+  bench    build, then measure the decisions and the ledger
+  lint     check formatting and names
+  format   format all sources
+  serve    build, then start three hosts with targets, and keep them until interrupted
+  fuzz     build the fuzzers and run each for some seconds
+
+Example:
+  Meta/sassafrasshift.sh run
+H
+}
+
+install() {
+    local missing
+    missing=$(dpkg-query -W -f '${Package} ${Status}\n' $(cat Meta/packages.txt) 2>/dev/null | awk '/install ok installed/ {print $1}' | sort | comm -13 - <(sort Meta/packages.txt))
+    [ -z "$missing" ] && return
+    apt-get update -qq
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $missing >/dev/null
+}
+
+build() {
+    install
+    cmake -S . -B build -G Ninja >build-configure.log 2>&1 || { cat build-configure.log; return 1; }
+    rm -f build-configure.log
+    cmake --build build
+}
+
+sources() { git ls-files --cached --others --exclude-standard '*.h' '*.cpp'; }
+
+case "${1:-}" in
+install) install ;;
+build) build ;;
+run) build >&2; exec Meta/run.sh ;;
+test) build >&2; exec Meta/test.sh ;;
+faults) build >&2; shift; exec Meta/faults.sh "$@" ;;
+model) install; exec Meta/model.sh ;;
+bench) build >&2; shift; exec Meta/bench.sh "$@" ;;
+lint) install; exec Meta/lint.sh ;;
+format) sources | xargs clang-format -i ;;
+serve) build >&2; exec Meta/serve.sh ;;
+fuzz) install; shift; exec Meta/fuzz.sh "$@" ;;
+-h | --help) usage ;;
+*) usage >&2; exit 2 ;;
+esac
