LibDispatch: Stop hand-overs that cannot be served

Cause: a dispatcher showed every free place, also on targets too slow to be worth using, and so refused what it was handed; the origin saw free places in the refusal and handed the same request over again, as fast as messages travel. Ruled out: lost releases (grants held fell to zero), resends of requests (counter at zero). Change: a dispatcher shows only places that it would use; a request that came back stays for 50 ms.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -7,6 +7,8 @@
 using namespace std::chrono_literals;
 
 static constexpr Milliseconds minimumRetryAfter = 50ms;
+// How long a request that another dispatcher could not serve stays here.
+static constexpr Milliseconds passOnPause = 50ms;
 // Bounds what one hand-over takes along.
 static constexpr uint32_t largestHandOver = 64;
 
@@ -145,7 +147,7 @@
     for (auto& [host, free] : pool.remoteFree) {
         while (free > 0) {
             auto* waiting = pool.queue.front();
-            if (!waiting || this->handedOver.contains(waiting->request.id))
+            if (!waiting || now < waiting->passOnFrom || this->handedOver.contains(waiting->request.id))
                 return;
             auto request = waiting->request;
             auto deadline = waiting->deadline;
@@ -163,7 +165,7 @@
 
 void Dispatcher::announceTransition(const std::string& name, Pool& pool)
 {
-    auto free = pool.queue.isEmpty() ? pool.targets.freePlaces() : 0;
+    auto free = pool.queue.isEmpty() ? pool.targets.usefulFreePlaces() : 0;
     if ((free > 0) == pool.announcedFree)
         return;
     pool.announcedFree = free > 0;
@@ -183,7 +185,7 @@
         this->grant(request.pool, pool, *target, request, now);
         --remaining;
     }
-    auto free = pool.queue.isEmpty() ? pool.targets.freePlaces() : 0;
+    auto free = pool.queue.isEmpty() ? pool.targets.usefulFreePlaces() : 0;
     this->commands.emplace_back(SendToDispatcher { message.origin, HandOverResult { request.id, request.pool, remaining, free } });
     this->announceTransition(request.pool, pool);
 }
@@ -200,6 +202,7 @@
     }
     request.count = count;
     pool.queue.push(request, entry.deadline);
+    pool.queue.find(request.id)->passOnFrom = now + passOnPause;
     this->serve(request.pool, pool, now);
 }
 
--- a/Libraries/LibDispatch/FairQueue.h
+++ b/Libraries/LibDispatch/FairQueue.h
@@ -17,6 +17,8 @@
         GrantRequest request;
         Instant deadline;
         uint64_t arrival { 0 };
+        /// Set where another dispatcher could not serve the request, so that it is not passed on again at once.
+        Instant passOnFrom {};
     };
 
     /// Adds a request at the end of its team's line.
--- a/Libraries/LibDispatch/TargetPool.cpp
+++ b/Libraries/LibDispatch/TargetPool.cpp
@@ -13,6 +13,9 @@
 // What a target that has not yet succeeded may have in progress and failed together.
 static constexpr uint32_t unprovenLimit = 4;
 
+// Bounds what another dispatcher hands over at once.
+static constexpr int64_t mostPlacesShown = 64;
+
 static int bucketOf(double slowness, int bucketCount)
 {
     auto clamped = std::clamp(slowness, 1 / slowestFactor, slowestFactor);
@@ -49,7 +52,6 @@
         return;
     target.listed = false;
     this->listed.erase(ListKey { target.bucket, target.lastUsed, &target });
-    this->freeMilliCores -= std::max<int64_t>(0, target.report.capacity.milliCores - target.inUse.milliCores);
 }
 
 void TargetPool::updateListing(Target& target)
@@ -64,7 +66,6 @@
         return;
     target.listed = true;
     this->listed.insert(ListKey { target.bucket, target.lastUsed, &target });
-    this->freeMilliCores += std::max<int64_t>(0, free.milliCores);
 }
 
 void TargetPool::announce(const Membership::TargetReport& report, Instant now)
@@ -248,9 +249,15 @@
     return std::any_of(this->capacities.begin(), this->capacities.end(), [&](const auto& entry) { return needs.fitInto(entry.first); });
 }
 
-uint32_t TargetPool::freePlaces() const
+uint32_t TargetPool::usefulFreePlaces() const
 {
-    return static_cast<uint32_t>(std::max<int64_t>(0, this->freeMilliCores / 1000));
+    int64_t free = 0;
+    for (const auto& key : this->listed) {
+        if (free >= mostPlacesShown || !this->isWorthUsing(key.bucket, 0))
+            break;
+        free += (key.target->report.capacity.milliCores - key.target->inUse.milliCores) / 1000;
+    }
+    return static_cast<uint32_t>(std::clamp<int64_t>(free, 0, mostPlacesShown));
 }
 
 Milliseconds TargetPool::expectedWait(size_t ahead, const std::string& kind) const
--- a/Libraries/LibDispatch/TargetPool.h
+++ b/Libraries/LibDispatch/TargetPool.h
@@ -67,8 +67,8 @@
     /// Whether any live target, busy or not, could ever take these needs.
     [[nodiscard]] bool canEverRun(const Catalog::Needs&) const;
     [[nodiscard]] bool hasTargets() const { return !this->targets.empty(); }
-    /// Places of one core that are free on targets in good health.
-    [[nodiscard]] uint32_t freePlaces() const;
+    /// Places of one core that are free and worth using while nothing waits, up to a bound.
+    [[nodiscard]] uint32_t usefulFreePlaces() const;
     [[nodiscard]] size_t targetCount() const { return this->targets.size(); }
     [[nodiscard]] size_t ejectedCount() const { return this->ejectedTargets; }
 
@@ -113,7 +113,6 @@
     std::array<double, bucketCount> coresByBucket {};
     std::array<double, bucketCount> rateByBucket {};
     std::map<Catalog::Needs, uint32_t> capacities;
-    int64_t freeMilliCores { 0 };
     size_t ejectedTargets { 0 };
     uint64_t useCounter { 0 };
     double totalRate { 0 };
