--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -99,6 +99,20 @@
     this->resetElectionTimer();
 }
 
+void Replica::followLeader(const std::string& identity)
+{
+    this->leaderIdentity = identity;
+    this->hasHeardLeader = true;
+    this->lastLeaderContact = this->now;
+    this->resetElectionTimer();
+    // A follower has no vote left in its leader's term. A replica that joined in this term may have voted in it already
+    // under its former identity, and must not vote for another candidate.
+    if (this->hardState.vote.empty()) {
+        this->hardState.vote = identity;
+        this->effects.operations.emplace_back(this->hardState);
+    }
+}
+
 // A pre-vote keeps a replica that was cut off from raising the term and so ending the term of a working leader.
 void Replica::startPreVote()
 {
@@ -404,10 +418,7 @@
     }
     if (request.term > this->hardState.term || this->currentRole != Role::Follower)
         this->becomeFollower(request.term, message.from);
-    this->leaderIdentity = message.from;
-    this->hasHeardLeader = true;
-    this->lastLeaderContact = this->now;
-    this->resetElectionTimer();
+    this->followLeader(message.from);
 
     auto refuse = [&](Index hint) {
         this->effects.messagesAfterStore.push_back(this->reply(message, AppendResponse { this->hardState.term, false, hint }));
@@ -501,10 +512,7 @@
         return;
     if (request.term > this->hardState.term || this->currentRole != Role::Follower)
         this->becomeFollower(request.term, message.from);
-    this->leaderIdentity = message.from;
-    this->hasHeardLeader = true;
-    this->lastLeaderContact = this->now;
-    this->resetElectionTimer();
+    this->followLeader(message.from);
     const auto& snapshot = request.snapshot;
     if (this->log.covers(snapshot.index) && this->log.termAt(snapshot.index) == snapshot.term) {
         // Entries behind the snapshot were acknowledged and may count in a quorum, so that they are kept.
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -113,6 +113,7 @@
     [[nodiscard]] Message reply(const Message&, MessageBody) const;
     [[nodiscard]] Message messageTo(const Member&, MessageBody) const;
     void becomeFollower(Term, std::string leaderIdentity);
+    void followLeader(const std::string& identity);
     void startPreVote();
     void startElection();
     void becomeLeader();
--- /dev/null
+++ b/Meta/faults.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs the fault scenarios with real processes. The last line is one JSON object.
+# Usage: Meta/faults.sh [SCENARIO...]
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+exec python3 "$root/Tests/Faults/run.py" "$@"
