--- /dev/null
+++ b/Benchmarks/BaselinePolicies.cpp
@@ -0,0 +1,153 @@
+#include "PolicyModel.h"
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace Sassafrasshift::Bench {
+
+// The times at which the slots of one target become free, earliest first.
+using SlotTimes = std::multiset<int64_t>;
+
+Figures runAllKnowing(const Scenario& scenario)
+{
+    Workload workload(scenario);
+    Ratios ratios(scenario, workload);
+    std::vector<SlotTimes> slots;
+    for (size_t i = 0; i < workload.targets.size(); ++i) {
+        SlotTimes times;
+        for (int slot = 0; slot < scenario.slots; ++slot)
+            times.insert(0);
+        slots.push_back(times);
+    }
+    for (size_t i = 0; i < workload.requests.size(); ++i) {
+        const auto& request = workload.requests[i];
+        size_t best = 0;
+        int64_t bestEnd = INT64_MAX;
+        for (size_t target = 0; target < slots.size(); ++target) {
+            auto start = std::max(request.arrival, *slots[target].begin());
+            auto end = start + static_cast<int64_t>(request.work * workload.targets[target].slowness);
+            if (end < bestEnd) {
+                best = target;
+                bestEnd = end;
+            }
+        }
+        slots[best].erase(slots[best].begin());
+        slots[best].insert(bestEnd);
+        ratios.complete(i, bestEnd + 2 * scenario.localDelay.count());
+    }
+    return ratios.figures();
+}
+
+namespace {
+
+// Chooses a target on arrival from what an entry may know: what it has sent and not got back, and learnt speeds.
+class Chooser {
+public:
+    Chooser(const Scenario& scenario, const Workload& workload, Baseline policy)
+        : policy(policy)
+        , random(scenario.seed + 1)
+        , slots(scenario.slots)
+        , outstanding(workload.targets.size())
+        , learnt(workload.targets.size(), 1)
+        , samples(workload.targets.size())
+    {
+    }
+
+    size_t choose()
+    {
+        auto count = this->outstanding.size();
+        switch (this->policy) {
+        case Baseline::Random:
+            return this->random() % count;
+        case Baseline::RoundRobin:
+            return this->next++ % count;
+        case Baseline::TwoChoices: {
+            auto first = this->random() % count;
+            auto second = this->random() % count;
+            return this->outstanding[first] <= this->outstanding[second] ? first : second;
+        }
+        case Baseline::LeastOutstanding:
+            return this->least([&](size_t target) { return static_cast<double>(this->outstanding[target]); });
+        case Baseline::LeastExpectedCompletion:
+            return this->least([&](size_t target) {
+                double waiting = std::max(0, this->outstanding[target] + 1 - this->slots);
+                return this->learnt[target] * (1 + waiting / this->slots);
+            });
+        }
+        return 0;
+    }
+
+    void sent(size_t target) { ++this->outstanding[target]; }
+
+    void answered(size_t target, double work, double run)
+    {
+        --this->outstanding[target];
+        // The mean of the run times stands for the work of one request, which an entry does not know.
+        ++this->allSamples;
+        this->meanWork += (work - this->meanWork) / static_cast<double>(this->allSamples);
+        ++this->samples[target];
+        auto weight = std::max(1.0 / static_cast<double>(this->samples[target] + 1), 0.05);
+        this->learnt[target] += (run / this->meanWork - this->learnt[target]) * weight;
+    }
+
+private:
+    template<typename Cost>
+    size_t least(Cost cost)
+    {
+        // Ties are broken by chance, so that the first targets are not preferred.
+        auto offset = this->random() % this->outstanding.size();
+        size_t best = offset;
+        for (size_t i = 0; i < this->outstanding.size(); ++i) {
+            auto target = (offset + i) % this->outstanding.size();
+            if (cost(target) < cost(best))
+                best = target;
+        }
+        return best;
+    }
+
+    Baseline policy;
+    Random random;
+    int slots;
+    std::vector<int> outstanding;
+    std::vector<double> learnt;
+    std::vector<uint64_t> samples;
+    uint64_t allSamples { 0 };
+    double meanWork { 1 };
+    size_t next { 0 };
+};
+
+}
+
+Figures runBaseline(const Scenario& scenario, Baseline policy)
+{
+    Workload workload(scenario);
+    Ratios ratios(scenario, workload);
+    Chooser chooser(scenario, workload, policy);
+    EventQueue events;
+    std::vector<SlotTimes> slots(workload.targets.size());
+    for (auto& times : slots) {
+        for (int slot = 0; slot < scenario.slots; ++slot)
+            times.insert(0);
+    }
+    for (size_t i = 0; i < workload.requests.size(); ++i) {
+        events.at(workload.requests[i].arrival, [&, i] {
+            const auto& request = workload.requests[i];
+            auto target = chooser.choose();
+            chooser.sent(target);
+            auto way = request.domain == workload.targets[target].domain ? scenario.localDelay : scenario.remoteDelay;
+            auto run = static_cast<int64_t>(request.work * workload.targets[target].slowness);
+            auto end = std::max(events.now() + way.count(), *slots[target].begin()) + run;
+            slots[target].erase(slots[target].begin());
+            slots[target].insert(end);
+            ratios.messages += 2;
+            events.at(end + way.count(), [&, i, target, run] {
+                chooser.answered(target, static_cast<double>(run), static_cast<double>(run));
+                ratios.complete(i, events.now());
+            });
+        });
+    }
+    events.run();
+    return ratios.figures();
+}
+
+}
--- /dev/null
+++ b/Benchmarks/CoreSpeed.cpp
@@ -0,0 +1,100 @@
+#include <LibBase/Random.h>
+#include <LibDispatch/Dispatcher.h>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <unistd.h>
+
+using namespace Sassafrasshift;
+using namespace Sassafrasshift::Dispatch;
+
+static size_t residentBytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    size_t total = 0;
+    size_t resident = 0;
+    statm >> total >> resident;
+    return resident * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
+// Requests, grants and releases at a steady state with all places taken and a queue; the cost of one task start.
+static void measure(size_t targets, size_t teams)
+{
+    auto before = residentBytes();
+    Instant now {};
+    Dispatcher dispatcher({ .host = "a", .holderTimeout = std::chrono::hours(1000) }, 1, now);
+    Random random(1);
+    for (size_t i = 0; i < targets; ++i) {
+        Membership::TargetReport report;
+        report.identity = "worker-" + std::to_string(i);
+        report.incarnation = "0123456789abcdef";
+        report.pool = "pool";
+        report.failureDomain = "domain";
+        report.address = "127.0.0.1:10000";
+        report.capacity = { 64'000, 256LL << 30, 0 };
+        dispatcher.announce(report, now);
+    }
+    auto afterTargets = residentBytes();
+    std::vector<uint64_t> held;
+    uint64_t next = 1;
+    auto ask = [&](uint32_t count) {
+        GrantRequest request;
+        request.id = { "entry", next++ };
+        request.pool = "pool";
+        request.kind = "kind";
+        request.team = "team-" + std::to_string(next % teams);
+        request.teamLimit = 1'000'000;
+        request.queueLimit = 10'000'000;
+        request.patience = 3'600'000;
+        request.count = count;
+        request.needs = { 1000, 1 << 30, 0 };
+        dispatcher.request(request, now);
+    };
+    auto collect = [&] {
+        for (const auto& command : dispatcher.takeCommands()) {
+            if (const auto* grant = std::get_if<Grant>(&command))
+                held.push_back(grant->number);
+        }
+    };
+    auto releaseOne = [&] {
+        auto position = random() % held.size();
+        auto number = held[position];
+        held[position] = held.back();
+        held.pop_back();
+        dispatcher.release({ number, WorkResult::Succeeded, 100'000 + static_cast<int64_t>(random() % 900'000) }, now);
+        collect();
+    };
+    // Targets show their speeds, and then every place is taken.
+    for (size_t i = 0; i < targets * 8; ++i) {
+        ask(1);
+        collect();
+        if (held.size() > targets * 2)
+            releaseOne();
+    }
+    for (size_t i = 0; i < targets * 64 / 100 + 200; ++i) {
+        ask(100);
+        collect();
+    }
+    constexpr size_t starts = 200'000;
+    auto startsBefore = held.size();
+    auto start = std::chrono::steady_clock::now();
+    for (size_t i = 0; i < starts; ++i) {
+        if (i % 100 == 0)
+            ask(100);
+        releaseOne();
+    }
+    auto seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+    std::printf("| %5zu | %4zu | %9.0f | %6.2f | %7zu | %9zu |\n", targets, teams, starts / seconds, seconds / starts * 1e6, (afterTargets - before) / targets, startsBefore);
+}
+
+int main()
+{
+    std::puts("| targets | teams | task starts a second | microseconds each | bytes a target | places held |");
+    std::puts("|---|---|---|---|---|---|");
+    for (size_t targets : { 50, 410, 1000, 4100 }) {
+        for (size_t teams : { 4, 180 })
+            measure(targets, teams);
+    }
+    return 0;
+}
--- /dev/null
+++ b/Benchmarks/PolicyModel.cpp
@@ -0,0 +1,281 @@
+#include "PolicyModel.h"
+#include <LibDispatch/Dispatcher.h>
+#include <algorithm>
+#include <cmath>
+#include <memory>
+
+namespace Sassafrasshift::Bench {
+
+using namespace Dispatch;
+
+static constexpr double speedSpread = 10;
+static constexpr double shortestWork = 50'000;
+static constexpr double longestWork = 1'000'000;
+
+Workload::Workload(const Scenario& scenario)
+{
+    Random random(scenario.seed);
+    std::uniform_real_distribution<double> unit(0, 1);
+    for (size_t i = 0; i < scenario.targets; ++i) {
+        ModelTarget target;
+        target.slowness = std::pow(speedSpread, unit(random));
+        target.domain = i % scenario.domains;
+        target.failing = unit(random) < scenario.failingShare;
+        if (target.domain == 0)
+            target.slowness *= scenario.firstDomainSlowness;
+        this->capacity += scenario.slots / target.slowness;
+        this->targets.push_back(target);
+    }
+    this->fastest = std::min_element(this->targets.begin(), this->targets.end(), [](const auto& a, const auto& b) { return a.slowness < b.slowness; })->slowness;
+    // The load is meant for the pool in good health.
+    double healthy = 0;
+    for (const auto& target : this->targets)
+        healthy += scenario.slots / (target.domain == 0 ? target.slowness / scenario.firstDomainSlowness : target.slowness);
+    double meanWork = (shortestWork + longestWork) / 2;
+    std::exponential_distribution<double> gap(scenario.load * healthy / meanWork);
+    double time = 0;
+    for (size_t i = 0; i < scenario.requests; ++i) {
+        time += gap(random);
+        Request request;
+        request.arrival = static_cast<int64_t>(time);
+        request.work = shortestWork + unit(random) * (longestWork - shortestWork);
+        request.domain = random() % scenario.domains;
+        request.greedy = unit(random) < scenario.greedyShare;
+        this->requests.push_back(request);
+    }
+}
+
+void EventQueue::at(int64_t time, std::function<void()> function)
+{
+    this->events.push(Event { std::max(time, this->current), this->nextOrder++, std::move(function) });
+}
+
+void EventQueue::run()
+{
+    while (!this->events.empty()) {
+        auto event = this->events.top();
+        this->events.pop();
+        this->current = event.time;
+        event.function();
+    }
+}
+
+Ratios::Ratios(const Scenario& scenario, const Workload& workload)
+    : scenario(scenario)
+    , workload(workload)
+    , firstCounted(workload.requests[scenario.warmUp].arrival)
+    , lastArrival(workload.requests.back().arrival)
+{
+}
+
+void Ratios::complete(size_t index, int64_t time)
+{
+    const auto& request = this->workload.requests[index];
+    if (time >= this->firstCounted && time <= this->lastArrival)
+        this->doneWork += request.work;
+    if (index < this->scenario.warmUp)
+        return;
+    double ideal = request.work * this->workload.fastest + 2 * static_cast<double>(this->scenario.localDelay.count());
+    double ratio = static_cast<double>(time - request.arrival) / ideal;
+    this->all.push_back(ratio);
+    if (!request.greedy)
+        this->others.push_back(ratio);
+}
+
+static double quantile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    auto position = std::min(values.size() - 1, static_cast<size_t>(share * static_cast<double>(values.size())));
+    std::nth_element(values.begin(), values.begin() + static_cast<ptrdiff_t>(position), values.end());
+    return values[position];
+}
+
+Figures Ratios::figures() const
+{
+    Figures figures;
+    for (auto ratio : this->all)
+        figures.mean += ratio / static_cast<double>(this->all.size());
+    figures.median = quantile(this->all, 0.5);
+    figures.p99 = quantile(this->all, 0.99);
+    figures.othersP99 = quantile(this->others, 0.99);
+    figures.messages = static_cast<double>(this->messages) / static_cast<double>(this->workload.requests.size());
+    figures.wasted = this->messages == 0 ? 0 : static_cast<double>(this->wasted) / static_cast<double>(this->messages);
+    figures.completed = this->all.size();
+    figures.refused = this->refused;
+    figures.failed = this->failed;
+    figures.goodput = this->doneWork / (this->workload.capacity * static_cast<double>(this->lastArrival - this->firstCounted));
+    return figures;
+}
+
+namespace {
+
+// Drives the dispatchers of all domains with the events of a workload.
+class DispatcherModel {
+public:
+    explicit DispatcherModel(const Scenario& scenario)
+        : scenario(scenario)
+        , workload(scenario)
+        , ratios(scenario, workload)
+        , givenTo(workload.targets.size())
+    {
+        for (size_t i = 0; i < scenario.domains; ++i) {
+            Dispatcher::Options options;
+            options.host = std::to_string(i);
+            options.handsOver = scenario.handsOver;
+            options.holderTimeout = std::chrono::hours(1000);
+            this->dispatchers.push_back(std::make_unique<Dispatcher>(options, (i + 1) << 40, this->instant()));
+        }
+    }
+
+    Figures run()
+    {
+        this->announceAll();
+        this->tickAll();
+        for (size_t i = 0; i < this->workload.requests.size(); ++i)
+            this->events.at(this->workload.requests[i].arrival, [this, i] { this->arrive(i); });
+        this->events.run();
+        auto figures = this->ratios.figures();
+        for (size_t i = 0; i < this->givenTo.size(); ++i) {
+            if (this->workload.targets[i].failing)
+                figures.mostGivenToFailing = std::max(figures.mostGivenToFailing, this->givenTo[i]);
+        }
+        return figures;
+    }
+
+private:
+    [[nodiscard]] Instant instant() const { return Instant {} + Microseconds(this->events.now()); }
+    [[nodiscard]] bool isOver() const { return this->finished >= this->workload.requests.size(); }
+
+    void announceAll()
+    {
+        for (size_t i = 0; i < this->workload.targets.size(); ++i) {
+            const auto& target = this->workload.targets[i];
+            Membership::TargetReport report;
+            report.identity = std::to_string(i);
+            report.pool = "pool";
+            report.capacity = { this->scenario.slots * 1000, 0, 0 };
+            if (target.domain == 0 && this->scenario.firstDomainIsolated)
+                report.state = Membership::TargetState::Leaving;
+            this->dispatchers[target.domain]->announce(report, this->instant());
+            this->carryOut(target.domain);
+        }
+        if (!this->isOver())
+            this->events.at(this->events.now() + 1'000'000, [this] { this->announceAll(); });
+    }
+
+    void tickAll()
+    {
+        for (size_t i = 0; i < this->dispatchers.size(); ++i) {
+            this->dispatchers[i]->tick(this->instant());
+            this->carryOut(i);
+        }
+        if (!this->isOver())
+            this->events.at(this->events.now() + 10'000, [this] { this->tickAll(); });
+    }
+
+    void arrive(size_t index)
+    {
+        const auto& arriving = this->workload.requests[index];
+        GrantRequest request;
+        request.id = { "entry", index };
+        request.pool = "pool";
+        request.kind = "kind";
+        request.team = arriving.greedy ? "greedy" : "others";
+        request.teamLimit = arriving.greedy ? this->scenario.greedyLimit : 0;
+        request.queueLimit = 1'000'000;
+        request.patience = this->scenario.patience;
+        ++this->ratios.messages;
+        this->events.at(this->events.now() + this->scenario.localDelay.count() / 2, [this, request, domain = arriving.domain] {
+            this->dispatchers[domain]->request(request, this->instant());
+            this->carryOut(domain);
+        });
+    }
+
+    void carryOut(size_t domain)
+    {
+        for (const auto& command : this->dispatchers[domain]->takeCommands())
+            std::visit([&](const auto& alternative) { this->handle(domain, alternative); }, command);
+    }
+
+    void handle(size_t domain, const Grant& grant)
+    {
+        // The grant, the work, its answer and the release.
+        this->ratios.messages += 4;
+        auto index = grant.request.number;
+        auto targetIndex = std::stoul(grant.target);
+        const auto& target = this->workload.targets[targetIndex];
+        ++this->givenTo[targetIndex];
+        const auto& request = this->workload.requests[index];
+        auto way = request.domain == target.domain ? this->scenario.localDelay : this->scenario.remoteDelay;
+        auto run = target.failing ? 1000 : static_cast<int64_t>(request.work * target.slowness);
+        this->events.at(this->events.now() + way.count() / 2 + way.count() + run, [this, domain, grant, run, index, way, failing = target.failing] {
+            this->events.at(this->events.now() + way.count(), [this, index, failing] { this->finish(index, failing); });
+            this->events.at(this->events.now() + way.count(), [this, domain, grant, run, failing] {
+                this->dispatchers[domain]->release({ grant.number, failing ? WorkResult::Failed : WorkResult::Succeeded, run }, this->instant());
+                this->carryOut(domain);
+            });
+        });
+    }
+
+    void finish(size_t index, bool failed)
+    {
+        ++this->finished;
+        if (failed)
+            ++this->ratios.failed;
+        else
+            this->ratios.complete(index, this->events.now());
+    }
+
+    void handle(size_t, const Refusal&)
+    {
+        ++this->finished;
+        ++this->ratios.refused;
+        ++this->ratios.messages;
+    }
+
+    void handle(size_t domain, const SendToDispatcher& command)
+    {
+        ++this->ratios.messages;
+        auto to = std::stoul(command.host);
+        if (const auto* result = std::get_if<HandOverResult>(&command.message); result && result->returned > 0)
+            this->ratios.wasted += 2;
+        this->events.at(this->events.now() + this->scenario.remoteDelay.count(), [this, domain, to, message = command.message] {
+            if (const auto* handOver = std::get_if<HandOver>(&message))
+                this->dispatchers[to]->handOver(*handOver, this->instant());
+            else
+                this->dispatchers[to]->handOverResult(std::to_string(domain), std::get<HandOverResult>(message), this->instant());
+            this->carryOut(to);
+        });
+    }
+
+    void handle(size_t domain, const DomainView& view)
+    {
+        for (size_t other = 0; other < this->dispatchers.size(); ++other) {
+            if (other == domain)
+                continue;
+            ++this->ratios.messages;
+            this->events.at(this->events.now() + this->scenario.remoteDelay.count(), [this, other, view] {
+                this->dispatchers[other]->observe(view, this->instant());
+                this->carryOut(other);
+            });
+        }
+    }
+
+    const Scenario& scenario;
+    Workload workload;
+    EventQueue events;
+    Ratios ratios;
+    std::vector<uint64_t> givenTo;
+    std::vector<std::unique_ptr<Dispatcher>> dispatchers;
+    size_t finished { 0 };
+};
+
+}
+
+Figures runDispatchers(const Scenario& scenario)
+{
+    return DispatcherModel(scenario).run();
+}
+
+}
--- /dev/null
+++ b/Meta/bench.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Measures the decisions and the ledger. The policy figures depend on the seed only.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+cd "$root"
+build/bin/bench-policies "$@"
+echo
+build/bin/bench-core
+echo
+build/bin/bench-ledger
