--- a/Utilities/sassafrasshift/LoadGenerator.cpp
+++ b/Utilities/sassafrasshift/LoadGenerator.cpp
@@ -199,7 +199,8 @@
         this->recordAnswer("job", job.id, "complete", "ran", own);
         return;
     }
-    auto error = answer ? readProblem(*answer) : answer.error();
+    // A connection that was refused says nothing of an earlier sending of the same key.
+    auto error = answer ? readProblem(*answer) : Error::mayHaveRun(answer.error().reason, answer.error().detail);
     auto result = body.is_object() ? body.value("result", std::string("refused")) : std::string("refused");
     if (result == "cancelled") {
         ++results.jobsCancelled;
