LibDispatch: Wait for faster targets only where they could serve

Cause: the rule that leaves a slow place idle counted every faster target, also those that the request does not fit or that it has excluded, so that a request for an accelerator could wait for targets without one until its deadline. Change: the rule holds only where the needs fit every target of the pool and none is excluded. Figures: the test request_does_not_wait_for_targets_that_cannot_take_it fails without the change and passes with it.

--- a/Benchmarks/PolicyMain.cpp
+++ b/Benchmarks/PolicyMain.cpp
@@ -101,6 +101,8 @@
 
 int main(int argc, char** argv)
 {
+    // Rows appear as they come, also in a file.
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
     uint64_t seed = 1;
     bool faultsOnly = false;
     for (int i = 1; i < argc; ++i) {
--- a/Libraries/LibDispatch/TargetPool.cpp
+++ b/Libraries/LibDispatch/TargetPool.cpp
@@ -165,8 +165,10 @@
             continue;
         if (std::find(excluded.begin(), excluded.end(), target.report.identity) != excluded.end())
             continue;
-        // Targets are looked at from the fastest on, so that the first that is not worth using ends the search.
-        return this->isWorthUsing(key.bucket, waiting) ? &target : nullptr;
+        // Waiting for a faster target makes sense only where any of them could take the request. Targets are looked at
+        // from the fastest on, so that the first that is not worth using ends the search.
+        bool mayWait = excluded.empty() && this->fitsEveryTarget(needs);
+        return !mayWait || this->isWorthUsing(key.bucket, waiting) ? &target : nullptr;
     }
     return nullptr;
 }
@@ -251,6 +253,11 @@
     ++target.ejections;
 }
 
+bool TargetPool::fitsEveryTarget(const Catalog::Needs& needs) const
+{
+    return std::all_of(this->capacities.begin(), this->capacities.end(), [&](const auto& entry) { return needs.fitInto(entry.first); });
+}
+
 bool TargetPool::canEverRun(const Catalog::Needs& needs) const
 {
     return std::any_of(this->capacities.begin(), this->capacities.end(), [&](const auto& entry) { return needs.fitInto(entry.first); });
--- a/Libraries/LibDispatch/TargetPool.h
+++ b/Libraries/LibDispatch/TargetPool.h
@@ -98,6 +98,7 @@
     void unlist(Target&);
     void addCapacity(const Target&, double sign);
     [[nodiscard]] bool takesWork(const Target&) const;
+    [[nodiscard]] bool fitsEveryTarget(const Catalog::Needs&) const;
     [[nodiscard]] bool isWorthUsing(int bucket, size_t waiting) const;
     void learnRunTime(Target&, const std::string& kind, double microseconds);
     void recordFailure(Target&, Instant now);
--- a/Libraries/LibLedger/Node.cpp
+++ b/Libraries/LibLedger/Node.cpp
@@ -118,7 +118,7 @@
         auto completed = std::move(this->pending.front());
         this->pending.pop_front();
         if (completed.index == entry.index && completed.term == entry.term)
-            completed.completion(std::move(result));
+            completed.completion(result);
         else
             completed.completion(tl::unexpected(Error::notRun(Reason::NotLeader, "another leader's entry took the place of the command")));
     }
--- a/Tests/LibDispatch/TestDispatcher.cpp
+++ b/Tests/LibDispatch/TestDispatcher.cpp
@@ -226,6 +226,28 @@
     BOOST_TEST(this->dispatcher.waiting() == 0U);
 }
 
+BOOST_FIXTURE_TEST_CASE(request_does_not_wait_for_targets_that_cannot_take_it, Fixture)
+{
+    this->announce("fast", 8);
+    this->warm("fast", 100ms, 200);
+    // A slow target with an accelerator shows its speed.
+    Membership::TargetReport report;
+    report.identity = "slow";
+    report.incarnation = "1";
+    report.pool = "pool";
+    report.capacity = { 8000, 0, 1 };
+    this->dispatcher.announce(report, this->clock.now());
+    auto request = this->makeRequest();
+    request.needs = { 1000, 0, 1 };
+    for (int i = 0; i < 60; ++i) {
+        request.id.number = this->nextRequest++;
+        this->ask(request);
+        auto grant = this->takeGrant();
+        BOOST_TEST(grant.target == "slow");
+        this->release(grant, WorkResult::Succeeded, 4000ms);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(urgent_requests_go_first, Fixture)
 {
     this->announce("x");
