--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -7,5 +7,6 @@
 clang-format --dry-run --Werror "${files[@]}"
 [ -f build/compile_commands.json ] || Meta/sassafrasshift.sh build >&2
 mapfile -t units < <(git ls-files --cached --others --exclude-standard '*.cpp' | grep -v '^Tests/Fuzz/')
-printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 4 clang-tidy -p build --quiet 2>/dev/null
+# clang 14 takes every defaulted operator<=> for a null pointer; the compiler of the build checks null pointers instead.
+printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet --extra-arg=-Wno-zero-as-null-pointer-constant 2>/dev/null
 echo "lint: ${#files[@]} files are clean"
