--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -8,5 +8,7 @@
 [ -f build/compile_commands.json ] || Meta/sassafrasshift.sh build >&2
 mapfile -t units < <(git ls-files --cached --others --exclude-standard '*.cpp' | grep -v '^Tests/Fuzz/')
 # clang 14 takes every defaulted operator<=> for a null pointer; the compiler of the build checks null pointers instead.
-printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet --extra-arg=-Wno-zero-as-null-pointer-constant 2>/dev/null
+mkdir -p build/lint
+sed 's/-Werror=zero-as-null-pointer-constant//g' build/compile_commands.json >build/lint/compile_commands.json
+printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy -p build/lint --quiet 2>/dev/null
 echo "lint: ${#files[@]} files are clean"
--- a/Tests/LibDurableState/TestDurableState.cpp
+++ b/Tests/LibDurableState/TestDurableState.cpp
@@ -10,7 +10,7 @@
 
 struct Fixture {
     std::vector<uint64_t> published;
-    DurableState::DurableState state { std::chrono::hours(1), { [this](const auto& configuration) { this->published.push_back(configuration.version); }, {} } };
+    Sassafrasshift::DurableState::DurableState state { std::chrono::hours(1), { [this](const auto& configuration) { this->published.push_back(configuration.version); }, {} } };
 
     template <typename Result = JobUpdateResult>
     Result apply(const Command& command)
