--- /dev/null
+++ b/Meta/fuzz.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Builds the fuzzers with their own copy of the sources, and runs each for some seconds (the first argument).
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+seconds=${1:-20}
+folder="$root/build/fuzz"
+mkdir -p "$folder"
+cd "$root"
+libraries=(Libraries/LibBase/*.cpp Libraries/LibSettings/*.cpp Libraries/LibCatalog/*.cpp Libraries/LibLedger/Types.cpp Libraries/LibLedger/Frame.cpp)
+status=0
+for fuzzer in Frame Messages Objects; do
+    clang++ -std=gnu++20 -g -O1 -w -fsanitize=fuzzer,address -ILibraries "Tests/Fuzz/Fuzz$fuzzer.cpp" "${libraries[@]}" -lyaml-cpp -lxxhash -o "$folder/Fuzz$fuzzer"
+    mkdir -p "$folder/corpus-$fuzzer"
+    if (cd "$folder" && "./Fuzz$fuzzer" -max_total_time="$seconds" -rss_limit_mb=2000 -print_final_stats=1 "corpus-$fuzzer" >"$fuzzer.log" 2>&1); then
+        echo "Fuzz$fuzzer: no finding in $(grep -oP 'number_of_executed_units: \K\d+' "$folder/$fuzzer.log") runs"
+    else
+        echo "Fuzz$fuzzer: a finding, see $folder/$fuzzer.log"
+        status=1
+    fi
+done
+exit $status
--- /dev/null
+++ b/Tests/Fuzz/FuzzMessages.cpp
@@ -0,0 +1,16 @@
+#include "../../Services/sassafrasshiftd/PeerMessages.h"
+#include <LibTransport/Codec.h>
+#include <cstdint>
+
+using namespace Sassafrasshift;
+
+// Decodes any bytes as a batch of messages: they are refused, or they can be encoded again.
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
+{
+    auto messages = Transport::decodeMessages<Daemon::PeerMessage>(std::string_view(reinterpret_cast<const char*>(data), size));
+    if (!messages)
+        return 0;
+    for (const auto& message : *messages)
+        (void)Transport::encodeMessage(message);
+    return 0;
+}
