LibSettings: Refuse texts in which the YAML library finds no end

Cause: FuzzObjects ran out of 2,000 MB after a few thousand inputs. yaml-cpp's LoadAll finds documents without end in a lone comma, so that a file or a publication of one byte could take all memory of a process. Ruled out: every other single byte, and ten malformed collections, end (tried one by one with limits on time and memory). Change: the documents are counted first, without building them; each but the first needs a line of its own. Figures: 255 single bytes tried, ',' alone did not end; after the change the new test ends at once with a fault. FuzzObjects was not run again.

--- a/Libraries/LibSettings/MappingReader.cpp
+++ b/Libraries/LibSettings/MappingReader.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <sstream>
+#include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
 namespace Sassafrasshift::Settings {
@@ -238,9 +240,48 @@
     }
 }
 
+namespace {
+
+// Counts the documents of a text and builds nothing.
+class DocumentCounter final : public YAML::EventHandler {
+public:
+    size_t documents { 0 };
+
+    void OnDocumentStart(const YAML::Mark&) override { ++this->documents; }
+    void OnDocumentEnd() override { }
+    void OnNull(const YAML::Mark&, YAML::anchor_t) override { }
+    void OnAlias(const YAML::Mark&, YAML::anchor_t) override { }
+    void OnScalar(const YAML::Mark&, const std::string&, YAML::anchor_t, const std::string&) override { }
+    void OnSequenceStart(const YAML::Mark&, const std::string&, YAML::anchor_t, YAML::EmitterStyle::value) override { }
+    void OnSequenceEnd() override { }
+    void OnMapStart(const YAML::Mark&, const std::string&, YAML::anchor_t, YAML::EmitterStyle::value) override { }
+    void OnMapEnd() override { }
+};
+
+}
+
+// The library finds documents without end in some malformed texts, as in a lone comma. Each document but the first needs
+// a line of its own, which bounds their number.
+static bool hasPlausibleDocumentCount(const std::string& text)
+{
+    auto lines = static_cast<size_t>(std::count(text.begin(), text.end(), '\n'));
+    std::istringstream stream(text);
+    YAML::Parser parser(stream);
+    DocumentCounter counter;
+    while (parser.HandleNextDocument(counter)) {
+        if (counter.documents > lines + 1)
+            return false;
+    }
+    return true;
+}
+
 std::vector<YAML::Node> parseDocuments(const std::string& text, const std::string& file, Faults& faults)
 {
     try {
+        if (!hasPlausibleDocumentCount(text)) {
+            faults.push_back(Fault { file, 1, 1, "not valid YAML: a separator stands where no collection is open" });
+            return {};
+        }
         std::vector<YAML::Node> documents;
         for (const auto& node : YAML::LoadAll(text)) {
             if (!node.IsNull())
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -40,4 +40,7 @@
 {
     BOOST_TEST(DaemonSettings::parse("a: [", "file").error().size() == 1U);
     BOOST_TEST(DaemonSettings::parse("", "file").error().size() == 1U);
+    // Found by FuzzObjects: the YAML library finds documents without end in these.
+    for (const auto* text : { ",", "a: b\n---\n,", "\n\n," })
+        BOOST_TEST(DaemonSettings::parse(text, "file").error().size() >= 1U);
 }
