--- a/Libraries/LibCatalog/Objects.h
+++ b/Libraries/LibCatalog/Objects.h
@@ -28,6 +28,7 @@
     TargetKind targets { TargetKind::Executor };
     std::vector<std::string> failureDomains;
     /// The pool that serves while this one has no live target; empty for none.
+    /// FIXME: It is checked and published, but the dispatcher does not use it yet: requests are refused with no-target.
     std::string overflow;
 
     friend auto operator<=>(const Pool&, const Pool&) = default;
