LibDispatch: Drop what nothing calls, and count every task of a failing target

Cause: read again as a whole. A test of a target that fails everything counted only its first wave: the line that should have added the rest added zero. serveFront(), a flag of the HTTP server and a set of the relay were never read; the comment of FairQueue::find() spoke of a position. Ruled out: the pairs of equal shape that the look for duplicates listed are include blocks, field lists and using declarations, in which no logic stands twice.

--- a/Libraries/LibDispatch/FairQueue.cpp
+++ b/Libraries/LibDispatch/FairQueue.cpp
@@ -85,13 +85,6 @@
         this->activate(level, request.team);
 }
 
-void FairQueue::serveFront()
-{
-    auto* waiting = this->front();
-    VERIFY(waiting);
-    this->serve(waiting->request.id);
-}
-
 void FairQueue::serve(const RequestId& id)
 {
     auto& waiting = this->requests.at(id);
--- a/Libraries/LibDispatch/FairQueue.h
+++ b/Libraries/LibDispatch/FairQueue.h
@@ -27,13 +27,10 @@
     /// The request to serve next, or null where there is none or all teams are held back.
     [[nodiscard]] Waiting* front();
 
-    /// Counts one grant against the front request and removes the request once it has all.
-    void serveFront();
-
     /// Counts one grant against any request, and removes it once it has all.
     void serve(const RequestId&);
 
-    /// The request at a position in the order of service among the team at the front; used to look past the front.
+    /// The request with this id, or null where it does not wait here.
     [[nodiscard]] Waiting* find(const RequestId&);
 
     /// Removes a request in constant time. Returns how many grants it still waited for.
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -70,7 +70,6 @@
     {
         if (this->nativeRequest)
             this->nativeRequest->http1_is_persistent = 0;
-        this->closesConnection = true;
     }
 
     void respond(HttpResponse response) override
@@ -137,7 +136,6 @@
     HttpRequest received;
     std::function<void()> onAbandoned;
     bool abandoned { false };
-    bool closesConnection { false };
 };
 
 struct ExchangeReference {
--- a/Tests/Faults/relay.py
+++ b/Tests/Faults/relay.py
@@ -12,7 +12,6 @@
         self.target = target
         self.refusing = False
         self.silent = False
-        self.connections = set()
 
 
 class Relay:
@@ -41,7 +40,6 @@
             writer.transport.abort()
             return
         state = {"silent": link.silent, "writers": [writer]}
-        link.connections.add(id(state))
         link.__dict__.setdefault("states", {})[id(state)] = state
         try:
             other_reader, other_writer = await asyncio.open_connection(*link.target, limit=1 << 20)
--- a/Tests/LibDispatch/TestDispatcher.cpp
+++ b/Tests/LibDispatch/TestDispatcher.cpp
@@ -149,11 +149,11 @@
     this->announce("bad", 64);
     for (int i = 0; i < 100; ++i)
         this->ask(this->makeRequest());
-    // All that it got is under way before the first failure is known.
-    size_t given = this->grants.size();
+    // What it gets before the first failure is known counts as well as what follows.
+    size_t given = 0;
     while (!this->grants.empty()) {
         this->release(this->takeGrant(), WorkResult::Failed, 1ms);
-        given += this->grants.size() > 0 ? 0 : 0;
+        ++given;
     }
     auto* target = const_cast<TargetPool*>(this->dispatcher.findPool("pool"))->find("bad");
     BOOST_TEST(target->ejected);
