Meta: Install on a machine where packages are missing, and say why a script stops

Cause: dpkg-query exits with 1 where a listed package is not installed; under pipefail and set -e that ended the script inside the assignment, without a word. Ruled out: a fault of the package list; every name in it can be installed. Before: TestInstall.sh exits 1 without output. After: it passes. Scripts name the command that failed.

--- a/Meta/capacity.sh
+++ b/Meta/capacity.sh
@@ -2,6 +2,7 @@
 # Measures what one entry host costs, idle and under load: the slopes of docs/CAPACITY.md.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
+source "$root/Meta/explain-failure.sh"
 work=$(mktemp -d)
 source "$root/Meta/deployment.sh"
 trap 'kill_all; rm -rf "$work"' EXIT
--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -2,6 +2,7 @@
 # Builds the fuzzers with their own copy of the sources, and runs each for some seconds (the first argument).
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
+source "$root/Meta/explain-failure.sh"
 seconds=${1:-20}
 folder="$root/build/fuzz"
 mkdir -p "$folder"
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -2,6 +2,7 @@
 # Checks the formatting of all sources and the names in them.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
+source "$root/Meta/explain-failure.sh"
 cd "$root"
 mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.h' '*.cpp')
 clang-format --dry-run --Werror "${files[@]}"
--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -2,6 +2,7 @@
 # Runs the whole path on this machine and checks what came of it. The last line is one JSON object.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
+source "$root/Meta/explain-failure.sh"
 work=$(mktemp -d)
 source "$root/Meta/deployment.sh"
 trap 'kill_all; rm -rf "$work"' EXIT
--- a/Meta/sassafrasshift.sh
+++ b/Meta/sassafrasshift.sh
@@ -3,6 +3,8 @@
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 cd "$root"
+source Meta/explain-failure.sh
+packages=${SASSAFRASSHIFT_PACKAGES:-Meta/packages.txt}
 
 usage() {
     cat <<'H'
@@ -25,10 +27,16 @@
 H
 }
 
+# The listed packages that are installed. The query fails where any of them is unknown, which is no fault here.
+installed() {
+    dpkg-query -W -f '${Package} ${Status}\n' $(cat "$packages") 2>/dev/null | awk '/install ok installed/ {print $1}' || true
+}
+
 install() {
     local missing
-    missing=$(dpkg-query -W -f '${Package} ${Status}\n' $(cat Meta/packages.txt) 2>/dev/null | awk '/install ok installed/ {print $1}' | sort | comm -13 - <(sort Meta/packages.txt))
+    missing=$(comm -23 <(sort "$packages") <(installed | sort))
     [ -z "$missing" ] && return
+    echo "installing:" $missing >&2
     apt-get update -qq
     DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $missing >/dev/null
 }
--- a/Meta/serve.sh
+++ b/Meta/serve.sh
@@ -2,6 +2,7 @@
 # Keeps a deployment of three hosts and their targets up until it is interrupted.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
+source "$root/Meta/explain-failure.sh"
 work=$(mktemp -d)
 source "$root/Meta/deployment.sh"
 trap 'stop_all || true; rm -rf "$work"' EXIT
