--- a/Libraries/LibDurableState/Commands.h
+++ b/Libraries/LibDurableState/Commands.h
@@ -131,7 +131,32 @@
     friend auto operator<=>(const CancelJobCommand&, const CancelJobCommand&) = default;
 };
 
-using Command = std::variant<PublishCommand, AcceptJobCommand, RecordIntentsCommand, RecordOutcomeCommand, TakeOverCommand, CancelJobCommand, RefuseJobCommand>;
+/// Publishes a document of which the highest version is in force. One that is not higher changes nothing.
+struct PublishDocumentCommand {
+    uint64_t version { 0 };
+    std::string text;
+
+    CODEC_FIELDS(version, text);
+    friend auto operator<=>(const PublishDocumentCommand&, const PublishDocumentCommand&) = default;
+};
+
+/// Changes nothing. Its result shows which document was the latest at some moment after it was proposed.
+struct ReadDocumentCommand {
+    uint64_t reserved { 0 };
+
+    CODEC_FIELDS(reserved);
+    friend auto operator<=>(const ReadDocumentCommand&, const ReadDocumentCommand&) = default;
+};
+
+using Command = std::variant<PublishCommand, AcceptJobCommand, RecordIntentsCommand, RecordOutcomeCommand, TakeOverCommand, CancelJobCommand, RefuseJobCommand, PublishDocumentCommand, ReadDocumentCommand>;
+
+struct DocumentResult {
+    /// The version in force after the command; zero for none.
+    uint64_t version { 0 };
+
+    CODEC_FIELDS(version);
+    friend auto operator<=>(const DocumentResult&, const DocumentResult&) = default;
+};
 
 enum class PublishStatus {
     Accepted,
--- a/Libraries/LibDurableState/DurableState.cpp
+++ b/Libraries/LibDurableState/DurableState.cpp
@@ -35,10 +35,28 @@
     this->content = std::move(restored).value();
     if (this->content.configuration.version > 0 && this->observer.configurationPublished)
         this->observer.configurationPublished(this->content.configuration);
+    if (this->content.document.version > 0 && this->observer.documentPublished)
+        this->observer.documentPublished(this->content.document);
     for (const auto& [key, job] : this->content.jobs)
         this->changed(job);
 }
 
+std::string DurableState::handle(const PublishDocumentCommand& command)
+{
+    auto& document = this->content.document;
+    if (command.version > document.version) {
+        document = PublishedDocument { command.version, command.text };
+        if (this->observer.documentPublished)
+            this->observer.documentPublished(document);
+    }
+    return Transport::encodeValue(DocumentResult { document.version });
+}
+
+std::string DurableState::handle(const ReadDocumentCommand&) const
+{
+    return Transport::encodeValue(DocumentResult { this->content.document.version });
+}
+
 const JobRecord* DurableState::findJob(std::string_view key) const
 {
     auto position = this->content.jobs.find(key);
--- a/Libraries/LibDurableState/DurableState.h
+++ b/Libraries/LibDurableState/DurableState.h
@@ -57,12 +57,23 @@
     friend auto operator<=>(const JobRecord&, const JobRecord&) = default;
 };
 
+/// A document that is published as a whole under a version of the publisher's choice.
+struct PublishedDocument {
+    /// Zero for none.
+    uint64_t version { 0 };
+    std::string text;
+
+    CODEC_FIELDS(version, text);
+    friend auto operator<=>(const PublishedDocument&, const PublishedDocument&) = default;
+};
+
 /// What survives the loss of hosts: the published configurations and the jobs.
 class DurableState final : public Ledger::StateMachine {
 public:
     struct Observer {
         std::function<void(const PublishedConfiguration&)> configurationPublished;
         std::function<void(const JobRecord&)> jobChanged;
+        std::function<void(const PublishedDocument&)> documentPublished;
     };
 
     /// Keys of finished jobs are remembered for the retention after they were made.
@@ -73,6 +84,7 @@
     void restore(const std::string& state) override;
 
     [[nodiscard]] const PublishedConfiguration& configuration() const { return this->content.configuration; }
+    [[nodiscard]] const PublishedDocument& document() const { return this->content.document; }
     [[nodiscard]] const std::deque<HistoryEntry>& history() const { return this->content.history; }
     [[nodiscard]] const JobRecord* findJob(std::string_view key) const;
     /// The keys of the jobs without an outcome.
@@ -95,8 +107,9 @@
         std::set<std::pair<int64_t, std::string>> refusalsByAge;
         /// The latest time that a command carried, in milliseconds since the epoch.
         int64_t latestTime { 0 };
+        PublishedDocument document;
 
-        CODEC_FIELDS(configuration, history, publishResults, publishOrder, jobs, openJobs, finishedByAge, refusals, refusalsByAge, latestTime);
+        CODEC_FIELDS(configuration, history, publishResults, publishOrder, jobs, openJobs, finishedByAge, refusals, refusalsByAge, latestTime, document);
     };
 
     [[nodiscard]] std::string handle(const PublishCommand&);
@@ -106,6 +119,8 @@
     [[nodiscard]] std::string handle(const TakeOverCommand&);
     [[nodiscard]] std::string handle(const CancelJobCommand&);
     [[nodiscard]] std::string handle(const RefuseJobCommand&);
+    [[nodiscard]] std::string handle(const PublishDocumentCommand&);
+    [[nodiscard]] std::string handle(const ReadDocumentCommand&) const;
     /// What is known of a key that a submission carries; nothing where the key is new.
     [[nodiscard]] std::optional<JobUpdateResult> findKey(std::string_view key, uint64_t contentHash, int64_t createdAt) const;
     [[nodiscard]] JobUpdateResult accept(const AcceptJobCommand&);
--- /dev/null
+++ b/Libraries/LibMembership/Cluster.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibBase/Random.h>
+#include <LibMembership/PeerTable.h>
+#include <LibTransport/CodecFields.h>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Sassafrasshift::Membership {
+
+/// What the members of a cluster know of one of them.
+struct MemberRecord {
+    /// Where its peers reach it, as "address:port"; it identifies the host.
+    std::string address;
+    std::string name;
+    std::string failureDomain;
+    /// Rises with each process at the address.
+    uint64_t incarnation { 0 };
+    /// Rises with each heartbeat of the process.
+    uint64_t heartbeat { 0 };
+    HostState state { HostState::Serving };
+    /// Whether it takes jobs from callers.
+    bool isEntry { false };
+    /// The preference with which it becomes the dispatcher, in thousandths of a core; zero for never.
+    uint32_t dispatchWeight { 0 };
+    /// The epoch in which it claims to be the dispatcher; zero for no claim.
+    uint64_t dispatchEpoch { 0 };
+    /// The version of the configuration that it has in force; zero for none.
+    uint64_t configurationVersion { 0 };
+    /// The identity of its replica of the ledger; empty where it keeps none.
+    std::string replicaIdentity;
+    bool replicaInitialized { false };
+    /// The host that it holds for the leader of the ledger, and the term in which that was elected.
+    std::string ledgerLeader;
+    uint64_t ledgerTerm { 0 };
+
+    CODEC_FIELDS(address, name, failureDomain, incarnation, heartbeat, state, isEntry, dispatchWeight, dispatchEpoch, configurationVersion, replicaIdentity, replicaInitialized, ledgerLeader, ledgerTerm);
+    friend auto operator<=>(const MemberRecord&, const MemberRecord&) = default;
+};
+
+/// The members of a cluster that finds itself from a few seeds, by gossip of heartbeat counters (van Renesse, Minsky and
+/// Hayden, "A Gossip-Style Failure Detection Service", 1998). It does no input or output.
+class Cluster {
+public:
+    struct Options {
+        /// A member whose heartbeat has not risen for this long counts as lost.
+        Milliseconds failureTimeout { 1000 };
+        /// A lost member is forgotten after this long.
+        Milliseconds forgetAfter { 120'000 };
+        /// How long a host waits for other claims before it claims to be the dispatcher.
+        Milliseconds claimDelay { 500 };
+        /// Members to which each gossip message goes.
+        size_t fanout { 3 };
+    };
+
+    Cluster(MemberRecord self, std::vector<std::string> seeds, Options, Random, Instant now);
+
+    /// The addresses to which the next gossip message goes. Raises the own heartbeat.
+    [[nodiscard]] std::vector<std::string> nextRecipients(Instant now);
+    /// Own record and those of all members that are not lost.
+    [[nodiscard]] std::vector<MemberRecord> gossip(Instant now) const;
+    void observe(const std::vector<MemberRecord>&, Instant now);
+
+    /// Takes up, keeps or gives up the claim to be the dispatcher.
+    void updateClaim(Instant now);
+    /// Raises the epoch of the own claim above one that was found in force at a target.
+    void raiseEpoch(uint64_t above);
+
+    void setSeeds(std::vector<std::string>);
+    /// Treats all members as just heard, after this process stood still for some time.
+    void excuseSilence(Instant now);
+    [[nodiscard]] MemberRecord& self() { return this->own; }
+    [[nodiscard]] const MemberRecord& self() const { return this->own; }
+
+    [[nodiscard]] const MemberRecord* find(const std::string& address) const;
+    [[nodiscard]] bool isAlive(const std::string& address, Instant now) const;
+    /// All live members, and the own record first.
+    [[nodiscard]] std::vector<const MemberRecord*> alive(Instant now) const;
+    /// The live, serving member with the claim of the highest epoch; null for none.
+    [[nodiscard]] const MemberRecord* dispatcher(Instant now) const;
+
+private:
+    struct Peer {
+        MemberRecord record;
+        Instant lastRise;
+    };
+
+    [[nodiscard]] bool isBestCandidate(Instant now) const;
+    void observeOne(const MemberRecord&, Instant now);
+    void observeSelf(const MemberRecord&);
+
+    MemberRecord own;
+    std::vector<std::string> seeds;
+    Options options;
+    Random random;
+    std::map<std::string, Peer> peers;
+    uint64_t highestEpoch { 0 };
+    std::optional<Instant> candidateSince;
+    Instant startedAt;
+};
+
+}
--- a/Libraries/LibMembership/TargetReport.h
+++ b/Libraries/LibMembership/TargetReport.h
@@ -3,7 +3,9 @@
 #include <LibCatalog/Objects.h>
 #include <LibTransport/CodecFields.h>
 #include <compare>
+#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Sassafrasshift::Membership {
 
@@ -28,8 +30,13 @@
     /// Requests that it takes at once over all connections.
     uint32_t connections { 0 };
     TargetState state { TargetState::Serving };
+    /// The hardware generation; targets of one kind are about equally fast. Empty where unknown.
+    std::string kind;
+    std::vector<std::string> labels;
+    /// Rises with each report of one incarnation, so that a late one is told from the latest.
+    uint64_t sequence { 0 };
 
-    CODEC_FIELDS(identity, incarnation, pool, failureDomain, rack, address, capacity, connections, state);
+    CODEC_FIELDS(identity, incarnation, pool, failureDomain, rack, address, capacity, connections, state, kind, labels, sequence);
     friend auto operator<=>(const TargetReport&, const TargetReport&) = default;
 };
 
--- /dev/null
+++ b/Libraries/LibScheduler/SpeedEstimator.cpp
@@ -0,0 +1,29 @@
+#include <LibScheduler/SpeedEstimator.h>
+#include <algorithm>
+
+namespace Sassafrasshift::Scheduler {
+
+// The weight of one observation once enough have been made; before, all weigh alike.
+static constexpr double smoothing { 0.02 };
+static constexpr double smallestRatio { 0.1 };
+static constexpr double largestRatio { 10 };
+
+void SpeedEstimator::observe(const std::string& queue, const std::string& kind, Milliseconds estimate, Milliseconds actual)
+{
+    if (estimate.count() <= 0)
+        return;
+    auto& ratio = this->ratios[Key { queue, kind }];
+    ++ratio.observations;
+    auto sample = std::clamp(static_cast<double>(actual.count()) / static_cast<double>(estimate.count()), smallestRatio, largestRatio);
+    ratio.mean += (sample - ratio.mean) * std::max(smoothing, 1.0 / ratio.observations);
+}
+
+Milliseconds SpeedEstimator::expected(const std::string& queue, const std::string& kind, Milliseconds estimate) const
+{
+    auto position = this->ratios.find(Key { queue, kind });
+    if (position == this->ratios.end())
+        return estimate;
+    return Milliseconds(static_cast<Milliseconds::rep>(static_cast<double>(estimate.count()) * position->second.mean));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -0,0 +1,520 @@
+#include <LibScheduler/TaskScheduler.h>
+#include <algorithm>
+#include <utility>
+
+namespace Sassafrasshift::Scheduler {
+
+using Membership::TargetReport;
+using Membership::TargetState;
+
+static constexpr Milliseconds forgetInterval { 500 };
+// Run numbers that are skipped where a target knows a higher one than this dispatcher does.
+static constexpr uint64_t staleRunStep { 100 };
+static constexpr Milliseconds minimumRetryAfter { 200 };
+// What a job's answer needs to reach its caller.
+static constexpr Milliseconds deadlineMargin { 60 };
+static constexpr Milliseconds maximumRetryAfter { 5000 };
+
+TaskScheduler::TaskScheduler(Options options)
+    : options(options)
+{
+}
+
+void TaskScheduler::activate(uint64_t token, Instant now)
+{
+    bool wasActive = this->isActive();
+    this->fence = token;
+    if (wasActive) {
+        for (auto& [identity, session] : this->sessions)
+            session.reclaim(token, now);
+        return;
+    }
+    for (const auto& [identity, report] : this->reports)
+        this->sessions.emplace(identity, TargetSession(report, token, this->options.leases, now));
+}
+
+void TaskScheduler::deactivate()
+{
+    this->fence = 0;
+    this->sessions.clear();
+    this->jobs.clear();
+    this->order.clear();
+    this->finished.clear();
+    this->entryHeard.clear();
+    this->effects = {};
+}
+
+void TaskScheduler::onReport(const TargetReport& report, Instant now)
+{
+    auto known = this->reports.find(report.identity);
+    if (known != this->reports.end()) {
+        bool isOlder = report.incarnation < known->second.incarnation || (report.incarnation == known->second.incarnation && report.sequence < known->second.sequence);
+        if (isOlder)
+            return;
+    }
+    this->reports.insert_or_assign(report.identity, report);
+    if (!this->isActive())
+        return;
+    auto position = this->sessions.find(report.identity);
+    if (position != this->sessions.end()) {
+        auto& session = position->second;
+        if (!session.isGone() && session.target().incarnation == report.incarnation && session.target().address == report.address) {
+            session.updateReport(report);
+            this->pump(now);
+            return;
+        }
+        session.end();
+        this->drainSession(session, now);
+        this->sessions.erase(position);
+    }
+    this->sessions.emplace(report.identity, TargetSession(report, this->fence, this->options.leases, now));
+}
+
+void TaskScheduler::onTargetGone(const std::string& identity, Instant now)
+{
+    this->reports.erase(identity);
+    auto position = this->sessions.find(identity);
+    if (position == this->sessions.end())
+        return;
+    position->second.end();
+    this->drainSession(position->second, now);
+    this->sessions.erase(position);
+    this->pump(now);
+}
+
+TargetSession* TaskScheduler::findSession(const TargetPlace& place)
+{
+    auto position = this->sessions.find(place.identity);
+    if (position == this->sessions.end() || position->second.target().address != place.address)
+        return nullptr;
+    return &position->second;
+}
+
+Milliseconds TaskScheduler::expectedWait(const Submission& submission) const
+{
+    double queued = 0;
+    for (const auto& [rank, name] : this->order) {
+        if (rank.priority > submission.priority)
+            break;
+        const auto& job = this->jobs.at(name);
+        queued += static_cast<double>(job.waiting) * static_cast<double>(job.submission.needs.milliCores) * static_cast<double>(job.submission.estimateMilliseconds);
+    }
+    double capacity = 0;
+    for (const auto& [identity, session] : this->sessions) {
+        if (session.target().pool == submission.pool && session.target().state == TargetState::Serving && !session.isFenced())
+            capacity += static_cast<double>(session.target().capacity.milliCores);
+    }
+    if (capacity <= 0)
+        return maximumRetryAfter;
+    return Milliseconds(static_cast<Milliseconds::rep>(queued / capacity));
+}
+
+std::optional<JobOutcome> TaskScheduler::refusalFor(const Submission& submission, Instant) const
+{
+    JobOutcome outcome { submission.job, JobEnd::Refused, "overloaded", minimumRetryAfter.count() };
+    if (this->jobs.size() >= this->options.maximumJobs)
+        return outcome;
+    bool anyTarget = false;
+    for (const auto& [identity, session] : this->sessions) {
+        const auto& target = session.target();
+        anyTarget = anyTarget || (target.pool == submission.pool && submission.needs.fitInto(target.capacity));
+    }
+    if (!anyTarget) {
+        outcome.reason = "no-target";
+        outcome.retryAfterMilliseconds = 1000;
+        return outcome;
+    }
+    auto wait = this->expectedWait(submission);
+    if (wait.count() + submission.estimateMilliseconds / 2 <= submission.untilDeadline)
+        return {};
+    outcome.retryAfterMilliseconds = std::clamp(wait, minimumRetryAfter, maximumRetryAfter).count();
+    return outcome;
+}
+
+void TaskScheduler::submit(const std::string& entry, const Submission& submission, Instant now)
+{
+    if (!this->isActive())
+        return;
+    this->entryHeard[entry] = now;
+    auto known = this->jobs.find(submission.job);
+    if (known != this->jobs.end()) {
+        // The caller sent the job again, by way of another entry.
+        known->second.entry = entry;
+        known->second.deadline = std::max(known->second.deadline, now + Milliseconds(submission.untilDeadline));
+        return;
+    }
+    uint64_t firstRun = submission.firstRun;
+    auto former = this->finished.find(submission.job);
+    if (former != this->finished.end()) {
+        firstRun = std::max(firstRun, former->second.nextRun);
+        this->finished.erase(former);
+    }
+    if (auto refusal = this->refusalFor(submission, now)) {
+        this->effects.notices.push_back(Notice { entry, *refusal });
+        return;
+    }
+    Job job;
+    job.submission = submission;
+    job.entry = entry;
+    job.arrivedAt = now;
+    job.deadline = now + Milliseconds(submission.untilDeadline);
+    job.notBefore = now + Milliseconds(submission.untilEarlierRunsEnd);
+    job.rank = Rank { submission.priority, now + Milliseconds(submission.untilObjective), this->arrivals++ };
+    job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, firstRun, {}, 0 });
+    job.waiting = submission.taskCount;
+    auto& kept = this->jobs.emplace(submission.job, std::move(job)).first->second;
+    this->order.emplace(kept.rank, submission.job);
+    this->adoptRuns(kept);
+    this->pump(now);
+}
+
+// Runs that an earlier dispatcher started for the job go on; those that are being stopped are waited for.
+void TaskScheduler::adoptRuns(Job& job)
+{
+    for (auto& [identity, session] : this->sessions) {
+        std::vector<RunName> found;
+        const auto& runs = session.runs();
+        for (auto position = runs.lower_bound(RunName { TaskName { job.submission.job, 0, 0, 0 }, 0 }); position != runs.end() && position->first.task.job == job.submission.job; ++position)
+            found.push_back(position->first);
+        for (const auto& name : found)
+            this->onFound(session, name);
+    }
+}
+
+void TaskScheduler::onFound(TargetSession& session, const RunName& name)
+{
+    auto position = this->jobs.find(name.task.job);
+    if (position == this->jobs.end() || name.task.index >= position->second.tasks.size())
+        return;
+    auto& job = position->second;
+    auto& task = job.tasks[name.task.index];
+    task.nextRun = std::max(task.nextRun, name.number + 1);
+    // A second run of a task that is placed elsewhere or done stays foreign, and is stopped.
+    if (task.state == TaskState::Waiting)
+        this->adopt(job, task, session, name);
+}
+
+void TaskScheduler::adopt(Job& job, Task& task, TargetSession& session, const RunName& name)
+{
+    session.adopt(name, job.submission.needs);
+    task.state = TaskState::Placed;
+    task.target = session.target().identity;
+    task.run = name.number;
+    --job.waiting;
+}
+
+void TaskScheduler::cancel(const std::string& entry, const std::string& name, Instant now)
+{
+    auto position = this->jobs.find(name);
+    if (position == this->jobs.end() || position->second.entry != entry)
+        return;
+    this->dropJob(name, now);
+    this->pump(now);
+}
+
+std::vector<std::string> TaskScheduler::renew(const std::string& entry, const std::vector<std::string>& names, Instant now)
+{
+    std::vector<std::string> unknown;
+    if (!this->isActive())
+        return unknown;
+    this->entryHeard[entry] = now;
+    std::set<std::string_view> named(names.begin(), names.end());
+    std::vector<std::string> dropped;
+    for (const auto& [name, job] : this->jobs) {
+        // A job that has just come may have been named by a message that left before it.
+        if (job.entry == entry && !named.contains(name) && now - job.arrivedAt > this->options.entryLease / 2)
+            dropped.push_back(name);
+    }
+    for (const auto& name : dropped)
+        this->dropJob(name, now);
+    for (const auto& name : names) {
+        if (this->jobs.contains(name))
+            continue;
+        auto position = this->finished.find(name);
+        if (position != this->finished.end() && position->second.entry == entry)
+            this->effects.notices.push_back(Notice { entry, position->second.outcome });
+        else
+            unknown.push_back(name);
+    }
+    this->pump(now);
+    return unknown;
+}
+
+void TaskScheduler::stopRuns(const Job& job, Instant now)
+{
+    for (size_t index = 0; index < job.tasks.size(); ++index) {
+        const auto& task = job.tasks[index];
+        if (task.state != TaskState::Placed)
+            continue;
+        auto position = this->sessions.find(task.target);
+        if (position != this->sessions.end())
+            position->second.stop(RunName { TaskName { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, now);
+    }
+}
+
+void TaskScheduler::dropJob(const std::string& name, Instant now)
+{
+    auto position = this->jobs.find(name);
+    if (position == this->jobs.end())
+        return;
+    auto& job = position->second;
+    this->stopRuns(job, now);
+    Finished record { {}, JobOutcome { name, JobEnd::Refused, "dropped" }, now, 1 };
+    for (const auto& task : job.tasks)
+        record.nextRun = std::max(record.nextRun, task.nextRun);
+    this->order.erase(job.rank);
+    this->jobs.erase(position);
+    this->finished.insert_or_assign(name, std::move(record));
+}
+
+void TaskScheduler::finish(const std::string& name, JobEnd end, std::string reason, Instant now)
+{
+    const auto& job = this->jobs.at(name);
+    JobOutcome outcome { name, end, std::move(reason), 0, job.waited.count(), job.starts };
+    auto entry = job.entry;
+    this->effects.notices.push_back(Notice { entry, outcome });
+    this->dropJob(name, now);
+    auto& record = this->finished.at(name);
+    record.entry = entry;
+    record.outcome = std::move(outcome);
+}
+
+// Whether all that runs on any known target is known here.
+bool TaskScheduler::allTargetsClaimed() const
+{
+    return std::all_of(this->sessions.begin(), this->sessions.end(), [](const auto& entry) { return entry.second.isClaimed(); });
+}
+
+bool TaskScheduler::mayStart(const Job& job, Instant now) const
+{
+    auto heard = this->entryHeard.find(job.entry);
+    return (now >= job.notBefore || this->allTargetsClaimed()) && now < job.deadline && heard != this->entryHeard.end() && now - heard->second < this->options.entryLease;
+}
+
+// The target on which the task is expected to end first; of equal ones, the one with the least room left over.
+TargetSession* TaskScheduler::chooseTarget(const Job& job, Instant now)
+{
+    const auto& submission = job.submission;
+    TargetSession* best = nullptr;
+    std::pair<Milliseconds, int64_t> bestScore {};
+    for (auto& [identity, session] : this->sessions) {
+        const auto& target = session.target();
+        if (!submission.needs.fitInto(session.freeRoom()) || target.pool != submission.pool || !session.mayStart(now))
+            continue;
+        if (!submission.requiredLabel.empty() && std::find(target.labels.begin(), target.labels.end(), submission.requiredLabel) == target.labels.end())
+            continue;
+        if (submission.maximumPerTarget > 0 && session.runsOf(submission.job) >= submission.maximumPerTarget)
+            continue;
+        auto expected = this->speeds.expected(submission.queue, target.kind, Milliseconds(submission.estimateMilliseconds));
+        std::pair score { expected, session.freeRoom().minus(submission.needs).milliCores };
+        if (!best || score < bestScore) {
+            best = &session;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void TaskScheduler::place(Job& job, Instant now)
+{
+    for (size_t index = 0; index < job.tasks.size() && job.waiting > 0; ++index) {
+        auto& task = job.tasks[index];
+        if (task.state != TaskState::Waiting)
+            continue;
+        auto* session = this->chooseTarget(job, now);
+        if (!session)
+            return;
+        task.state = TaskState::Placed;
+        task.target = session->target().identity;
+        task.run = task.nextRun++;
+        --job.waiting;
+        if (job.starts++ == 0)
+            job.waited = std::chrono::duration_cast<Milliseconds>(now - job.arrivedAt);
+        session->start(RunName { TaskName { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, job.submission.needs, job.submission.payload, now);
+    }
+}
+
+void TaskScheduler::pump(Instant now)
+{
+    if (!this->isActive())
+        return;
+    int64_t mostRoom = 0;
+    auto measureRoom = [&] {
+        mostRoom = 0;
+        for (const auto& [identity, session] : this->sessions) {
+            if (session.mayStart(now))
+                mostRoom = std::max(mostRoom, session.freeRoom().milliCores);
+        }
+    };
+    measureRoom();
+    for (const auto& [rank, name] : this->order) {
+        if (mostRoom <= 0)
+            return;
+        auto& job = this->jobs.at(name);
+        if (job.waiting == 0 || job.submission.needs.milliCores > mostRoom || !this->mayStart(job, now))
+            continue;
+        this->place(job, now);
+        measureRoom();
+    }
+}
+
+void TaskScheduler::onOver(const TargetSession& session, const TargetSession::Event& event, Instant now)
+{
+    auto position = this->jobs.find(event.run.task.job);
+    if (position == this->jobs.end() || event.run.task.index >= position->second.tasks.size())
+        return;
+    auto& job = position->second;
+    auto& task = job.tasks[event.run.task.index];
+    if (task.state != TaskState::Placed || task.run != event.run.number || task.target != session.target().identity)
+        return;
+    if (event.staleNumber)
+        task.nextRun += staleRunStep;
+    if (event.end == RunEnd::Done) {
+        if (event.duration.count() > 0)
+            this->speeds.observe(job.submission.queue, session.target().kind, Milliseconds(job.submission.estimateMilliseconds), event.duration);
+        task.state = TaskState::Done;
+        if (++job.done == job.tasks.size())
+            this->finish(event.run.task.job, JobEnd::Completed, "completed", now);
+        return;
+    }
+    task.state = TaskState::Waiting;
+    ++job.waiting;
+    if (event.end == RunEnd::Failed && ++task.failures >= job.submission.maximumFailures)
+        this->finish(event.run.task.job, JobEnd::Failed, "task-failed", now);
+}
+
+void TaskScheduler::drainSession(TargetSession& session, Instant now)
+{
+    for (const auto& event : session.takeEvents()) {
+        switch (event.kind) {
+        case TargetSession::Event::Kind::Over:
+            this->onOver(session, event, now);
+            break;
+        case TargetSession::Event::Kind::Found:
+            this->onFound(session, event.run);
+            break;
+        case TargetSession::Event::Kind::FenceLost:
+            this->effects.fenced = true;
+            break;
+        case TargetSession::Event::Kind::Gone:
+            break;
+        }
+    }
+}
+
+void TaskScheduler::onHoldAnswer(const TargetPlace& place, uint64_t number, const HoldAnswer& answer, Instant now)
+{
+    if (auto* session = this->findSession(place)) {
+        session->onHoldAnswer(number, answer, now);
+        this->drainSession(*session, now);
+        session->tick(now);
+        this->pump(now);
+    }
+}
+
+void TaskScheduler::onStartAnswer(const TargetPlace& place, const RunName& run, const OrderAnswer& answer, Instant now)
+{
+    if (auto* session = this->findSession(place)) {
+        session->onStartAnswer(run, answer, now);
+        session->tick(now);
+        this->drainSession(*session, now);
+        if (!std::holds_alternative<Obeyed>(answer))
+            this->pump(now);
+    }
+}
+
+void TaskScheduler::onStopAnswer(const TargetPlace& place, const RunName& run, const OrderAnswer& answer, Instant now)
+{
+    if (auto* session = this->findSession(place)) {
+        session->onStopAnswer(run, answer, now);
+        session->tick(now);
+        this->drainSession(*session, now);
+    }
+}
+
+// A job of which nothing has started, and which cannot end in time any more, is refused at once.
+void TaskScheduler::refuseHopeless(Instant now)
+{
+    std::vector<std::string> hopeless;
+    for (const auto& [name, job] : this->jobs) {
+        if (job.starts == 0 && job.waiting == job.tasks.size() && now + Milliseconds(job.submission.estimateMilliseconds / 2) + deadlineMargin >= job.deadline)
+            hopeless.push_back(name);
+    }
+    for (const auto& name : hopeless)
+        this->finish(name, JobEnd::Refused, "deadline", now);
+}
+
+void TaskScheduler::forgetFinished(Instant now)
+{
+    if (now < this->nextForget)
+        return;
+    this->nextForget = now + forgetInterval;
+    std::erase_if(this->finished, [&](const auto& entry) { return now - entry.second.at > this->options.outcomeRetention; });
+}
+
+void TaskScheduler::tick(Instant now)
+{
+    if (!this->isActive())
+        return;
+    for (auto& [identity, session] : this->sessions) {
+        session.tick(now);
+        this->drainSession(session, now);
+    }
+    std::vector<std::string> lost;
+    for (const auto& [name, job] : this->jobs) {
+        auto heard = this->entryHeard.find(job.entry);
+        if (heard == this->entryHeard.end() || now - heard->second >= this->options.entryLease || now >= job.deadline)
+            lost.push_back(name);
+    }
+    for (const auto& name : lost)
+        this->dropJob(name, now);
+    this->refuseHopeless(now);
+    this->forgetFinished(now);
+    this->pump(now);
+}
+
+void TaskScheduler::onPause(Instant now)
+{
+    if (!this->isActive())
+        return;
+    // The entries have to name their jobs again before anything of them is started.
+    for (auto& [entry, heard] : this->entryHeard)
+        heard = now - this->options.entryLease / 2;
+    for (auto& [identity, session] : this->sessions)
+        session.reclaim(this->fence, now);
+}
+
+TaskScheduler::Effects TaskScheduler::takeEffects()
+{
+    for (auto& [identity, session] : this->sessions) {
+        auto orders = session.takeOrders();
+        auto append = [](auto& to, auto& from) { to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end())); };
+        append(this->effects.orders.holds, orders.holds);
+        append(this->effects.orders.starts, orders.starts);
+        append(this->effects.orders.stops, orders.stops);
+    }
+    return std::exchange(this->effects, {});
+}
+
+size_t TaskScheduler::waitingTasks() const
+{
+    size_t count = 0;
+    for (const auto& [name, job] : this->jobs)
+        count += job.waiting;
+    return count;
+}
+
+size_t TaskScheduler::openRuns() const
+{
+    size_t count = 0;
+    for (const auto& [identity, session] : this->sessions)
+        count += session.runs().size();
+    return count;
+}
+
+size_t TaskScheduler::pendingJobs(const std::string& queue) const
+{
+    return static_cast<size_t>(std::count_if(this->jobs.begin(), this->jobs.end(), [&](const auto& entry) { return entry.second.submission.queue == queue && entry.second.starts == 0; }));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <LibScheduler/SpeedEstimator.h>
+#include <LibScheduler/TargetSession.h>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Sassafrasshift::Scheduler {
+
+/// The dispatcher of a cluster: it holds the one queue of jobs, chooses targets for their tasks, and tells the entries
+/// how their jobs ended. It does no input or output; each call may leave effects, which the owner carries out.
+class TaskScheduler {
+public:
+    struct Options {
+        LeaseOptions leases;
+        /// The jobs of an entry that has not named them for this long are dropped, and their runs stopped.
+        Milliseconds entryLease { 900 };
+        /// How long the outcome of a job is kept for an entry that may not have heard of it.
+        Milliseconds outcomeRetention { 10'000 };
+        size_t maximumJobs { 20'000 };
+    };
+
+    struct Notice {
+        std::string entry;
+        JobOutcome outcome;
+    };
+
+    struct Effects {
+        TargetSession::Orders orders;
+        std::vector<Notice> notices;
+        /// Another dispatcher holds targets under a higher token.
+        bool fenced { false };
+    };
+
+    explicit TaskScheduler(Options);
+
+    /// Begins to dispatch under a fencing token, or goes on under a higher one.
+    void activate(uint64_t fence, Instant now);
+    /// Ends dispatching: what runs is left to the next dispatcher.
+    void deactivate();
+    [[nodiscard]] bool isActive() const { return this->fence != 0; }
+
+    void onReport(const Membership::TargetReport&, Instant now);
+    void onTargetGone(const std::string& identity, Instant now);
+
+    void submit(const std::string& entry, const Submission&, Instant now);
+    void cancel(const std::string& entry, const std::string& job, Instant now);
+    /// An entry names all its open jobs. Returns those that are not known here, to be submitted again.
+    [[nodiscard]] std::vector<std::string> renew(const std::string& entry, const std::vector<std::string>& jobs, Instant now);
+
+    void onHoldAnswer(const TargetPlace&, uint64_t number, const HoldAnswer&, Instant now);
+    void onStartAnswer(const TargetPlace&, const RunName&, const OrderAnswer&, Instant now);
+    void onStopAnswer(const TargetPlace&, const RunName&, const OrderAnswer&, Instant now);
+    void tick(Instant now);
+    /// This process stood still for some time: nothing is started before it is known what has changed meanwhile.
+    void onPause(Instant now);
+
+    [[nodiscard]] Effects takeEffects();
+
+    [[nodiscard]] size_t openJobs() const { return this->jobs.size(); }
+    [[nodiscard]] size_t waitingTasks() const;
+    [[nodiscard]] size_t openRuns() const;
+    /// The jobs of a queue of which nothing has started.
+    [[nodiscard]] size_t pendingJobs(const std::string& queue) const;
+    [[nodiscard]] const std::map<std::string, TargetSession>& targets() const { return this->sessions; }
+
+private:
+    enum class TaskState {
+        Waiting,
+        Placed,
+        Done,
+    };
+
+    struct Task {
+        TaskState state { TaskState::Waiting };
+        uint32_t failures { 0 };
+        uint64_t nextRun { 1 };
+        std::string target;
+        uint64_t run { 0 };
+    };
+
+    /// The order in which jobs are served.
+    struct Rank {
+        int64_t priority { 0 };
+        Instant objective {};
+        uint64_t arrival { 0 };
+
+        friend auto operator<=>(const Rank&, const Rank&) = default;
+    };
+
+    struct Job {
+        Submission submission;
+        std::string entry;
+        Rank rank;
+        Instant arrivedAt {};
+        Instant deadline {};
+        Instant notBefore {};
+        std::vector<Task> tasks;
+        size_t waiting { 0 };
+        size_t done { 0 };
+        uint32_t starts { 0 };
+        Milliseconds waited { 0 };
+    };
+
+    struct Finished {
+        std::string entry;
+        JobOutcome outcome;
+        Instant at {};
+        uint64_t nextRun { 1 };
+    };
+
+    void pump(Instant now);
+    void place(Job&, Instant now);
+    [[nodiscard]] TargetSession* chooseTarget(const Job&, Instant now);
+    [[nodiscard]] bool mayStart(const Job&, Instant now) const;
+    void drainSession(TargetSession&, Instant now);
+    void onOver(const TargetSession&, const TargetSession::Event&, Instant now);
+    void onFound(TargetSession&, const RunName&);
+    void adoptRuns(Job&);
+    void adopt(Job&, Task&, TargetSession&, const RunName&);
+    void finish(const std::string& job, JobEnd, std::string reason, Instant now);
+    void dropJob(const std::string& job, Instant now);
+    void stopRuns(const Job&, Instant now);
+    void refuseHopeless(Instant now);
+    void forgetFinished(Instant now);
+    [[nodiscard]] bool allTargetsClaimed() const;
+    [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&, Instant now) const;
+    [[nodiscard]] Milliseconds expectedWait(const Submission&) const;
+    TargetSession* findSession(const TargetPlace&);
+
+    Options options;
+    uint64_t fence { 0 };
+    std::map<std::string, TargetSession> sessions;
+    /// The latest report of each target; kept while not dispatching, so that dispatching can begin at once.
+    std::map<std::string, Membership::TargetReport> reports;
+    std::unordered_map<std::string, Job> jobs;
+    std::map<Rank, std::string> order;
+    std::unordered_map<std::string, Finished> finished;
+    std::map<std::string, Instant> entryHeard;
+    uint64_t arrivals { 0 };
+    SpeedEstimator speeds;
+    Instant nextForget {};
+    Effects effects;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -0,0 +1,53 @@
+#include <LibSettings/ClusterSettings.h>
+#include <LibSettings/MappingReader.h>
+#include <array>
+#include <yaml-cpp/yaml.h>
+
+namespace Sassafrasshift::Settings {
+
+using namespace std::chrono_literals;
+
+static const std::array<std::string, 4> logLevels { "debug", "information", "warning", "error" };
+static constexpr int64_t milliCoresPerCore = 1000;
+static constexpr int64_t maximumCores = 1000;
+
+tl::expected<ClusterSettings, Faults> ClusterSettings::parse(const std::string& text, const std::string& file)
+{
+    Faults faults;
+    auto documents = parseDocuments(text, file, faults);
+    if (faults.empty() && documents.size() != 1)
+        faults.push_back(Fault { file, 1, 1, "exactly one YAML document is expected" });
+    if (!faults.empty())
+        return tl::unexpected(faults);
+    MappingReader reader(documents.front(), file, faults);
+    ClusterSettings settings;
+    settings.host = reader.text("host");
+    settings.failureDomain = reader.text("failureDomain");
+    settings.peerAddress = reader.text("peerAddress");
+    settings.jobsAddress = reader.text("jobsAddress", "");
+    settings.readinessAddress = reader.text("readinessAddress", "");
+    settings.controlAddress = reader.text("controlAddress", "");
+    settings.metricsAddress = reader.text("metricsAddress", "");
+    settings.seeds = reader.texts("seeds");
+    // Seeds may be given by another of their addresses; all members listen to their peers on one port.
+    auto seedPort = reader.integer("seedPort", 0, 65'535, 0);
+    if (seedPort > 0) {
+        for (auto& seed : settings.seeds)
+            seed = seed.substr(0, seed.find(':')) + ":" + std::to_string(seedPort);
+    }
+    settings.dataFolder = reader.text("dataFolder", "");
+    settings.firstStart = reader.boolean("firstStart", false);
+    settings.logLevel = reader.oneOf("logLevel", logLevels, "information");
+    auto cores = reader.number("dispatchCores", 0, maximumCores, 0);
+    settings.dispatchWeight = static_cast<int64_t>(cores * milliCoresPerCore);
+    settings.maximumLease = reader.duration("maximumLease", 100ms, 600s, 1s);
+    settings.shutdownTimeout = reader.duration("shutdownTimeout", 1s, 600s, 30s);
+    if (settings.jobsAddress.empty() != settings.readinessAddress.empty())
+        reader.report("readinessAddress", "\"jobsAddress\" and \"readinessAddress\" go together");
+    reader.finish();
+    if (!faults.empty())
+        return tl::unexpected(faults);
+    return settings;
+}
+
+}
--- a/Libraries/LibTelemetry/Log.cpp
+++ b/Libraries/LibTelemetry/Log.cpp
@@ -30,13 +30,13 @@
     return label;
 }
 
-void startLog(std::string_view processName, LogLevel level)
+void startLog(std::string_view processName, LogLevel level, LogDestination destination)
 {
     processLabel() = processName;
     auto layout = std::make_shared<log4cxx::JSONLayout>();
     layout->setOption("ContextInfo", "true");
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
-    appender->setTarget(log4cxx::ConsoleAppender::getSystemErr());
+    appender->setTarget(destination == LogDestination::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::helpers::Pool pool;
     appender->activateOptions(pool);
     log4cxx::BasicConfigurator::resetConfiguration();
--- a/Libraries/LibTelemetry/Log.h
+++ b/Libraries/LibTelemetry/Log.h
@@ -13,8 +13,13 @@
     Error,
 };
 
-/// Sends the process's log to standard error as JSON lines, from a level upwards.
-void startLog(std::string_view processName, LogLevel);
+enum class LogDestination {
+    StandardError,
+    StandardOutput,
+};
+
+/// Writes the process's log as JSON lines, from a level upwards.
+void startLog(std::string_view processName, LogLevel, LogDestination = LogDestination::StandardError);
 
 /// Writes one line with a stable event name, its fields and a message in plain words.
 void log(LogLevel, std::string_view event, std::string_view message, const std::vector<EventField>& fields = {});
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -47,6 +47,8 @@
         this->received.method.assign(request->method.base, request->method.len);
         this->received.target.assign(request->path.base, request->path.len);
         this->received.body.assign(request->entity.base ? request->entity.base : "", request->entity.len);
+        // The library takes the host out of the headers.
+        this->received.headers.push_back({ "host", std::string(request->input.authority.base ? request->input.authority.base : "", request->input.authority.len) });
         for (size_t i = 0; i < request->headers.size; ++i) {
             const auto& header = request->headers.entries[i];
             this->received.headers.push_back({ std::string(header.name->base, header.name->len), std::string(header.value.base, header.value.len) });
--- /dev/null
+++ b/Libraries/LibTransport/PeerHub.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <LibTransport/HttpServer.h>
+#include <LibTransport/PeerLink.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Sassafrasshift::Transport {
+
+/// Receives batches of messages from other processes, and opens a link to each process to which a message goes.
+class PeerHub {
+public:
+    /// Called with the name that the sender gave, and the messages of one batch. Returns whether they could be read.
+    using Handler = std::function<bool(const std::string& sender, const std::string& batch)>;
+    /// Called with a stable word for the cause where a batch is refused.
+    using RefusalObserver = std::function<void(std::string_view cause)>;
+
+    [[nodiscard]] static ErrorOr<std::unique_ptr<PeerHub>> create(EventLoop&, const Endpoint& own, std::string senderName, Handler, RefusalObserver);
+
+    void send(const Endpoint&, std::string encodedMessage);
+
+    [[nodiscard]] bool isDrained() const;
+    [[nodiscard]] const std::map<Endpoint, std::unique_ptr<PeerLink>>& openLinks() const { return this->links; }
+    /// Closes the link to a process that is gone.
+    void forget(const Endpoint&);
+
+private:
+    PeerHub(EventLoop&, std::string senderName, Handler, RefusalObserver);
+
+    void receive(const std::shared_ptr<HttpExchange>&);
+    void refuse(const std::shared_ptr<HttpExchange>&, int status, std::string_view cause);
+
+    EventLoop& loop;
+    std::string senderName;
+    Handler handler;
+    RefusalObserver refusalObserver;
+    std::unique_ptr<HttpServer> server;
+    std::map<Endpoint, std::unique_ptr<PeerLink>> links;
+};
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Cluster/ClusterContext.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "ClusterMessages.h"
+#include <LibBase/Random.h>
+#include <LibCatalog/RouteTable.h>
+#include <LibMembership/Cluster.h>
+#include <LibSettings/ClusterSettings.h>
+#include <LibTelemetry/Metrics.h>
+#include <LibTransport/EventLoop.h>
+#include <functional>
+#include <string>
+
+namespace Sassafrasshift::Daemon {
+
+/// What the parts of one member of a cluster share. It outlives all of them.
+struct ClusterContext {
+    const Settings::ClusterSettings& settings;
+    Transport::EventLoop& loop;
+    Telemetry::Metrics& metrics;
+    Membership::Cluster& cluster;
+    Random& random;
+    /// Sends to the member at an address; a message to this member is handled in the next turn of the loop.
+    std::function<void(const std::string& address, const ClusterMessage&)> send;
+
+    [[nodiscard]] Instant now() const { return this->loop.now(); }
+    [[nodiscard]] const std::string& ownAddress() const { return this->settings.peerAddress; }
+    /// The address of the dispatcher; empty while none is known.
+    [[nodiscard]] std::string dispatcherAddress() const
+    {
+        const auto* dispatcher = this->cluster.dispatcher(this->now());
+        return dispatcher ? dispatcher->address : std::string();
+    }
+};
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -0,0 +1,253 @@
+#include "Cluster/ClusterDaemon.h"
+#include <LibBase/Try.h>
+#include <LibLedger/FileOperations.h>
+#include <LibTelemetry/Log.h>
+#include <LibTransport/Codec.h>
+#include <platform/Paths.h>
+
+namespace Sassafrasshift::Daemon {
+
+using Membership::HostState;
+using Telemetry::LogLevel;
+using Transport::Endpoint;
+using Transport::HttpResponse;
+using Transport::HttpServer;
+
+static constexpr Milliseconds tickInterval { 20 };
+static constexpr Milliseconds gossipInterval { 200 };
+static constexpr Milliseconds settingsCheckInterval { 1000 };
+// A tick that comes this much later than the one before says that the process stood still.
+static constexpr Milliseconds pauseThreshold { 350 };
+// The balancer needs this long to take a host that is not ready out of its rotation.
+static constexpr Milliseconds balancerDelay { 2200 };
+// Left of the time for a shutdown when the process ends with what it still has.
+static constexpr Milliseconds shutdownReserve { 300 };
+static constexpr size_t maximumRequestBody = 8 * 1024 * 1024;
+
+ClusterDaemon::ClusterDaemon(const Settings::ClusterSettings& settings, std::string settingsFile)
+    : settings(settings)
+    , settingsFile(std::move(settingsFile))
+    , loop(Transport::EventLoop::create())
+    , random(makeSeededRandom())
+{
+}
+
+ErrorOr<std::unique_ptr<ClusterDaemon>> ClusterDaemon::create(const Settings::ClusterSettings& settings, std::string settingsFile)
+{
+    std::unique_ptr<ClusterDaemon> daemon(new ClusterDaemon(settings, std::move(settingsFile)));
+    TRY_VOID(daemon->start());
+    return daemon;
+}
+
+ErrorOr<void> ClusterDaemon::start()
+{
+    Membership::MemberRecord self;
+    self.address = this->settings.peerAddress;
+    self.name = this->settings.host;
+    self.failureDomain = this->settings.failureDomain;
+    self.incarnation = static_cast<uint64_t>(unixMilliseconds(this->loop->wallNow()));
+    self.isEntry = !this->settings.jobsAddress.empty();
+    self.dispatchWeight = static_cast<uint32_t>(this->settings.dispatchWeight);
+    this->lastTick = this->loop->now();
+    this->cluster = std::make_unique<Membership::Cluster>(self, this->settings.seeds, Membership::Cluster::Options {}, Random(this->random()), this->loop->now());
+    this->context = std::unique_ptr<ClusterContext>(new ClusterContext { this->settings, *this->loop, this->metrics, *this->cluster, this->random,
+        [this](const std::string& address, const ClusterMessage& message) { this->send(address, message); } });
+    Transport::HttpClient::Limits limits;
+    this->client = Transport::HttpClient::create(*this->loop, limits);
+    this->routes = std::make_unique<RouteKeeper>(*this->context);
+    this->ledger = std::make_unique<DocumentLedger>(*this->context, *this->routes);
+    this->dispatch = std::make_unique<DispatchService>(*this->context, *this->client);
+    this->entry = std::make_unique<JobEntry>(*this->context, *this->routes);
+    this->control = std::make_unique<ControlApi>(*this->context, *this->ledger, *this->routes);
+    TRY_VOID(this->ledger->start());
+    TRY_VOID(this->openServers());
+    if (auto text = Ledger::readFile(this->settingsFile))
+        this->settingsText = *text;
+    this->tickTimer = this->loop->after(tickInterval, [this] { this->tick(); });
+    Telemetry::log(LogLevel::Information, "host-started", "the member runs", { { "address", self.address }, { "failureDomain", self.failureDomain } });
+    return {};
+}
+
+ErrorOr<void> ClusterDaemon::openServers()
+{
+    auto countRefusal = [this](std::string_view cause) { this->metrics.count("peer_batches_refused_total{cause=\"" + std::string(cause) + "\"}"); };
+    auto own = TRY(Endpoint::parse(this->settings.peerAddress));
+    this->hub = TRY(Transport::PeerHub::create(
+        *this->loop, own, this->settings.peerAddress, [this](const auto& from, const auto& batch) { return this->receive(from, batch); }, countRefusal));
+    HttpServer::Limits limits;
+    limits.maximumBody = maximumRequestBody;
+    auto open = [&](const std::string& address, HttpServer::Handler handler) -> ErrorOr<std::unique_ptr<HttpServer>> {
+        if (address.empty())
+            return std::unique_ptr<HttpServer> {};
+        auto endpoint = TRY(Endpoint::parse(address));
+        return HttpServer::create(*this->loop, endpoint, limits, std::move(handler));
+    };
+    this->jobsServer = TRY(open(this->settings.jobsAddress, [this](const auto& exchange) { this->entry->handle(exchange); }));
+    this->controlServer = TRY(open(this->settings.controlAddress, [this](const auto& exchange) { this->control->handle(exchange); }));
+    this->readinessServer = TRY(open(this->settings.readinessAddress, [this](const auto& exchange) {
+        exchange->respond(HttpResponse { this->entry->isReady() ? 200 : 503, {}, {} });
+    }));
+    this->metricsServer = TRY(open(this->settings.metricsAddress, [this](const auto& exchange) {
+        exchange->respond(HttpResponse { 200, { { "content-type", "text/plain; version=0.0.4" } }, this->metrics.toPrometheusText() });
+    }));
+    return {};
+}
+
+void ClusterDaemon::run()
+{
+    this->loop->run();
+}
+
+bool ClusterDaemon::receive(const std::string& from, const std::string& batch)
+{
+    auto messages = Transport::decodeMessages<ClusterMessage>(batch);
+    if (!messages)
+        return false;
+    for (const auto& message : *messages)
+        this->deliver(from, message);
+    return true;
+}
+
+void ClusterDaemon::deliver(const std::string& from, const ClusterMessage& message)
+{
+    std::visit([&](const auto& alternative) { this->handle(from, alternative); }, message);
+}
+
+void ClusterDaemon::send(const std::string& address, const ClusterMessage& message)
+{
+    if (address == this->settings.peerAddress) {
+        this->loop->defer([this, message] { this->deliver(this->settings.peerAddress, message); });
+        return;
+    }
+    auto endpoint = Endpoint::parse(address);
+    if (!endpoint) {
+        this->metrics.count("peer_messages_unroutable_total");
+        return;
+    }
+    this->hub->send(*endpoint, Transport::encodeMessage(message));
+}
+
+void ClusterDaemon::handle(const std::string&, const Gossip& gossip)
+{
+    this->cluster->observe(gossip.members, this->loop->now());
+}
+
+template <typename Message>
+void ClusterDaemon::handle(const std::string& from, const Message& message)
+{
+    if constexpr (requires { this->dispatch->onMessage(from, message); })
+        this->dispatch->onMessage(from, message);
+    else if constexpr (requires { this->entry->onMessage(from, message); })
+        this->entry->onMessage(from, message);
+    else if constexpr (requires { this->ledger->onMessage(from, message); })
+        this->ledger->onMessage(from, message);
+    else if constexpr (requires { this->routes->onMessage(from, message); })
+        this->routes->onMessage(from, message);
+    else
+        this->control->onMessage(from, message);
+}
+
+void ClusterDaemon::gossip(Instant now)
+{
+    const auto& self = this->cluster->self();
+    bool changed = self.dispatchEpoch != this->gossipedEpoch || self.configurationVersion != this->gossipedVersion;
+    if (now < this->nextGossip && !changed)
+        return;
+    this->nextGossip = now + gossipInterval;
+    this->gossipedEpoch = self.dispatchEpoch;
+    this->gossipedVersion = self.configurationVersion;
+    auto recipients = this->cluster->nextRecipients(now);
+    Gossip message { this->cluster->gossip(now) };
+    for (const auto& address : recipients)
+        this->send(address, message);
+}
+
+// After a pause, what was known before is out of date; silence during it is no fault of the others.
+void ClusterDaemon::noticePause(Instant now)
+{
+    auto elapsed = now - this->lastTick;
+    this->lastTick = now;
+    if (elapsed < pauseThreshold)
+        return;
+    Telemetry::log(LogLevel::Warning, "process-paused", "the process stood still", { { "milliseconds", std::to_string(std::chrono::duration_cast<Milliseconds>(elapsed).count()) } });
+    this->cluster->excuseSilence(now);
+    this->dispatch->onPause(now);
+}
+
+void ClusterDaemon::tick()
+{
+    this->tickTimer = this->loop->after(tickInterval, [this] { this->tick(); });
+    auto now = this->loop->now();
+    this->noticePause(now);
+    auto signals = this->pollSignals ? this->pollSignals() : Signals {};
+    if (signals.stop)
+        this->startLeaving(now);
+    if (signals.reload || now >= this->nextSettingsCheck)
+        this->reloadSettings(signals.reload);
+    this->cluster->updateClaim(now);
+    this->dispatch->tick(now);
+    if (this->jobsServer)
+        this->entry->tick(now);
+    this->ledger->tick(now);
+    this->control->tick(now);
+    this->routes->follow(now);
+    this->gossip(now);
+    if (this->leaving)
+        this->continueLeaving(now);
+}
+
+// Only the seeds change while a process runs; everything else holds from the next start.
+void ClusterDaemon::reloadSettings(bool told)
+{
+    this->nextSettingsCheck = this->loop->now() + settingsCheckInterval;
+    auto text = Ledger::readFile(this->settingsFile);
+    if (!text || (*text == this->settingsText && !told))
+        return;
+    this->settingsText = *text;
+    auto latest = Settings::ClusterSettings::parse(*text, this->settingsFile);
+    if (!latest) {
+        Telemetry::log(LogLevel::Error, "settings-refused", "the changed settings have faults; the former ones hold", { { "detail", Settings::toText(latest.error()) } });
+        return;
+    }
+    this->cluster->setSeeds(latest->seeds);
+    Telemetry::log(LogLevel::Information, "settings-read", "the settings were read again", { { "seeds", std::to_string(latest->seeds.size()) } });
+}
+
+void ClusterDaemon::startLeaving(Instant now)
+{
+    if (this->leaving)
+        return;
+    this->leaving = true;
+    this->leavingSince = now;
+    this->entry->startLeaving();
+    this->cluster->self().state = HostState::Leaving;
+    this->cluster->self().dispatchEpoch = 0;
+    // All learn at once that this member is not to be counted on.
+    this->cluster->nextRecipients(now);
+    Gossip message { this->cluster->gossip(now) };
+    for (const auto* member : this->cluster->alive(now)) {
+        if (member != &this->cluster->self())
+            this->send(member->address, message);
+    }
+    Telemetry::log(LogLevel::Information, "shutdown-started", "the member finishes what it has", { { "openJobs", std::to_string(this->entry->openJobs()) } });
+}
+
+void ClusterDaemon::continueLeaving(Instant now)
+{
+    auto elapsed = now - this->leavingSince;
+    bool expired = elapsed >= this->settings.shutdownTimeout - shutdownReserve;
+    if (this->jobsServer && elapsed < balancerDelay)
+        return;
+    if (this->jobsServer && this->accepting) {
+        this->accepting = false;
+        this->jobsServer->stopAccepting();
+        this->jobsServer->closeGracefully();
+    }
+    bool isIdle = (!this->jobsServer || this->jobsServer->openExchanges() == 0) && (!this->controlServer || this->controlServer->openExchanges() == 0);
+    if (!isIdle && !expired)
+        return;
+    Telemetry::log(expired ? LogLevel::Warning : LogLevel::Information, "shutdown-finished", "the member stops", { { "openJobs", std::to_string(this->entry->openJobs()) } });
+    this->loop->stop();
+}
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Cluster/ClusterContext.h"
+#include "Cluster/ControlApi.h"
+#include "Cluster/DispatchService.h"
+#include "Cluster/DocumentLedger.h"
+#include "Cluster/JobEntry.h"
+#include "Cluster/RouteKeeper.h"
+#include <LibTransport/HttpClient.h>
+#include <LibTransport/HttpServer.h>
+#include <LibTransport/PeerHub.h>
+#include <functional>
+#include <memory>
+
+namespace Sassafrasshift::Daemon {
+
+/// One member of a cluster that finds itself from seeds.
+class ClusterDaemon {
+public:
+    /// `settingsFile` is read again when it changes and when the process is told to.
+    [[nodiscard]] static ErrorOr<std::unique_ptr<ClusterDaemon>> create(const Settings::ClusterSettings&, std::string settingsFile);
+
+    void run();
+    /// Sets what is asked in each tick for the signals that have come since.
+    struct Signals {
+        bool stop { false };
+        bool reload { false };
+    };
+    void whenSignalled(std::function<Signals()> poll) { this->pollSignals = std::move(poll); }
+
+private:
+    ClusterDaemon(const Settings::ClusterSettings&, std::string settingsFile);
+
+    [[nodiscard]] ErrorOr<void> start();
+    [[nodiscard]] ErrorOr<void> openServers();
+    [[nodiscard]] bool receive(const std::string& from, const std::string& batch);
+    void deliver(const std::string& from, const ClusterMessage&);
+    void send(const std::string& address, const ClusterMessage&);
+    void handle(const std::string& from, const Gossip&);
+    template <typename Message>
+    void handle(const std::string& from, const Message&);
+    void tick();
+    void gossip(Instant now);
+    void noticePause(Instant now);
+    void reloadSettings(bool told);
+    void startLeaving(Instant now);
+    void continueLeaving(Instant now);
+
+    Settings::ClusterSettings settings;
+    std::string settingsFile;
+    std::string settingsText;
+    std::unique_ptr<Transport::EventLoop> loop;
+    Random random;
+    Telemetry::Metrics metrics;
+    std::unique_ptr<Membership::Cluster> cluster;
+    std::unique_ptr<ClusterContext> context;
+    std::unique_ptr<Transport::PeerHub> hub;
+    std::unique_ptr<Transport::HttpClient> client;
+    std::unique_ptr<RouteKeeper> routes;
+    std::unique_ptr<DocumentLedger> ledger;
+    std::unique_ptr<DispatchService> dispatch;
+    std::unique_ptr<JobEntry> entry;
+    std::unique_ptr<ControlApi> control;
+    std::unique_ptr<Transport::HttpServer> jobsServer;
+    std::unique_ptr<Transport::HttpServer> readinessServer;
+    std::unique_ptr<Transport::HttpServer> controlServer;
+    std::unique_ptr<Transport::HttpServer> metricsServer;
+    std::unique_ptr<Transport::Timer> tickTimer;
+    std::function<Signals()> pollSignals;
+    Instant lastTick {};
+    Instant nextGossip {};
+    Instant nextSettingsCheck {};
+    uint64_t gossipedEpoch { 0 };
+    uint64_t gossipedVersion { 0 };
+    bool leaving { false };
+    bool accepting { true };
+    Instant leavingSince {};
+};
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Cluster/ClusterContext.h"
+#include "Cluster/DocumentLedger.h"
+#include "Cluster/RouteKeeper.h"
+#include <LibTransport/HttpServer.h>
+#include <map>
+#include <memory>
+
+namespace Sassafrasshift::Daemon {
+
+/// What targets and operators call: reports, and the published document.
+class ControlApi {
+public:
+    ControlApi(ClusterContext&, DocumentLedger&, RouteKeeper&);
+
+    void handle(const std::shared_ptr<Transport::HttpExchange>&);
+    void onMessage(const std::string& from, const ReportTaken&);
+    void tick(Instant now);
+
+private:
+    struct KnownTarget {
+        Membership::TargetReport report;
+        Instant heardAt {};
+    };
+
+    struct WaitingReport {
+        std::shared_ptr<Transport::HttpExchange> exchange;
+        Instant deadline {};
+    };
+
+    struct WaitingRead {
+        std::shared_ptr<Transport::HttpExchange> exchange;
+        uint64_t version { 0 };
+        Instant deadline {};
+    };
+
+    void publish(const std::shared_ptr<Transport::HttpExchange>&);
+    void read(const std::shared_ptr<Transport::HttpExchange>&);
+    void takeReport(const std::shared_ptr<Transport::HttpExchange>&, const std::string& identity);
+    void removeTarget(const std::shared_ptr<Transport::HttpExchange>&, const std::string& identity);
+    void spread(const Membership::TargetReport&);
+    void greetNewMembers(Instant now);
+    void forgetSilentTargets(Instant now);
+
+    ClusterContext& context;
+    DocumentLedger& ledger;
+    RouteKeeper& routes;
+    std::map<std::string, KnownTarget> targets;
+    std::map<uint64_t, WaitingReport> waitingReports;
+    std::vector<WaitingRead> waitingReads;
+    uint64_t nextNumber { 1 };
+    /// The members that have been told of all targets, by address, with their incarnations.
+    std::map<std::string, uint64_t> greeted;
+};
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -0,0 +1,151 @@
+#include "Cluster/DispatchService.h"
+#include <LibTelemetry/Log.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+namespace Sassafrasshift::Daemon {
+
+using Telemetry::LogLevel;
+
+// The lower part of a fencing token tells the claimants of one epoch apart.
+static constexpr unsigned claimantBits = 24;
+static constexpr uint64_t claimantMask = (1U << claimantBits) - 1;
+static constexpr Milliseconds raiseInterval { 300 };
+
+static Scheduler::TaskScheduler::Options makeOptions(const Settings::ClusterSettings& settings)
+{
+    Scheduler::TaskScheduler::Options options;
+    options.leases.maximumLease = settings.maximumLease;
+    options.leases.holdWait = settings.maximumLease * 2 / 5;
+    options.leases.answerTimeout = Platform::TargetClient::answerTimeout;
+    return options;
+}
+
+DispatchService::DispatchService(ClusterContext& context, Transport::HttpClient& client)
+    : context(context)
+    , targets(context.loop, client)
+    , scheduler(makeOptions(context.settings))
+{
+}
+
+// Unique to this host and its claim, and above all tokens of earlier claims.
+uint64_t DispatchService::fencingToken() const
+{
+    auto endpoint = Transport::Endpoint::parse(this->context.ownAddress());
+    uint64_t claimant = endpoint ? ntohl(endpoint->toSocketAddress().sin_addr.s_addr) & claimantMask : 0;
+    return (this->activeEpoch << claimantBits) | claimant;
+}
+
+void DispatchService::onMessage(const std::string& from, const Scheduler::Submission& submission)
+{
+    this->scheduler.submit(from, submission, this->context.now());
+    this->scheduleCarryOut();
+}
+
+void DispatchService::onMessage(const std::string& from, const CancelSubmission& cancel)
+{
+    this->scheduler.cancel(from, cancel.job, this->context.now());
+    this->scheduleCarryOut();
+}
+
+void DispatchService::onMessage(const std::string& from, const RenewSubmissions& renewal)
+{
+    if (!this->scheduler.isActive())
+        return;
+    auto unknown = this->scheduler.renew(from, renewal.jobs, this->context.now());
+    this->context.send(from, RenewAnswer { std::move(unknown) });
+    this->scheduleCarryOut();
+}
+
+void DispatchService::onMessage(const std::string& from, const ReportNotice& notice)
+{
+    this->scheduler.onReport(notice.report, this->context.now());
+    if (notice.number != 0 && this->scheduler.isActive())
+        this->context.send(from, ReportTaken { notice.number });
+    this->scheduleCarryOut();
+}
+
+void DispatchService::onMessage(const std::string&, const TargetGone& gone)
+{
+    this->scheduler.onTargetGone(gone.identity, this->context.now());
+    this->scheduleCarryOut();
+}
+
+void DispatchService::followClaim(Instant now)
+{
+    const auto* dispatcher = this->context.cluster.dispatcher(now);
+    const auto& self = this->context.cluster.self();
+    uint64_t claimed = dispatcher == &self ? self.dispatchEpoch : 0;
+    if (claimed == this->activeEpoch)
+        return;
+    this->activeEpoch = claimed;
+    if (claimed == 0) {
+        Telemetry::log(LogLevel::Information, "dispatch-ended", "another member dispatches", { { "dispatcher", dispatcher ? dispatcher->name : "" }, { "openJobs", std::to_string(this->scheduler.openJobs()) } });
+        this->scheduler.deactivate();
+        return;
+    }
+    Telemetry::log(LogLevel::Information, "dispatch-begun", "this member dispatches", { { "epoch", std::to_string(claimed) } });
+    this->scheduler.activate(this->fencingToken(), now);
+}
+
+void DispatchService::tick(Instant now)
+{
+    this->followClaim(now);
+    this->scheduler.tick(now);
+    this->carryOut();
+}
+
+void DispatchService::onPause(Instant now)
+{
+    this->scheduler.onPause(now);
+}
+
+// The orders of one turn of the loop leave together.
+void DispatchService::scheduleCarryOut()
+{
+    if (this->carryOutScheduled)
+        return;
+    this->carryOutScheduled = true;
+    this->context.loop.defer([this] {
+        this->carryOutScheduled = false;
+        this->carryOut();
+    });
+}
+
+void DispatchService::carryOut()
+{
+    auto effects = this->scheduler.takeEffects();
+    for (const auto& order : effects.orders.starts) {
+        this->targets.send(order, [this, place = order.place, run = order.run](const Scheduler::OrderAnswer& answer) {
+            this->scheduler.onStartAnswer(place, run, answer, this->context.now());
+            this->scheduleCarryOut();
+        });
+    }
+    for (const auto& order : effects.orders.stops) {
+        this->targets.send(order, [this, place = order.place, run = order.run](const Scheduler::OrderAnswer& answer) {
+            this->scheduler.onStopAnswer(place, run, answer, this->context.now());
+            this->scheduleCarryOut();
+        });
+    }
+    for (const auto& order : effects.orders.holds) {
+        this->targets.send(order, [this, place = order.place, number = order.number](const Scheduler::HoldAnswer& answer) {
+            this->scheduler.onHoldAnswer(place, number, answer, this->context.now());
+            this->scheduleCarryOut();
+        });
+    }
+    this->context.metrics.count("orders_total{kind=\"start\"}", effects.orders.starts.size());
+    this->context.metrics.count("orders_total{kind=\"stop\"}", effects.orders.stops.size());
+    this->context.metrics.count("orders_total{kind=\"hold\"}", effects.orders.holds.size());
+    for (const auto& notice : effects.notices)
+        this->context.send(notice.entry, notice.outcome);
+    auto now = this->context.now();
+    if (effects.fenced && this->activeEpoch != 0 && now >= this->nextRaise) {
+        // No live member claims a higher epoch, so that the token is that of one that is gone.
+        this->nextRaise = now + raiseInterval;
+        this->context.cluster.raiseEpoch(this->activeEpoch + this->raiseStep);
+        this->raiseStep *= 2;
+        Telemetry::log(LogLevel::Warning, "fence-raised", "targets are held under a higher token", { { "epoch", std::to_string(this->context.cluster.self().dispatchEpoch) } });
+    }
+}
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Cluster/ClusterContext.h"
+#include <LibScheduler/TaskScheduler.h>
+#include <platform/TargetClient.h>
+
+namespace Sassafrasshift::Daemon {
+
+/// Runs the scheduler while this member is the dispatcher of the cluster.
+class DispatchService {
+public:
+    DispatchService(ClusterContext&, Transport::HttpClient&);
+
+    void onMessage(const std::string& from, const Scheduler::Submission&);
+    void onMessage(const std::string& from, const CancelSubmission&);
+    void onMessage(const std::string& from, const RenewSubmissions&);
+    void onMessage(const std::string& from, const ReportNotice&);
+    void onMessage(const std::string& from, const TargetGone&);
+    void tick(Instant now);
+    /// This process stood still for some time.
+    void onPause(Instant now);
+
+    [[nodiscard]] const Scheduler::TaskScheduler& taskScheduler() const { return this->scheduler; }
+
+private:
+    void followClaim(Instant now);
+    void carryOut();
+    void scheduleCarryOut();
+    [[nodiscard]] uint64_t fencingToken() const;
+
+    ClusterContext& context;
+    Platform::TargetClient targets;
+    Scheduler::TaskScheduler scheduler;
+    uint64_t activeEpoch { 0 };
+    Instant nextRaise {};
+    uint64_t raiseStep { 1 };
+    bool carryOutScheduled { false };
+};
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -0,0 +1,256 @@
+#include "Cluster/DocumentLedger.h"
+#include <LibBase/Try.h>
+#include <LibTelemetry/Log.h>
+#include <LibTransport/Codec.h>
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+namespace Sassafrasshift::Daemon {
+
+using Telemetry::LogLevel;
+
+static constexpr Milliseconds electionTimeout { 500 };
+static constexpr Milliseconds ledgerHeartbeat { 100 };
+static constexpr Milliseconds proposalResend { 300 };
+static constexpr Milliseconds joinInterval { 300 };
+static constexpr Milliseconds jobKeyRetention { 3'600'000 };
+static constexpr size_t maximumProposals = 4096;
+// Entries after which the log is replaced by a snapshot; the documents in it may be large.
+static constexpr Ledger::Index snapshotInterval = 256;
+static constexpr int storageFailureExitCode = 74;
+
+DocumentLedger::DocumentLedger(ClusterContext& context, RouteKeeper& routes)
+    : context(context)
+    , routes(routes)
+    , state(jobKeyRetention, DurableState::DurableState::Observer { {}, {}, [this](const auto& document) { this->routes.offer(document); } })
+{
+}
+
+ErrorOr<void> DocumentLedger::start()
+{
+    if (this->context.settings.dataFolder.empty())
+        return {};
+    auto store = Ledger::DiskStore::open(this->context.settings.dataFolder + "/ledger", this->context.random);
+    if (!store)
+        return tl::unexpected(store.error());
+    this->identity = (*store)->identity();
+    this->waitingStore = std::move(store).value();
+    // Only the seeds of the first start form a ledger; all others join one.
+    bool isFounder = this->context.settings.firstStart && std::ranges::count(this->context.settings.seeds, this->context.ownAddress()) > 0;
+    if (this->waitingStore->isInitialized() || !isFounder)
+        this->startNode(nullptr);
+    this->announce();
+    return {};
+}
+
+// The founders make the same first membership, each when it has heard of all of them.
+void DocumentLedger::formLedgerIfDue(Instant now)
+{
+    if (!this->waitingStore)
+        return;
+    Ledger::StoredState first;
+    bool allEmpty = true;
+    for (const auto& seed : this->context.settings.seeds) {
+        const auto* member = this->context.cluster.isAlive(seed, now) ? this->context.cluster.find(seed) : nullptr;
+        if (member && member->replicaInitialized) {
+            // The others have formed it already, with this replica's identity in it or without.
+            this->startNode(nullptr);
+            return;
+        }
+        if (!member || member->replicaIdentity.empty())
+            allEmpty = false;
+        else
+            first.snapshot.membership.members.push_back({ member->replicaIdentity, seed, Ledger::MemberRole::Voter });
+    }
+    if (!allEmpty)
+        return;
+    std::sort(first.snapshot.membership.members.begin(), first.snapshot.membership.members.end());
+    this->startNode(&first);
+}
+
+void DocumentLedger::startNode(const Ledger::StoredState* first)
+{
+    if (first) {
+        std::vector<Ledger::StoreOperation> operations { Ledger::SnapshotOperation { first->snapshot, {}, {} } };
+        auto stored = this->waitingStore->store(operations);
+        if (!stored) {
+            this->endProcess(stored.error());
+            return;
+        }
+    }
+    Ledger::Node::Options options;
+    options.replica.identity = this->identity;
+    options.replica.host = this->context.ownAddress();
+    options.replica.electionTimeout = electionTimeout;
+    options.replica.heartbeatInterval = ledgerHeartbeat;
+    options.snapshotInterval = snapshotInterval;
+    Ledger::Node::Environment environment;
+    environment.clock = &this->context.loop;
+    environment.send = [this](const Ledger::Message& message) { this->context.send(message.toHost, message); };
+    environment.post = [this](std::function<void()> function) { this->context.loop.post(std::move(function)); };
+    environment.storageFailed = [this](const Error& error) { this->endProcess(error); };
+    this->initialized = first || this->waitingStore->isInitialized();
+    auto stored = first ? *first : this->waitingStore->recovered();
+    if (!stored.snapshot.state.empty())
+        this->state.restore(stored.snapshot.state);
+    this->node = std::make_unique<Ledger::Node>(options, std::move(this->waitingStore), stored, this->state, environment, Random(this->context.random()));
+    Telemetry::log(LogLevel::Information, "ledger-started", "the replica of the ledger runs", { { "identity", this->identity }, { "initialized", this->initialized ? "true" : "false" } });
+}
+
+// What the disk holds is unknown after a failed sync; only a new process, which reads it again, can tell.
+void DocumentLedger::endProcess(const Error& error)
+{
+    Telemetry::log(LogLevel::Error, "storage-failed", "the data folder failed; the process ends", { { "detail", error.detail } });
+    std::cout.flush();
+    std::_Exit(storageFailureExitCode);
+}
+
+std::string DocumentLedger::leaderAddress(Instant now) const
+{
+    if (this->node) {
+        auto leader = this->node->replica().leaderHost();
+        if (!leader.empty())
+            return leader;
+    }
+    std::string leader;
+    uint64_t highest = 0;
+    for (const auto* member : this->context.cluster.alive(now)) {
+        if (member->ledgerLeader.empty() || member->ledgerTerm < highest)
+            continue;
+        leader = member->ledgerLeader;
+        highest = member->ledgerTerm;
+    }
+    return leader;
+}
+
+void DocumentLedger::propose(const DurableState::Command& command, Milliseconds timeout, Completion completion)
+{
+    if (this->proposals.size() >= maximumProposals) {
+        completion(tl::unexpected(Error::notRun(Reason::Overloaded, "too many commands wait for the ledger")));
+        return;
+    }
+    auto now = this->context.now();
+    auto number = this->nextNumber++;
+    auto& proposal = this->proposals.emplace(number, Proposal { Transport::encodeValue(command), std::move(completion), now + timeout, {}, {} }).first->second;
+    this->sendProposal(number, proposal, now);
+}
+
+void DocumentLedger::sendProposal(uint64_t number, Proposal& proposal, Instant now)
+{
+    proposal.sentAt = now;
+    proposal.sentTo = this->leaderAddress(now);
+    if (!proposal.sentTo.empty())
+        this->context.send(proposal.sentTo, ProposeRequest { number, proposal.command });
+}
+
+void DocumentLedger::complete(uint64_t number, ErrorOr<uint64_t> result)
+{
+    auto position = this->proposals.find(number);
+    if (position == this->proposals.end())
+        return;
+    auto completion = std::move(position->second.completion);
+    this->proposals.erase(position);
+    completion(std::move(result));
+}
+
+void DocumentLedger::onMessage(const std::string& from, const ProposeRequest& request)
+{
+    auto respond = [this, from, number = request.number](ErrorOr<std::string> result) {
+        ProposeResponse response;
+        response.number = number;
+        response.succeeded = result.has_value();
+        if (result) {
+            response.result = std::move(result).value();
+        } else {
+            response.reason = result.error().reason;
+            response.verdict = result.error().verdict;
+            response.detail = result.error().detail;
+        }
+        this->context.send(from, response);
+    };
+    if (!this->node) {
+        respond(tl::unexpected(Error::notRun(Reason::NotLeader, "this host runs no replica")));
+        return;
+    }
+    this->node->propose(request.command, respond);
+}
+
+void DocumentLedger::onMessage(const std::string&, const ProposeResponse& response)
+{
+    auto position = this->proposals.find(response.number);
+    if (position == this->proposals.end())
+        return;
+    if (!response.succeeded) {
+        // Another leader may take it; it is sent again soon.
+        position->second.sentAt = this->context.now() - proposalResend + Milliseconds(50);
+        return;
+    }
+    auto result = Transport::decodeValue<DurableState::DocumentResult>(response.result);
+    if (result)
+        this->complete(response.number, result->version);
+    else
+        this->complete(response.number, tl::unexpected(result.error()));
+}
+
+void DocumentLedger::onMessage(const std::string&, const Ledger::Message& message)
+{
+    if (this->node)
+        this->node->receive(message);
+}
+
+void DocumentLedger::onMessage(const std::string&, const JoinRequest& request)
+{
+    if (this->node)
+        this->node->requestJoin(request.host, request.identity);
+}
+
+void DocumentLedger::retryProposals(Instant now)
+{
+    std::vector<uint64_t> expired;
+    auto leader = this->leaderAddress(now);
+    for (auto& [number, proposal] : this->proposals) {
+        if (now >= proposal.deadline)
+            expired.push_back(number);
+        else if (now >= proposal.sentAt + proposalResend || (!leader.empty() && leader != proposal.sentTo))
+            this->sendProposal(number, proposal, now);
+    }
+    for (auto number : expired)
+        this->complete(number, tl::unexpected(Error::mayHaveRun(Reason::NoQuorum, "the ledger did not confirm the command in time")));
+}
+
+void DocumentLedger::askToJoin(Instant now)
+{
+    if (!this->node || now < this->nextJoin)
+        return;
+    bool isVoter = this->node->replica().membership().isVoter(this->identity);
+    this->initialized = this->initialized || isVoter;
+    if (isVoter)
+        return;
+    this->nextJoin = now + joinInterval;
+    auto leader = this->leaderAddress(now);
+    if (!leader.empty() && leader != this->context.ownAddress())
+        this->context.send(leader, JoinRequest { this->context.ownAddress(), this->identity });
+}
+
+// What the other members read of the ledger in this member's record.
+void DocumentLedger::announce()
+{
+    auto& record = this->context.cluster.self();
+    record.replicaIdentity = this->identity;
+    record.replicaInitialized = this->node && this->initialized;
+    record.ledgerLeader = this->node ? this->node->replica().leaderHost() : std::string();
+    record.ledgerTerm = this->node ? this->node->replica().term() : 0;
+}
+
+void DocumentLedger::tick(Instant now)
+{
+    this->formLedgerIfDue(now);
+    if (this->node)
+        this->node->tick();
+    this->askToJoin(now);
+    this->announce();
+    this->retryProposals(now);
+}
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Cluster/ClusterContext.h"
+#include "Cluster/RouteKeeper.h"
+#include <LibDurableState/DurableState.h>
+#include <LibLedger/Node.h>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Sassafrasshift::Daemon {
+
+/// Reaches the ledger for a member of a cluster, and runs its replica where it has a disk.
+class DocumentLedger {
+public:
+    /// Called once with the version in force after the command.
+    using Completion = std::function<void(ErrorOr<uint64_t>)>;
+
+    DocumentLedger(ClusterContext&, RouteKeeper&);
+
+    /// Opens the data folder, where there is one.
+    [[nodiscard]] ErrorOr<void> start();
+
+    /// Proposes a command to the leader, wherever it is. Commands are harmless when repeated.
+    void propose(const DurableState::Command&, Milliseconds timeout, Completion);
+
+    void onMessage(const std::string& from, const Ledger::Message&);
+    void onMessage(const std::string& from, const JoinRequest&);
+    void onMessage(const std::string& from, const ProposeRequest&);
+    void onMessage(const std::string& from, const ProposeResponse&);
+    void tick(Instant now);
+
+    /// The address of the leader as far as is known; empty for none.
+    [[nodiscard]] std::string leaderAddress(Instant now) const;
+
+private:
+    struct Proposal {
+        std::string command;
+        Completion completion;
+        Instant deadline {};
+        Instant sentAt {};
+        std::string sentTo;
+    };
+
+    void formLedgerIfDue(Instant now);
+    void startNode(const Ledger::StoredState* first);
+    void sendProposal(uint64_t number, Proposal&, Instant now);
+    void complete(uint64_t number, ErrorOr<uint64_t>);
+    void retryProposals(Instant now);
+    void askToJoin(Instant now);
+    void announce();
+    void endProcess(const Error&);
+
+    ClusterContext& context;
+    RouteKeeper& routes;
+    DurableState::DurableState state;
+    std::unique_ptr<Ledger::DiskStore> waitingStore;
+    std::string identity;
+    std::unique_ptr<Ledger::Node> node;
+    std::map<uint64_t, Proposal> proposals;
+    uint64_t nextNumber { 1 };
+    Instant nextJoin {};
+    bool initialized { false };
+};
+
+}
--- /dev/null
+++ b/Services/sassafrasshiftd/Cluster/RouteKeeper.cpp
@@ -0,0 +1,62 @@
+#include "Cluster/RouteKeeper.h"
+#include <LibTelemetry/Log.h>
+#include <platform/Decode.h>
+
+namespace Sassafrasshift::Daemon {
+
+using Telemetry::LogLevel;
+
+static constexpr Milliseconds requestInterval { 200 };
+
+RouteKeeper::RouteKeeper(ClusterContext& context)
+    : context(context)
+{
+}
+
+void RouteKeeper::offer(const DurableState::PublishedDocument& document)
+{
+    if (document.version <= this->inForce.version)
+        return;
+    auto routes = Platform::decodeConfiguration(document.text);
+    if (!routes) {
+        Telemetry::log(LogLevel::Error, "routes-unreadable", "a published document cannot be put in force", { { "version", std::to_string(document.version) }, { "detail", routes.error().detail } });
+        return;
+    }
+    this->inForce = document;
+    this->table = std::make_unique<const Catalog::RouteTable>(std::move(routes).value());
+    this->context.cluster.self().configurationVersion = document.version;
+    Telemetry::log(LogLevel::Information, "routes-in-force", "a published document is in force", { { "version", std::to_string(document.version) }, { "routes", std::to_string(this->table->routes().size()) } });
+    // The replicas of the ledger learn of it by the log; they tell the others at once.
+    if (this->context.cluster.self().replicaIdentity.empty() || this->context.cluster.self().ledgerLeader != this->context.ownAddress())
+        return;
+    for (const auto* member : this->context.cluster.alive(this->context.now())) {
+        if (member->replicaIdentity.empty())
+            this->context.send(member->address, DocumentTransfer { document });
+    }
+}
+
+void RouteKeeper::follow(Instant now)
+{
+    if (now < this->nextRequest)
+        return;
+    for (const auto* member : this->context.cluster.alive(now)) {
+        if (member->configurationVersion <= this->inForce.version)
+            continue;
+        this->nextRequest = now + requestInterval;
+        this->context.send(member->address, DocumentRequest { this->inForce.version });
+        return;
+    }
+}
+
+void RouteKeeper::onMessage(const std::string& from, const DocumentRequest& request)
+{
+    if (this->inForce.version > request.knownVersion)
+        this->context.send(from, DocumentTransfer { this->inForce });
+}
+
+void RouteKeeper::onMessage(const std::string&, const DocumentTransfer& transfer)
+{
+    this->offer(transfer.document);
+}
+
+}
--- a/Services/sassafrasshiftd/Main.cpp
+++ b/Services/sassafrasshiftd/Main.cpp
@@ -1,3 +1,4 @@
+#include "Cluster/ClusterDaemon.h"
 #include "Daemon.h"
 #include <LibLedger/FileOperations.h>
 #include <LibTelemetry/Log.h>
@@ -17,11 +18,13 @@
 };
 
 static constexpr const char* helpText = R"(Usage: sassafrasshiftd --settings FILE
+       sassafrasshiftd --cluster FILE
        sassafrasshiftd --check FILE
 
-Runs one entry host of the dispatcher.
+Runs one entry host of the dispatcher, or one member of a cluster that finds itself.
 
   -s, --settings FILE  run with the settings in FILE
+  -C, --cluster FILE   run as a member of a cluster, with the settings in FILE
   -c, --check FILE     check the settings in FILE, print every fault, and end
   -h, --help           print this text
   -V, --version        print the version
@@ -62,6 +65,45 @@
     return Telemetry::LogLevel::Information;
 }
 
+static volatile std::sig_atomic_t reloadSignals = 0;
+
+static void onReloadSignal(int)
+{
+    reloadSignals = reloadSignals + 1;
+}
+
+static int runMember(const std::string& path)
+{
+    auto text = Ledger::readFile(path);
+    if (!text) {
+        std::cerr << "sassafrasshiftd: " << path << " cannot be read\n";
+        return ExitSettings;
+    }
+    auto settings = Settings::ClusterSettings::parse(*text, path);
+    if (!settings) {
+        std::cerr << Settings::toText(settings.error());
+        return ExitSettings;
+    }
+    Telemetry::startLog(settings->host, logLevelOf(settings->logLevel), Telemetry::LogDestination::StandardOutput);
+    std::signal(SIGTERM, onSignal);
+    std::signal(SIGINT, onSignal);
+    std::signal(SIGHUP, onReloadSignal);
+    auto daemon = Daemon::ClusterDaemon::create(*settings, path);
+    if (!daemon) {
+        std::cerr << "sassafrasshiftd: " << daemon.error().detail << "\n";
+        return ExitStart;
+    }
+    (*daemon)->whenSignalled([stops = 0, reloads = 0]() mutable {
+        Daemon::ClusterDaemon::Signals signals { stops < pendingSignals, reloads < reloadSignals };
+        stops = pendingSignals;
+        reloads = reloadSignals;
+        return signals;
+    });
+    (*daemon)->run();
+    std::cout.flush();
+    std::_Exit(ExitSuccess);
+}
+
 static int runDaemon(const Settings::DaemonSettings& settings)
 {
     Telemetry::startLog(settings.host, logLevelOf(settings.logLevel));
@@ -85,8 +127,9 @@
 
 int main(int argc, char** argv)
 {
-    static const std::array<option, 5> options { {
+    static const std::array<option, 6> options { {
         { "settings", required_argument, nullptr, 's' },
+        { "cluster", required_argument, nullptr, 'C' },
         { "check", required_argument, nullptr, 'c' },
         { "help", no_argument, nullptr, 'h' },
         { "version", no_argument, nullptr, 'V' },
@@ -94,11 +137,13 @@
     } };
     std::string path;
     bool checkOnly = false;
-    for (int choice = 0; (choice = getopt_long(argc, argv, "s:c:hV", options.data(), nullptr)) != -1;) {
+    for (int choice = 0; (choice = getopt_long(argc, argv, "s:C:c:hV", options.data(), nullptr)) != -1;) {
         switch (choice) {
         case 's':
             path = optarg;
             break;
+        case 'C':
+            return runMember(optarg);
         case 'c':
             path = optarg;
             checkOnly = true;
--- a/Services/sassafrasshiftd/PeerNetwork.cpp
+++ b/Services/sassafrasshiftd/PeerNetwork.cpp
@@ -6,11 +6,6 @@
 namespace Sassafrasshift::Daemon {
 
 using Transport::Endpoint;
-using Transport::HttpExchange;
-using Transport::HttpResponse;
-
-// Snapshots of the ledger travel in one message.
-static constexpr size_t maximumPeerBody = 256 * 1024 * 1024;
 
 namespace {
 
@@ -53,32 +48,23 @@
     for (const auto& host : settings.hosts) {
         auto endpoint = TRY(Endpoint::parse(host.peerAddress));
         if (host.name != settings.host)
-            network->links.emplace(host.name, Transport::PeerLink::create(loop, endpoint, settings.host));
+            network->peers.emplace(host.name, endpoint);
     }
     auto own = TRY(Endpoint::parse(settings.self().peerAddress));
-    network->server = TRY(Transport::HttpServer::create(loop, own, { maximumPeerBody }, [raw = network.get()](auto exchange) { raw->receive(exchange); }));
+    auto countRefusal = [&metrics](std::string_view cause) { metrics.count("peer_batches_refused_total{cause=\"" + std::string(cause) + "\"}"); };
+    network->hub = TRY(Transport::PeerHub::create(
+        loop, own, settings.host, [raw = network.get()](const auto& sender, const auto& batch) { return raw->receive(sender, batch); }, countRefusal));
     return network;
 }
 
-void PeerNetwork::receive(const std::shared_ptr<HttpExchange>& exchange)
+bool PeerNetwork::receive(const std::string& sender, const std::string& batch)
 {
-    const auto& request = exchange->request();
-    auto refuse = [&](int status, const char* counter) {
-        this->metrics.count(counter);
-        exchange->closeConnection();
-        exchange->respond(HttpResponse { status, {}, {} });
-    };
-    if (request.path() != Transport::peerMessagesPath)
-        return refuse(404, "peer_batches_refused_total{cause=\"path\"}");
-    if (Transport::headerValue(request.headers, Transport::peerVersionHeader) != Transport::peerProtocolVersion)
-        return refuse(426, "peer_batches_refused_total{cause=\"version\"}");
-    auto messages = Transport::decodeMessages<PeerMessage>(request.body);
+    auto messages = Transport::decodeMessages<PeerMessage>(batch);
     if (!messages)
-        return refuse(400, "peer_batches_refused_total{cause=\"malformed\"}");
-    std::string sender(Transport::headerValue(request.headers, Transport::peerSenderHeader));
-    exchange->respond(HttpResponse { 204, {}, {} });
+        return false;
     for (const auto& message : *messages)
         this->handler(sender, message);
+    return true;
 }
 
 void PeerNetwork::send(const std::string& host, const PeerMessage& message)
@@ -87,28 +73,27 @@
         this->loop.defer([this, message] { this->handler(this->settings.host, message); });
         return;
     }
-    auto position = this->links.find(host);
-    if (position == this->links.end()) {
+    auto position = this->peers.find(host);
+    if (position == this->peers.end()) {
         this->metrics.count("peer_messages_unroutable_total");
         return;
     }
     this->metrics.count(servesWork(message) ? "messages_total{purpose=\"work\"}" : "messages_total{purpose=\"upkeep\"}");
-    position->second->send(Transport::encodeMessage(message));
+    this->hub->send(position->second, Transport::encodeMessage(message));
 }
 
 bool PeerNetwork::isDrained() const
 {
-    for (const auto& [host, link] : this->links) {
-        if (!link->isDrained())
-            return false;
-    }
-    return true;
+    return this->hub->isDrained();
 }
 
 void PeerNetwork::exportCounters() const
 {
-    for (const auto& [host, link] : this->links) {
-        const auto& counters = link->counters();
+    for (const auto& [host, endpoint] : this->peers) {
+        auto position = this->hub->openLinks().find(endpoint);
+        if (position == this->hub->openLinks().end())
+            continue;
+        const auto& counters = position->second->counters();
         auto label = "{peer=\"" + host + "\"}";
         this->metrics.setGauge("peer_bytes_sent" + label, static_cast<double>(counters.bytesSent));
         this->metrics.setGauge("peer_batches_sent" + label, static_cast<double>(counters.batchesSent));
--- a/Services/sassafrasshiftd/PeerNetwork.h
+++ b/Services/sassafrasshiftd/PeerNetwork.h
@@ -3,8 +3,7 @@
 #include "PeerMessages.h"
 #include <LibSettings/DaemonSettings.h>
 #include <LibTelemetry/Metrics.h>
-#include <LibTransport/HttpServer.h>
-#include <LibTransport/PeerLink.h>
+#include <LibTransport/PeerHub.h>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,14 +27,14 @@
 private:
     PeerNetwork(Transport::EventLoop&, const Settings::DaemonSettings&, Telemetry::Metrics&, Handler);
 
-    void receive(const std::shared_ptr<Transport::HttpExchange>&);
+    [[nodiscard]] bool receive(const std::string& sender, const std::string& batch);
 
     Transport::EventLoop& loop;
     const Settings::DaemonSettings& settings;
     Telemetry::Metrics& metrics;
     Handler handler;
-    std::unique_ptr<Transport::HttpServer> server;
-    std::map<std::string, std::unique_ptr<Transport::PeerLink>> links;
+    std::unique_ptr<Transport::PeerHub> hub;
+    std::map<std::string, Transport::Endpoint> peers;
 };
 
 /// Whether a message serves a request or a job, and not only the upkeep of the system.
