sassafrasshiftd: Take the epochs of claims from the clock, and raise them until no target is fenced

Cause: after a loss of power everywhere nobody remembered the epoch in force at the targets; the claim began at 1, and a refusal that came within the pause after a raise was dropped, so that the dispatcher stayed fenced for good. Also: the log takes a write that finds no room as a full disk, and not as a failed one.

--- a/Libraries/LibLedger/DiskStore.cpp
+++ b/Libraries/LibLedger/DiskStore.cpp
@@ -204,6 +204,9 @@
         auto count = pwrite(this->descriptor, frame.data() + written, frame.size() - written, static_cast<off_t>(this->writeOffset + written));
         if (count < 0 && errno == EINTR)
             continue;
+        // What was written of the frame lies behind the end of the log, and is written over by the next attempt.
+        if (count < 0 && (errno == ENOSPC || errno == EDQUOT || errno == EFBIG))
+            return tl::unexpected(Error::notRun(Reason::StorageFull, "no room in " + this->folder));
         if (count <= 0)
             return tl::unexpected(Error::mayHaveRun(Reason::StorageFailed, "cannot write the log: " + std::string(std::strerror(errno))));
         written += static_cast<size_t>(count);
--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -128,7 +128,7 @@
     return std::all_of(members.begin(), members.end(), [&](const auto* member) { return member->state != HostState::Serving || rank(*member) <= rank(this->own); });
 }
 
-void Cluster::updateClaim(Instant now)
+void Cluster::updateClaim(Instant now, uint64_t epochFloor)
 {
     const auto* present = this->dispatcher(now);
     if (present == &this->own)
@@ -147,7 +147,7 @@
     // A claim that is known to have ended is followed at once; otherwise others may still be on their way.
     bool mayClaim = this->highestEpoch > 0 || now - *this->candidateSince >= this->options.claimDelay;
     if (mayClaim && now - this->startedAt >= this->options.claimDelay)
-        this->raiseEpoch(this->highestEpoch);
+        this->raiseEpoch(std::max(this->highestEpoch, epochFloor));
 }
 
 void Cluster::raiseEpoch(uint64_t above)
--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -66,8 +66,9 @@
     [[nodiscard]] std::vector<MemberRecord> gossip(Instant now) const;
     void observe(const std::vector<MemberRecord>&, Instant now);
 
-    /// Takes up, keeps or gives up the claim to be the dispatcher.
-    void updateClaim(Instant now);
+    /// Takes up, keeps or gives up the claim to be the dispatcher. A new claim's epoch is at least the floor, which lies
+    /// above the epochs of claims that nobody remembers where it is drawn from a clock.
+    void updateClaim(Instant now, uint64_t epochFloor);
     /// Raises the epoch of the own claim above one that was found in force at a target.
     void raiseEpoch(uint64_t above);
 
--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -179,7 +179,6 @@
         if (this->phase != Phase::Fenced && this->phase != Phase::Gone) {
             this->phase = Phase::Fenced;
             this->openHold.reset();
-            this->events.push_back(Event { Event::Kind::FenceLost, {}, {}, false, {} });
         }
         return;
     case OrderRefusal::OtherIncarnation:
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -61,8 +61,6 @@
             Over,
             /// A run that this session did not start is going on.
             Found,
-            /// The target is held under another token.
-            FenceLost,
             /// The incarnation is gone with everything that ran there.
             Gone,
         };
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -393,9 +393,6 @@
         case TargetSession::Event::Kind::Found:
             this->onFound(session, event.run);
             break;
-        case TargetSession::Event::Kind::FenceLost:
-            this->effects.fenced = true;
-            break;
         case TargetSession::Event::Kind::Gone:
             break;
         }
@@ -496,6 +493,11 @@
     return std::exchange(this->effects, {});
 }
 
+bool TaskScheduler::hasFencedTargets() const
+{
+    return std::any_of(this->sessions.begin(), this->sessions.end(), [](const auto& entry) { return entry.second.isFenced(); });
+}
+
 size_t TaskScheduler::waitingTasks() const
 {
     size_t count = 0;
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -32,8 +32,6 @@
     struct Effects {
         TargetSession::Orders orders;
         std::vector<Notice> notices;
-        /// Another dispatcher holds targets under a higher token.
-        bool fenced { false };
     };
 
     explicit TaskScheduler(Options);
@@ -61,6 +59,8 @@
 
     [[nodiscard]] Effects takeEffects();
 
+    /// Whether another dispatcher holds any target under a higher token.
+    [[nodiscard]] bool hasFencedTargets() const;
     [[nodiscard]] size_t openJobs() const { return this->jobs.size(); }
     [[nodiscard]] size_t waitingTasks() const;
     [[nodiscard]] size_t openRuns() const;
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -22,6 +22,8 @@
 static constexpr Milliseconds balancerDelay { 2200 };
 // Left of the time for a shutdown when the process ends with what it still has.
 static constexpr Milliseconds shutdownReserve { 300 };
+// Epochs are counted from 2020, so that they stay below 2^29 until 2037.
+static constexpr WallTime epochOrigin { std::chrono::sys_days { std::chrono::year { 2020 } / 1 / 1 } };
 static constexpr size_t maximumRequestBody = 8 * 1024 * 1024;
 
 ClusterDaemon::ClusterDaemon(const Settings::ClusterSettings& settings, std::string settingsFile)
@@ -174,6 +176,13 @@
     this->dispatch->onPause(now);
 }
 
+// Seconds: above the epochs of earlier claims also where all members have forgotten them.
+uint64_t ClusterDaemon::epochFloor() const
+{
+    auto seconds = std::chrono::duration_cast<std::chrono::seconds>(this->loop->wallNow() - epochOrigin);
+    return static_cast<uint64_t>(std::max<int64_t>(seconds.count(), 0));
+}
+
 void ClusterDaemon::tick()
 {
     this->tickTimer = this->loop->after(tickInterval, [this] { this->tick(); });
@@ -184,7 +193,7 @@
         this->startLeaving(now);
     if (signals.reload || now >= this->nextSettingsCheck)
         this->reloadSettings(signals.reload);
-    this->cluster->updateClaim(now);
+    this->cluster->updateClaim(now, this->epochFloor());
     this->dispatch->tick(now);
     if (this->jobsServer)
         this->entry->tick(now);
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -40,6 +40,7 @@
     template <typename Message>
     void handle(const std::string& from, const Message&);
     void tick();
+    [[nodiscard]] uint64_t epochFloor() const;
     void gossip(Instant now);
     void noticePause(Instant now);
     void reloadSettings(bool told);
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -10,7 +10,9 @@
 // The lower part of a fencing token tells the claimants of one epoch apart.
 static constexpr unsigned claimantBits = 24;
 static constexpr uint64_t claimantMask = (1U << claimantBits) - 1;
-static constexpr Milliseconds raiseInterval { 300 };
+static constexpr Milliseconds raiseInterval { 200 };
+// The longest pause between two raises, in intervals: two dispatchers that reach the same targets must not chase each other.
+static constexpr uint64_t longestRaisePause = 16;
 
 static Scheduler::TaskScheduler::Options makeOptions(const Settings::ClusterSettings& settings)
 {
@@ -92,6 +94,7 @@
 {
     this->followClaim(now);
     this->scheduler.tick(now);
+    this->raiseFenceIfDue(now);
     this->carryOut();
 }
 
@@ -138,14 +141,21 @@
     this->context.metrics.count("orders_total{kind=\"hold\"}", effects.orders.holds.size());
     for (const auto& notice : effects.notices)
         this->context.send(notice.entry, notice.outcome);
-    auto now = this->context.now();
-    if (effects.fenced && this->activeEpoch != 0 && now >= this->nextRaise) {
-        // No live member claims a higher epoch, so that the token is that of one that is gone.
-        this->nextRaise = now + raiseInterval;
-        this->context.cluster.raiseEpoch(this->activeEpoch + this->raiseStep);
-        this->raiseStep *= 2;
-        Telemetry::log(LogLevel::Warning, "fence-raised", "targets are held under a higher token", { { "epoch", std::to_string(this->context.cluster.self().dispatchEpoch) } });
+}
+
+// No live member claims a higher epoch, so that the tokens in force are those of one that is gone, or cut off.
+void DispatchService::raiseFenceIfDue(Instant now)
+{
+    if (!this->scheduler.hasFencedTargets()) {
+        this->raiseStep = 1;
+        return;
     }
+    if (this->activeEpoch == 0 || now < this->nextRaise)
+        return;
+    this->nextRaise = now + raiseInterval * static_cast<int64_t>(std::min(this->raiseStep, longestRaisePause));
+    this->context.cluster.raiseEpoch(this->activeEpoch + this->raiseStep);
+    this->raiseStep *= 2;
+    Telemetry::log(LogLevel::Warning, "fence-raised", "targets are held under a higher token", { { "epoch", std::to_string(this->context.cluster.self().dispatchEpoch) } });
 }
 
 }
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -24,6 +24,7 @@
 
 private:
     void followClaim(Instant now);
+    void raiseFenceIfDue(Instant now);
     void carryOut();
     void scheduleCarryOut();
     [[nodiscard]] uint64_t fencingToken() const;
