LibScheduler: Start nothing beside a stopped run of unknown size

Cause: a run that another dispatcher had started counted as no room from the moment its stop was ordered, while it ran on until the order arrived. Ruled out: a start under an older token; targets refuse it. Tests: nothing_starts_beside_a_run_of_unknown_size_until_it_has_ended fails on the former code; random schedules of two dispatchers; a write to a full disk.

--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -47,7 +47,7 @@
 
 bool TargetSession::mayStart(Instant now) const
 {
-    return this->phase == Phase::Claimed && this->foreignRuns == 0 && this->clock && now >= this->setAsideUntil
+    return this->phase == Phase::Claimed && this->unknownNeeds == 0 && this->clock && now >= this->setAsideUntil
         && this->report.state == Membership::TargetState::Serving;
 }
 
@@ -116,8 +116,6 @@
     auto position = this->knownRuns.find(name);
     if (position == this->knownRuns.end() || position->second.state == RunState::Stopping || position->second.state == RunState::Uncertain)
         return;
-    if (position->second.state == RunState::Foreign)
-        --this->foreignRuns;
     position->second.state = RunState::Stopping;
     this->sendStop(name, position->second, now);
 }
@@ -127,17 +125,23 @@
     auto position = this->knownRuns.find(name);
     if (position == this->knownRuns.end() || position->second.state != RunState::Foreign)
         return;
-    --this->foreignRuns;
     position->second.state = RunState::Running;
-    position->second.needs = needs;
+    this->learnNeeds(position->second, needs);
+}
+
+void TargetSession::learnNeeds(Run& run, const Catalog::Needs& needs)
+{
+    --this->unknownNeeds;
+    run.needsKnown = true;
+    run.needs = needs;
     this->used = this->used.plus(needs);
 }
 
 void TargetSession::finish(std::map<RunName, Run>::iterator position, std::optional<RunEnd> end, Instant now, bool staleNumber)
 {
     const auto& run = position->second;
-    if (run.state == RunState::Foreign)
-        --this->foreignRuns;
+    if (!run.needsKnown)
+        --this->unknownNeeds;
     this->used = this->used.minus(run.needs);
     auto duration = run.startedAt == Instant {} ? Milliseconds(0) : std::chrono::duration_cast<Milliseconds>(now - run.startedAt);
     this->events.push_back(Event { Event::Kind::Over, position->first, end, staleNumber, duration });
@@ -258,8 +262,9 @@
             continue;
         position->second.state = RunState::Foreign;
         position->second.needs = Catalog::Needs { 0, 0, 0 };
+        position->second.needsKnown = false;
         position->second.since = now;
-        ++this->foreignRuns;
+        ++this->unknownNeeds;
         this->events.push_back(Event { Event::Kind::Found, name, {}, false, {} });
     }
     std::vector<RunName> absent;
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -47,6 +47,8 @@
     struct Run {
         RunState state { RunState::Starting };
         Catalog::Needs needs;
+        /// Whether `needs` says what the run occupies; it does not for a run of unknown origin.
+        bool needsKnown { true };
         Instant since {};
         Instant startedAt {};
         /// When the target confirmed that the run cannot start any more, or is being stopped.
@@ -129,6 +131,7 @@
     [[nodiscard]] bool needsHold() const;
     [[nodiscard]] bool leasesLapsed(Instant now) const;
     void sendHold(Instant now);
+    void learnNeeds(Run&, const Catalog::Needs&);
     void sendStop(const RunName&, Run&, Instant now);
     void onRestart(const std::string& incarnation);
     void takeIn(const RunList&, Instant sentAt, Instant now);
@@ -146,7 +149,8 @@
     uint64_t fence { 0 };
     std::map<RunName, Run> knownRuns;
     Catalog::Needs used { 0, 0, 0 };
-    size_t foreignRuns { 0 };
+    /// Runs that occupy nobody knows how much: nothing is started beside them.
+    size_t unknownNeeds { 0 };
 
     std::optional<uint64_t> openHold;
     uint64_t nextNumber { 1 };
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -20,6 +20,8 @@
 static constexpr Milliseconds pauseThreshold { 350 };
 // The balancer needs this long to take a host that is not ready out of its rotation.
 static constexpr Milliseconds balancerDelay { 2200 };
+// How long nothing must have been in progress before the process ends.
+static constexpr Milliseconds quietTime { 200 };
 // Left of the time for a shutdown when the process ends with what it still has.
 static constexpr Milliseconds shutdownReserve { 300 };
 // Epochs are counted from 2020, so that they stay below 2^29 until 2037.
@@ -229,6 +231,10 @@
     this->leaving = true;
     this->leavingSince = now;
     this->entry->startLeaving();
+    this->lastBusy = now;
+    // Callers are told with each answer to come back on another connection, which the balancer leads elsewhere.
+    if (this->jobsServer)
+        this->jobsServer->closeGracefully();
     this->cluster->self().state = HostState::Leaving;
     this->cluster->self().dispatchEpoch = 0;
     // All learn at once that this member is not to be counted on.
@@ -241,19 +247,25 @@
     Telemetry::log(LogLevel::Information, "shutdown-started", "the member finishes what it has", { { "openJobs", std::to_string(this->entry->openJobs()) } });
 }
 
+bool ClusterDaemon::hasOpenExchanges() const
+{
+    return (this->jobsServer && this->jobsServer->openExchanges() > 0) || (this->controlServer && this->controlServer->openExchanges() > 0);
+}
+
 void ClusterDaemon::continueLeaving(Instant now)
 {
     auto elapsed = now - this->leavingSince;
-    bool expired = elapsed >= this->settings.shutdownTimeout - shutdownReserve;
+    if (this->hasOpenExchanges())
+        this->lastBusy = now;
     if (this->jobsServer && elapsed < balancerDelay)
         return;
     if (this->jobsServer && this->accepting) {
         this->accepting = false;
         this->jobsServer->stopAccepting();
-        this->jobsServer->closeGracefully();
     }
-    bool isIdle = (!this->jobsServer || this->jobsServer->openExchanges() == 0) && (!this->controlServer || this->controlServer->openExchanges() == 0);
-    if (!isIdle && !expired)
+    bool expired = elapsed >= this->settings.shutdownTimeout - shutdownReserve;
+    // The last answers have to leave the process before it ends.
+    if (now - this->lastBusy < quietTime && !expired)
         return;
     Telemetry::log(expired ? LogLevel::Warning : LogLevel::Information, "shutdown-finished", "the member stops", { { "openJobs", std::to_string(this->entry->openJobs()) } });
     this->loop->stop();
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -46,6 +46,7 @@
     void reloadSettings(bool told);
     void startLeaving(Instant now);
     void continueLeaving(Instant now);
+    [[nodiscard]] bool hasOpenExchanges() const;
 
     Settings::ClusterSettings settings;
     std::string settingsFile;
@@ -76,6 +77,7 @@
     bool leaving { false };
     bool accepting { true };
     Instant leavingSince {};
+    Instant lastBusy {};
 };
 
 }
--- a/Tests/LibLedger/TestDiskStore.cpp
+++ b/Tests/LibLedger/TestDiskStore.cpp
@@ -164,3 +164,22 @@
     store.reset();
     BOOST_TEST(this->open()->recovered().entries.size() == next);
 }
+
+BOOST_FIXTURE_TEST_CASE(a_write_that_finds_no_room_refuses_and_goes_on_when_there_is_room, Fixture)
+{
+    auto store = this->open();
+    signal(SIGXFSZ, SIG_IGN);
+    BOOST_TEST(store->store(this->append(1, 1)).has_value());
+    // The file has its size already, so that only the write itself can fail.
+    rlimit before {};
+    getrlimit(RLIMIT_FSIZE, &before);
+    rlimit none { this->frameStart(1), before.rlim_max };
+    setrlimit(RLIMIT_FSIZE, &none);
+    auto result = store->store(this->append(2, 1));
+    setrlimit(RLIMIT_FSIZE, &before);
+    BOOST_REQUIRE(!result.has_value());
+    BOOST_TEST((result.error().reason == Reason::StorageFull));
+    BOOST_TEST(store->store(this->append(2, 1)).has_value());
+    store.reset();
+    BOOST_TEST(this->open()->recovered().entries.size() == 2U);
+}
--- /dev/null
+++ b/Tests/LibScheduler/SimulatedTargets.cpp
@@ -0,0 +1,294 @@
+#include "SimulatedTargets.h"
+#include <algorithm>
+
+namespace Sassafrasshift::Scheduler {
+
+static constexpr Milliseconds stepLength { 1 };
+static constexpr Milliseconds renewalInterval { 250 };
+static constexpr int64_t maximumLease = 1000;
+static constexpr int64_t milliCores = 1000;
+
+SimulatedTarget::SimulatedTarget(std::string identity, Catalog::Needs capacity)
+    : identity(std::move(identity))
+    , capacity(capacity)
+{
+}
+
+Membership::TargetReport SimulatedTarget::report() const
+{
+    Membership::TargetReport report;
+    report.identity = this->identity;
+    report.incarnation = this->incarnation;
+    report.pool = "pool";
+    report.address = "127.0.0.1:" + std::to_string(1000 + std::hash<std::string> {}(this->identity) % 60'000);
+    report.capacity = this->capacity;
+    report.state = this->state;
+    report.sequence = this->sequence;
+    return report;
+}
+
+int64_t SimulatedTarget::clock(Instant now) const
+{
+    return std::chrono::duration_cast<Milliseconds>(now - this->bornAt).count();
+}
+
+void SimulatedTarget::finish(const RunName& name, RunEnd end)
+{
+    this->ended.push_back(EndedRun { this->nextEnd++, name, end });
+    auto& closed = this->closedRuns[name.task];
+    closed = std::max(closed, name.number);
+    this->runs.erase(name);
+    this->needs.erase(name);
+}
+
+void SimulatedTarget::advance(Instant now)
+{
+    this->latest = now;
+    auto running = this->runs;
+    for (const auto& [name, endsAt] : running) {
+        if (now >= endsAt)
+            this->finish(name, this->failing[name] ? RunEnd::Failed : RunEnd::Done);
+    }
+    if (this->runs.empty() || this->clock(now) < this->leaseEnd)
+        return;
+    running = this->runs;
+    for (const auto& [name, endsAt] : running)
+        this->finish(name, RunEnd::Lapsed);
+}
+
+void SimulatedTarget::restart()
+{
+    this->runs.clear();
+    this->needs.clear();
+    this->ended.clear();
+    this->closedRuns.clear();
+    this->nextEnd = 1;
+    this->fence = 0;
+    this->leaseEnd = 0;
+    this->bornAt = this->latest;
+    this->incarnation = std::to_string(std::stoi(this->incarnation) + 1);
+    this->sequence = 1;
+}
+
+void SimulatedTarget::extendLease(int64_t end, Instant now)
+{
+    this->leaseEnd = std::max(this->leaseEnd, std::min(end, this->clock(now) + maximumLease));
+}
+
+HoldAnswer SimulatedTarget::hold(const HoldOrder& order, Instant now)
+{
+    this->advance(now);
+    if (order.fence < this->fence)
+        return Refused { OrderRefusal::Fenced };
+    this->fence = order.fence;
+    this->extendLease(order.leaseEnd, now);
+    std::erase_if(this->ended, [&](const auto& end) { return end.sequence <= order.lastEndSeen; });
+    RunList list;
+    list.clock = this->clock(now);
+    list.incarnation = this->incarnation;
+    for (const auto& [name, endsAt] : this->runs)
+        list.running.push_back(name);
+    list.ended = this->ended;
+    return list;
+}
+
+OrderAnswer SimulatedTarget::start(const StartOrder& order, const Catalog::Needs& wanted, Milliseconds work, bool fails, Instant now)
+{
+    this->advance(now);
+    if (order.fence < this->fence)
+        return Refused { OrderRefusal::Fenced };
+    this->fence = order.fence;
+    if (this->clock(now) >= order.leaseEnd)
+        return Refused { OrderRefusal::LeaseEnded };
+    if (this->runs.contains(order.run))
+        return Obeyed { this->clock(now) };
+    auto closed = this->closedRuns.find(order.run.task);
+    if (closed != this->closedRuns.end() && order.run.number <= closed->second)
+        return Refused { OrderRefusal::StaleRun };
+    this->extendLease(order.leaseEnd, now);
+    this->runs.emplace(order.run, now + work);
+    this->needs.emplace(order.run, wanted);
+    this->failing[order.run] = fails;
+    ++this->starts;
+    Catalog::Needs used { 0, 0, 0 };
+    for (const auto& [name, needed] : this->needs)
+        used = used.plus(needed);
+    this->overfilled = this->overfilled || !used.fitInto(this->capacity);
+    return Obeyed { this->clock(now) };
+}
+
+OrderAnswer SimulatedTarget::stop(const StopOrder& order, Instant now)
+{
+    this->advance(now);
+    if (order.fence < this->fence)
+        return Refused { OrderRefusal::Fenced };
+    this->fence = order.fence;
+    if (this->runs.contains(order.run))
+        this->finish(order.run, RunEnd::Stopped);
+    auto& closed = this->closedRuns[order.run.task];
+    closed = std::max(closed, order.run.number);
+    return Obeyed { this->clock(now) };
+}
+
+bool SimulatedTarget::isRunning(const TaskName& task) const
+{
+    return std::any_of(this->runs.begin(), this->runs.end(), [&](const auto& entry) { return entry.first.task == task; });
+}
+
+SimulatedFleet::SimulatedFleet(size_t count, TaskScheduler::Options options)
+{
+    for (size_t i = 0; i < count; ++i)
+        this->dispatchers.push_back(std::make_unique<TaskScheduler>(options));
+}
+
+SimulatedTarget& SimulatedFleet::addTarget(std::string identity, int64_t cores)
+{
+    return this->targets.emplace(identity, SimulatedTarget(identity, Catalog::Needs { cores * milliCores, 1 << 30, 0 })).first->second;
+}
+
+void SimulatedFleet::report()
+{
+    for (auto& dispatcher : this->dispatchers) {
+        for (auto& [identity, target] : this->targets)
+            dispatcher->onReport(target.report(), this->now);
+    }
+}
+
+void SimulatedFleet::submit(size_t dispatcher, const Submission& submission)
+{
+    this->submissions.insert_or_assign(submission.job, submission);
+    this->owner[submission.job] = dispatcher;
+    this->dispatchers[dispatcher]->submit("entry", submission, this->now);
+}
+
+void SimulatedFleet::after(Milliseconds delay, std::function<void()> action)
+{
+    this->events.emplace(this->now + delay, std::move(action));
+}
+
+SimulatedFleet::Fate SimulatedFleet::fateOf(size_t dispatcher, const TargetPlace& place, bool isStart) const
+{
+    return this->decideFate ? this->decideFate(dispatcher, place, isStart) : Fate {};
+}
+
+// The wait of a hold is left out: it is answered at once, after a pause that keeps the number of orders small.
+void SimulatedFleet::carryOut(size_t number)
+{
+    auto& dispatcher = *this->dispatchers[number];
+    static constexpr Milliseconds answerTimeout { 350 };
+    auto effects = dispatcher.takeEffects();
+    auto perform = [&](const auto& order, Milliseconds pause, bool isStart, auto act, auto deliver) {
+        auto fate = this->fateOf(number, order.place, isStart);
+        using Answer = decltype(act(this->targets.begin()->second, Instant {}));
+        if (!fate.orderLost) {
+            this->after(fate.delay + pause, [this, order, act, deliver, fate] {
+                auto position = this->targets.find(order.place.identity);
+                if (position == this->targets.end())
+                    return;
+                auto answer = act(position->second, this->now);
+                if (!fate.answerLost && fate.delay < answerTimeout)
+                    this->after(Milliseconds(1), [deliver, answer] { deliver(answer); });
+            });
+        }
+        if (fate.orderLost || fate.answerLost || fate.delay >= answerTimeout)
+            this->after(answerTimeout + pause, [deliver] { deliver(Answer { Unanswered {} }); });
+    };
+    for (const auto& order : effects.orders.starts) {
+        auto submission = this->submissions.at(order.run.task.job);
+        perform(
+            order, Milliseconds(0), true, [this, order, submission](SimulatedTarget& target, Instant at) { return target.start(order, submission.needs, this->work, this->tasksFail, at); },
+            [this, &dispatcher, order](const OrderAnswer& answer) { dispatcher.onStartAnswer(order.place, order.run, answer, this->now); });
+    }
+    for (const auto& order : effects.orders.stops) {
+        perform(
+            order, Milliseconds(0), false, [order](SimulatedTarget& target, Instant at) { return target.stop(order, at); },
+            [this, &dispatcher, order](const OrderAnswer& answer) { dispatcher.onStopAnswer(order.place, order.run, answer, this->now); });
+    }
+    for (const auto& order : effects.orders.holds) {
+        perform(
+            order, std::min(order.wait, Milliseconds(10)), false, [order](SimulatedTarget& target, Instant at) { return target.hold(order, at); },
+            [this, &dispatcher, order](const HoldAnswer& answer) { dispatcher.onHoldAnswer(order.place, order.number, answer, this->now); });
+    }
+    for (const auto& notice : effects.notices)
+        this->outcomes.insert_or_assign(notice.outcome.job, notice.outcome);
+}
+
+void SimulatedFleet::countCopies()
+{
+    std::map<TaskName, size_t> counts;
+    for (const auto& [identity, target] : this->targets) {
+        for (const auto& [name, endsAt] : target.running())
+            this->copies = std::max(this->copies, ++counts[name.task]);
+    }
+}
+
+void SimulatedFleet::step()
+{
+    this->now += stepLength;
+    for (auto& [identity, target] : this->targets)
+        target.advance(this->now);
+    while (!this->events.empty() && this->events.begin()->first <= this->now) {
+        auto action = std::move(this->events.begin()->second);
+        this->events.erase(this->events.begin());
+        action();
+    }
+    if (this->entriesRenew && this->now >= this->nextRenewal) {
+        this->nextRenewal = this->now + renewalInterval;
+        for (size_t i = 0; i < this->dispatchers.size(); ++i) {
+            std::vector<std::string> open;
+            for (const auto& [job, dispatcher] : this->owner) {
+                if (dispatcher == i && !this->outcomes.contains(job))
+                    open.push_back(job);
+            }
+            (void)this->dispatchers[i]->renew("entry", open, this->now);
+        }
+    }
+    for (size_t i = 0; i < this->dispatchers.size(); ++i) {
+        this->dispatchers[i]->tick(this->now);
+        this->carryOut(i);
+    }
+    this->countCopies();
+}
+
+void SimulatedFleet::run(Milliseconds duration)
+{
+    auto end = this->now + duration;
+    while (this->now < end)
+        this->step();
+}
+
+bool SimulatedFleet::runUntil(const std::function<bool()>& condition, Milliseconds limit)
+{
+    auto end = this->now + limit;
+    while (!condition() && this->now < end)
+        this->step();
+    return condition();
+}
+
+const JobOutcome* SimulatedFleet::outcome(const std::string& job) const
+{
+    auto position = this->outcomes.find(job);
+    return position == this->outcomes.end() ? nullptr : &position->second;
+}
+
+bool SimulatedFleet::anyOverfilled() const
+{
+    return std::any_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.overfilled; });
+}
+
+Submission makeJob(std::string name, uint32_t tasks, int64_t cores)
+{
+    Submission submission;
+    submission.job = std::move(name);
+    submission.queue = "queue";
+    submission.pool = "pool";
+    submission.taskCount = tasks;
+    submission.needs = Catalog::Needs { cores * milliCores, 0, 0 };
+    submission.estimateMilliseconds = 100;
+    submission.maximumFailures = 3;
+    submission.untilDeadline = 60'000;
+    submission.untilObjective = 500;
+    return submission;
+}
+
+}
--- /dev/null
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -0,0 +1,226 @@
+#include "SimulatedTargets.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace Sassafrasshift;
+using namespace Sassafrasshift::Scheduler;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint64_t firstFence = 10;
+constexpr uint64_t secondFence = 20;
+
+SimulatedFleet makeFleet(size_t dispatchers, std::vector<int64_t> cores)
+{
+    SimulatedFleet fleet(dispatchers);
+    char letter = 'a';
+    for (auto count : cores)
+        fleet.addTarget(std::string("target-") + letter++, count);
+    fleet.report();
+    return fleet;
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(a_job_runs_each_task_once)
+{
+    auto fleet = makeFleet(1, { 64, 64, 96 });
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 8, 27));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 2s));
+    BOOST_TEST((fleet.outcome("job")->end == JobEnd::Completed));
+    uint64_t starts = 0;
+    for (const auto& [identity, target] : fleet.targets)
+        starts += target.starts;
+    BOOST_TEST(starts == 8U);
+    BOOST_TEST(!fleet.anyOverfilled());
+}
+
+BOOST_AUTO_TEST_CASE(a_task_that_keeps_failing_fails_its_job)
+{
+    auto fleet = makeFleet(1, { 64, 64 });
+    fleet.tasksFail = true;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 1, 27));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 10s));
+    BOOST_TEST((fleet.outcome("job")->end == JobEnd::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_starts_beside_a_run_of_unknown_size_until_it_has_ended)
+{
+    auto fleet = makeFleet(2, { 64 });
+    fleet.work = 30s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("earlier", 2, 30));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.targets.at("target-a").running().size() == 2; }, 1s));
+    // The second dispatcher does not know the first job, and its orders to stop take long to arrive.
+    fleet.dispatchers[0]->deactivate();
+    fleet.owner.clear();
+    fleet.dispatchers[1]->activate(secondFence, fleet.now);
+    fleet.decideFate = [](size_t, const TargetPlace&, bool isStart) { return SimulatedFleet::Fate { isStart ? 1ms : 120ms }; };
+    fleet.submit(1, makeJob("later", 2, 30));
+    fleet.work = 50ms;
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("later") != nullptr; }, 10s));
+    BOOST_TEST(!fleet.anyOverfilled());
+}
+
+BOOST_AUTO_TEST_CASE(a_start_without_an_answer_is_not_made_elsewhere_while_it_may_run)
+{
+    auto fleet = makeFleet(1, { 32, 32 });
+    fleet.work = 2s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    bool first = true;
+    fleet.decideFate = [&](size_t, const TargetPlace&, bool isStart) {
+        bool lost = isStart && std::exchange(first, isStart ? false : first);
+        return SimulatedFleet::Fate { 1ms, lost, false };
+    };
+    fleet.submit(0, makeJob("job", 1, 27));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 20s));
+    BOOST_TEST(fleet.mostCopies() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_later_dispatcher_takes_over_what_runs)
+{
+    auto fleet = makeFleet(2, { 64, 64 });
+    fleet.work = 800ms;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 4, 27));
+    fleet.run(200ms);
+    fleet.dispatchers[0]->deactivate();
+    fleet.dispatchers[1]->activate(secondFence, fleet.now);
+    auto again = makeJob("job", 4, 27);
+    again.firstRun = 1001;
+    again.untilEarlierRunsEnd = 1250;
+    fleet.submit(1, again);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 5s));
+    BOOST_TEST((fleet.outcome("job")->end == JobEnd::Completed));
+    BOOST_TEST(fleet.mostCopies() == 1U);
+    uint64_t starts = 0;
+    for (const auto& [identity, target] : fleet.targets)
+        starts += target.starts;
+    BOOST_TEST(starts == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(a_dispatcher_with_a_low_token_stays_fenced_until_it_is_raised)
+{
+    auto fleet = makeFleet(2, { 64 });
+    fleet.dispatchers[1]->activate(secondFence, fleet.now);
+    fleet.run(50ms);
+    fleet.dispatchers[1]->deactivate();
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.run(500ms);
+    BOOST_TEST(fleet.dispatchers[0]->hasFencedTargets());
+    fleet.run(500ms);
+    BOOST_TEST(fleet.dispatchers[0]->hasFencedTargets());
+    fleet.dispatchers[0]->activate(secondFence + 1, fleet.now);
+    fleet.run(50ms);
+    BOOST_TEST(!fleet.dispatchers[0]->hasFencedTargets());
+    fleet.submit(0, makeJob("job", 1, 27));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 2s));
+}
+
+BOOST_AUTO_TEST_CASE(the_runs_of_an_entry_that_falls_silent_are_stopped)
+{
+    auto fleet = makeFleet(1, { 64 });
+    fleet.work = 30s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 2, 27));
+    fleet.run(200ms);
+    fleet.entriesRenew = false;
+    // Before the caller may send the job again, which is 1300 ms after its connection broke.
+    BOOST_TEST(fleet.runUntil([&] { return fleet.targets.at("target-a").running().empty(); }, 1200ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_job_that_cannot_end_in_time_is_refused_before_its_deadline)
+{
+    auto fleet = makeFleet(1, { 32 });
+    fleet.work = 3s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("long", 1, 27));
+    fleet.run(50ms);
+    auto urgent = makeJob("late", 1, 27);
+    urgent.untilDeadline = 1000;
+    fleet.submit(0, urgent);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("late") != nullptr; }, 950ms));
+    BOOST_TEST((fleet.outcome("late")->end == JobEnd::Refused));
+    BOOST_TEST(fleet.targets.at("target-a").starts == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_target_gets_nothing_new)
+{
+    auto fleet = makeFleet(1, { 64, 64 });
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.run(50ms);
+    auto& leaving = fleet.targets.at("target-a");
+    leaving.state = Membership::TargetState::Leaving;
+    ++leaving.sequence;
+    fleet.report();
+    fleet.submit(0, makeJob("job", 4, 27));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 2s));
+    BOOST_TEST(leaving.starts == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_target_is_used_again)
+{
+    auto fleet = makeFleet(1, { 64 });
+    fleet.work = 400ms;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 2, 27));
+    fleet.run(100ms);
+    fleet.targets.at("target-a").restart();
+    fleet.report();
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 5s));
+    BOOST_TEST((fleet.outcome("job")->end == JobEnd::Completed));
+    BOOST_TEST(fleet.mostCopies() == 1U);
+}
+
+// Two dispatchers that take turns, orders that are lost, late or answered in vain, and targets that restart: whatever
+// the order of these, no task runs twice at a time and no target is overfilled.
+BOOST_AUTO_TEST_CASE(random_schedules_never_double_a_run_or_overfill_a_target)
+{
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        std::mt19937 random(seed);
+        auto chance = [&](unsigned percent) { return random() % 100 < percent; };
+        auto fleet = makeFleet(2, { 64, 64, 96 });
+        fleet.decideFate = [&](size_t, const TargetPlace&, bool) {
+            SimulatedFleet::Fate fate;
+            fate.delay = Milliseconds(1 + random() % 5);
+            if (chance(3))
+                fate.delay = Milliseconds(2000 + random() % 3000);
+            fate.answerLost = chance(3);
+            fate.orderLost = chance(3);
+            return fate;
+        };
+        size_t active = 0;
+        uint64_t fence = firstFence;
+        fleet.dispatchers[active]->activate(fence, fleet.now);
+        std::vector<std::string> open;
+        for (unsigned turn = 0; turn < 60; ++turn) {
+            fleet.work = Milliseconds(50 + random() % 400);
+            auto job = makeJob("job-" + std::to_string(turn), 1 + random() % 4, 20 + static_cast<int64_t>(random() % 20));
+            open.push_back(job.job);
+            fleet.submit(active, job);
+            fleet.run(Milliseconds(20 + random() % 100));
+            if (chance(6)) {
+                // The former dispatcher goes on for a while, as one that has not heard of the change.
+                size_t former = active;
+                active = 1 - active;
+                fleet.dispatchers[active]->deactivate();
+                fleet.dispatchers[active]->activate(fence += 3, fleet.now);
+                for (const auto& name : open) {
+                    if (fleet.outcome(name))
+                        continue;
+                    auto again = fleet.submissions.at(name);
+                    again.firstRun += 1000;
+                    again.untilEarlierRunsEnd = 1250;
+                    fleet.submit(active, again);
+                }
+                fleet.run(Milliseconds(random() % 200));
+                fleet.dispatchers[former]->deactivate();
+            }
+        }
+        fleet.run(4s);
+        BOOST_TEST(!fleet.anyOverfilled(), "seed " << seed);
+        BOOST_TEST(fleet.mostCopies() <= 1U, "seed " << seed);
+    }
+}
