sassafrasshiftd: Keep earlier runs of a job apart from later ones in time

The lease of an entry is now 700 ms, the sum of the times is checked at compile time against the caller's 1300 ms, and the short cut holds only while all hosts that take reports have been alive for 3.5 s. Every report reaches the dispatcher. Each answer now ends its connection. Test: a_server_that_closes_gracefully_ends_each_connection_with_its_answer fails on the former code.

--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -72,13 +72,14 @@
 
 void Cluster::observeOne(const MemberRecord& record, Instant now)
 {
-    auto [position, isNew] = this->peers.try_emplace(record.address, Peer { record, now });
+    auto [position, isNew] = this->peers.try_emplace(record.address, Peer { record, now, now });
     if (isNew)
         return;
     auto& peer = position->second;
     if (std::tie(record.incarnation, record.heartbeat) <= std::tie(peer.record.incarnation, peer.record.heartbeat))
         return;
-    peer = Peer { record, now };
+    bool wasAlive = this->isAlive(record.address, now) && record.incarnation == peer.record.incarnation;
+    peer = Peer { record, now, wasAlive ? peer.aliveSince : now };
 }
 
 bool Cluster::isAlive(const std::string& address, Instant now) const
@@ -107,6 +108,16 @@
     return members;
 }
 
+bool Cluster::isSettled(Milliseconds duration, Instant now) const
+{
+    if (now - this->startedAt < duration)
+        return false;
+    return std::all_of(this->peers.begin(), this->peers.end(), [&](const auto& entry) {
+        const auto& peer = entry.second;
+        return peer.record.isEntry || (this->isAlive(entry.first, now) && now - peer.aliveSince >= duration);
+    });
+}
+
 const MemberRecord* Cluster::dispatcher(Instant now) const
 {
     const MemberRecord* best = nullptr;
--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -82,6 +82,9 @@
     [[nodiscard]] bool isAlive(const std::string& address, Instant now) const;
     /// All live members, and the own record first.
     [[nodiscard]] std::vector<const MemberRecord*> alive(Instant now) const;
+    /// Whether all members that take no jobs have been alive for some time, as far as is known here. While that holds, none
+    /// of what they tell every member has been missed.
+    [[nodiscard]] bool isSettled(Milliseconds, Instant now) const;
     /// The live, serving member with the claim of the highest epoch; null for none.
     [[nodiscard]] const MemberRecord* dispatcher(Instant now) const;
 
@@ -89,6 +92,8 @@
     struct Peer {
         MemberRecord record;
         Instant lastRise;
+        /// Since when it has been alive without a break.
+        Instant aliveSince;
     };
 
     [[nodiscard]] bool isBestCandidate(Instant now) const;
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -279,10 +279,10 @@
     record.outcome = std::move(outcome);
 }
 
-// Whether all that runs on any known target is known here.
+// Whether all that runs on any target is known here.
 bool TaskScheduler::allTargetsClaimed() const
 {
-    return std::all_of(this->sessions.begin(), this->sessions.end(), [](const auto& entry) { return entry.second.isClaimed(); });
+    return this->knowsAllTargets && std::all_of(this->sessions.begin(), this->sessions.end(), [](const auto& entry) { return entry.second.isClaimed(); });
 }
 
 bool TaskScheduler::mayStart(const Job& job, Instant now) const
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -18,7 +18,7 @@
     struct Options {
         LeaseOptions leases;
         /// The jobs of an entry that has not named them for this long are dropped, and their runs stopped.
-        Milliseconds entryLease { 900 };
+        Milliseconds entryLease { 700 };
         /// How long the outcome of a job is kept for an entry that may not have heard of it.
         Milliseconds outcomeRetention { 10'000 };
         size_t maximumJobs { 20'000 };
@@ -54,6 +54,8 @@
     void onStartAnswer(const TargetPlace&, const RunName&, const OrderAnswer&, Instant now);
     void onStopAnswer(const TargetPlace&, const RunName&, const OrderAnswer&, Instant now);
     void tick(Instant now);
+    /// Whether the reports that have come here name every target on which an earlier dispatcher may have started runs.
+    void setKnowsAllTargets(bool knows) { this->knowsAllTargets = knows; }
     /// This process stood still for some time: nothing is started before it is known what has changed meanwhile.
     void onPause(Instant now);
 
@@ -141,6 +143,7 @@
     std::map<Rank, std::string> order;
     std::unordered_map<std::string, Finished> finished;
     std::map<std::string, Instant> entryHeard;
+    bool knowsAllTargets { true };
     uint64_t arrivals { 0 };
     SpeedEstimator speeds;
     Instant nextForget {};
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -33,6 +33,7 @@
     std::vector<std::weak_ptr<ExchangeImplementation>> open;
     std::unique_ptr<Timer> hangUpTimer;
     size_t openCount { 0 };
+    bool closing { false };
     size_t checkPosition { 0 };
 
     void checkHangUps();
@@ -80,6 +81,9 @@
             return;
         auto* request = this->nativeRequest;
         this->release();
+        // Tells an HTTP/1.1 caller to open another connection for its next request (RFC 9112 section 9.6).
+        if (this->server->closing)
+            request->http1_is_persistent = 0;
         request->res.status = response.status;
         request->res.reason = "";
         for (const auto& header : response.headers)
@@ -260,6 +264,7 @@
 
 void HttpServer::closeGracefully()
 {
+    this->implementation->closing = true;
     h2o_context_request_shutdown(&this->implementation->context);
 }
 
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -46,7 +46,7 @@
     /// Refuses new connections; open ones go on.
     void stopAccepting();
 
-    /// Asks open connections to end once their requests are answered.
+    /// Ends each open connection with its next answer.
     void closeGracefully();
 
     /// The number of requests that were received and not yet answered.
--- a/Services/sassafrasshiftd/Cluster/ControlApi.cpp
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.cpp
@@ -102,9 +102,13 @@
     known = KnownTarget { *report, now };
     if (!isSame)
         this->spread(*report);
-    if (!leaves)
-        return answer(exchange, 200);
     auto dispatcher = this->context.dispatcherAddress();
+    if (!leaves) {
+        // Told again with each report, since a message between hosts may be lost.
+        if (isSame && !dispatcher.empty())
+            this->context.send(dispatcher, ReportNotice { *report, 0 });
+        return answer(exchange, 200);
+    }
     if (dispatcher.empty())
         return refuse(exchange, 503, "no dispatcher is known");
     auto number = this->nextNumber++;
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -10,6 +10,8 @@
 // The lower part of a fencing token tells the claimants of one epoch apart.
 static constexpr unsigned claimantBits = 24;
 static constexpr uint64_t claimantMask = (1U << claimantBits) - 1;
+// By then, hosts that take reports have told a member that came back of all targets.
+static constexpr Milliseconds settlingTime { 3500 };
 static constexpr Milliseconds raiseInterval { 200 };
 // The longest pause between two raises, in intervals: two dispatchers that reach the same targets must not chase each other.
 static constexpr uint64_t longestRaisePause = 16;
@@ -93,6 +95,7 @@
 void DispatchService::tick(Instant now)
 {
     this->followClaim(now);
+    this->scheduler.setKnowsAllTargets(this->context.cluster.isSettled(settlingTime, now));
     this->scheduler.tick(now);
     this->raiseFenceIfDue(now);
     this->carryOut();
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -1,4 +1,5 @@
 #include "Cluster/JobEntry.h"
+#include <LibScheduler/TaskScheduler.h>
 #include <LibTelemetry/Log.h>
 #include <algorithm>
 #include <charconv>
@@ -20,8 +21,13 @@
 // What an answer needs to reach its caller before the caller gives up.
 static constexpr Milliseconds answerMargin { 25 };
 static constexpr Milliseconds longestDeadline { 60'000 };
-// How long runs may go on that an unreachable dispatcher started: it stops them, or their leases end.
-static constexpr Milliseconds earlierRunsEnd { 1250 };
+// How long after its last answer the runs of an unreachable dispatcher may go on. It may have heard this entry once more
+// without being heard, keeps the runs for the entry's lease, and its orders to stop take time.
+static constexpr Milliseconds stopTime { 250 };
+static constexpr Milliseconds earlierRunsEnd = renewalInterval + Scheduler::TaskScheduler::Options {}.entryLease + stopTime;
+// The runs have to end before a caller whose connection broke may send its job again.
+static constexpr Milliseconds callerRetransmission { 1300 };
+static_assert(earlierRunsEnd < callerRetransmission);
 // Each further dispatcher numbers its runs above those of the ones before.
 static constexpr uint64_t runsPerDispatcher = 1000;
 // How long a job waits for a dispatcher to be found.
--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -240,3 +240,16 @@
     for (const auto* text : { "127.0.0.1", "host:80", "127.0.0.1:0", "127.0.0.1:99999", "127.0.0.1:8x" })
         BOOST_TEST(!Endpoint::parse(text).has_value());
 }
+
+BOOST_FIXTURE_TEST_CASE(a_server_that_closes_gracefully_ends_each_connection_with_its_answer, Fixture)
+{
+    this->serve([](const auto& exchange) { exchange->respond(HttpResponse { 200, {}, "whole" }); });
+    auto before = this->call({});
+    BOOST_REQUIRE(before.has_value());
+    BOOST_TEST(headerValue(before->headers, "connection") == "keep-alive");
+    this->server->closeGracefully();
+    auto after = this->call({});
+    BOOST_REQUIRE(after.has_value());
+    BOOST_TEST(after->body == "whole");
+    BOOST_TEST(headerValue(after->headers, "connection") == "close");
+}
