LibTransport: Refuse requests whose length is given twice, and close idle connections

Cause: a POST with two Content-Length headers, or with one beside Transfer-Encoding, was served (RFC 9112 section 6.3). A leaving member kept idle connections on which callers sent their next request until it ended. Tests on the wire: a_request_whose_length_is_given_twice_is_refused, idle_connections_are_closed_when_asked_for.

--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -4,6 +4,9 @@
 #include <cstring>
 #include <fcntl.h>
 #include <netinet/tcp.h>
+#include <set>
+#include <string_view>
+#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,12 +34,14 @@
     h2o_accept_ctx_t acceptContext {};
     h2o_socket_t* listener { nullptr };
     std::vector<std::weak_ptr<ExchangeImplementation>> open;
+    std::set<h2o_socket_t*> connections;
     std::unique_ptr<Timer> hangUpTimer;
     size_t openCount { 0 };
     bool closing { false };
     size_t checkPosition { 0 };
 
     void checkHangUps();
+    void closeIdleConnections();
 };
 
 class ExchangeImplementation final : public HttpExchange {
@@ -101,14 +106,19 @@
         this->notifyAbandoned();
     }
 
+    // The connection that carries the request; null where there is none any more.
+    h2o_socket_t* connection() const
+    {
+        if (!this->nativeRequest || !this->nativeRequest->conn->callbacks->get_socket)
+            return nullptr;
+        return this->nativeRequest->conn->callbacks->get_socket(this->nativeRequest->conn);
+    }
+
     bool callerHungUp()
     {
-        if (!this->nativeRequest || this->nativeRequest->version >= 0x200 || this->abandoned)
+        auto* socket = this->connection();
+        if (!socket || this->nativeRequest->version >= 0x200 || this->abandoned)
             return false;
-        auto* connection = this->nativeRequest->conn;
-        if (!connection->callbacks->get_socket)
-            return false;
-        auto* socket = connection->callbacks->get_socket(connection);
         char byte = 0;
         return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
     }
@@ -148,10 +158,42 @@
     std::weak_ptr<ExchangeImplementation> exchange;
 };
 
+// Whether a request's head says more than once how long its body is. Such a request may be read differently by others on
+// its way (RFC 9112 section 6.3).
+static bool hasAmbiguousLength(std::string_view head)
+{
+    static constexpr std::string_view lengthNames[] { "content-length", "transfer-encoding" };
+    size_t found = 0;
+    for (auto lineEnd = head.find("\r\n"); lineEnd != std::string_view::npos; lineEnd = head.find("\r\n")) {
+        head = head.substr(lineEnd + 2);
+        if (head.starts_with("\r\n"))
+            break;
+        for (auto name : lengthNames) {
+            if (head.size() > name.size() && strncasecmp(head.data(), name.data(), name.size()) == 0 && head[name.size()] == ':')
+                ++found;
+        }
+    }
+    return found > 1;
+}
+
+// The library does not hand on the headers that describe the body; it keeps the head while the request is handled.
+static std::string_view receivedHead(const ExchangeImplementation& exchange, const h2o_req_t* request)
+{
+    auto* connection = exchange.connection();
+    if (!connection || request->version >= 0x200)
+        return {};
+    return { connection->input->bytes, connection->input->size };
+}
+
 static int onRequest(h2o_handler_t* self, h2o_req_t* request)
 {
     auto* server = static_cast<HttpServer::Implementation*>(reinterpret_cast<HandlerWithServer*>(self)->server);
     auto exchange = std::make_shared<ExchangeImplementation>(request, server);
+    if (hasAmbiguousLength(receivedHead(*exchange, request))) {
+        exchange->closeConnection();
+        exchange->respond(HttpResponse { 400, {}, "the length of the body is given more than once" });
+        return 0;
+    }
     auto* memory = h2o_mem_alloc_shared(&request->pool, sizeof(ExchangeReference), [](void* pointer) {
         auto* reference = static_cast<ExchangeReference*>(pointer);
         if (auto exchange = reference->exchange.lock())
@@ -174,6 +216,16 @@
         auto* socket = h2o_evloop_socket_accept(listener);
         if (!socket)
             return;
+        server->connections.insert(socket);
+        struct Accepted {
+            HttpServer::Implementation* server;
+            h2o_socket_t* socket;
+        };
+        socket->on_close.data = new Accepted { server, socket };
+        socket->on_close.cb = [](void* data) {
+            std::unique_ptr<Accepted> accepted(static_cast<Accepted*>(data));
+            accepted->server->connections.erase(accepted->socket);
+        };
         h2o_accept(&server->acceptContext, socket);
     }
 }
@@ -197,6 +249,21 @@
     this->hangUpTimer = this->loop->after(hangUpCheckInterval, [this] { this->checkHangUps(); });
 }
 
+// The library sees the end of the connection when it reads next, and lets go of it.
+void HttpServer::Implementation::closeIdleConnections()
+{
+    std::set<h2o_socket_t*> idle = this->connections;
+    for (const auto& weak : this->open) {
+        if (auto exchange = weak.lock())
+            idle.erase(exchange->connection());
+    }
+    for (auto* socket : idle) {
+        // An answer that is still being written comes first.
+        if (!h2o_socket_is_writing(socket))
+            shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    }
+}
+
 HttpServer::HttpServer()
     : implementation(std::make_unique<Implementation>())
 {
@@ -268,6 +335,11 @@
     h2o_context_request_shutdown(&this->implementation->context);
 }
 
+void HttpServer::closeIdleConnections()
+{
+    this->implementation->closeIdleConnections();
+}
+
 size_t HttpServer::openExchanges() const
 {
     return this->implementation->openCount;
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -49,6 +49,9 @@
     /// Ends each open connection with its next answer.
     void closeGracefully();
 
+    /// Closes the connections on which no request is in progress.
+    void closeIdleConnections();
+
     /// The number of requests that were received and not yet answered.
     [[nodiscard]] size_t openExchanges() const;
 
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -263,6 +263,9 @@
         this->accepting = false;
         this->jobsServer->stopAccepting();
     }
+    // Callers open another connection for their next request, elsewhere.
+    if (this->jobsServer)
+        this->jobsServer->closeIdleConnections();
     bool expired = elapsed >= this->settings.shutdownTimeout - shutdownReserve;
     // The last answers have to leave the process before it ends.
     if (now - this->lastBusy < quietTime && !expired)
--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -253,3 +253,55 @@
     BOOST_TEST(after->body == "whole");
     BOOST_TEST(headerValue(after->headers, "connection") == "close");
 }
+
+namespace {
+
+// Sends bytes on a connection of its own, and reads until the other side closes it.
+std::string exchangeRaw(EventLoop& loop, const std::string& bytes)
+{
+    std::string received;
+    std::thread thread([&] {
+        int connection = socket(AF_INET, SOCK_STREAM, 0);
+        auto address = serverEndpoint.toSocketAddress();
+        if (connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+            (void)!write(connection, bytes.data(), bytes.size());
+            char buffer[4096];
+            for (ssize_t count = 0; (count = read(connection, buffer, sizeof(buffer))) > 0;)
+                received.append(buffer, static_cast<size_t>(count));
+        }
+        close(connection);
+        loop.post([&] { loop.stop(); });
+    });
+    loop.run();
+    thread.join();
+    return received;
+}
+
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_whose_length_is_given_twice_is_refused, Fixture)
+{
+    size_t served = 0;
+    this->serve([&](const auto& exchange) {
+        ++served;
+        exchange->respond(HttpResponse { 200, {}, {} });
+    });
+    for (const auto* request : { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n123456",
+             "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 6\r\n\r\n1\r\na\r\n0\r\n\r\n",
+             "POST / HTTP/1.1\r\nHost: a\r\ncontent-length: 6\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n" }) {
+        auto answer = exchangeRaw(*this->loop, request);
+        BOOST_TEST(answer.starts_with("HTTP/1.1 400"), answer);
+    }
+    BOOST_TEST(served == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(idle_connections_are_closed_when_asked_for, Fixture)
+{
+    this->serve([&](const auto& exchange) {
+        exchange->respond(HttpResponse { 200, {}, {} });
+        this->loop->post([this] { this->server->closeIdleConnections(); });
+    });
+    // The connection stays open after the answer unless the server closes it.
+    auto answer = exchangeRaw(*this->loop, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+}
