--- a/Libraries/LibScheduler/SpeedEstimator.cpp
+++ b/Libraries/LibScheduler/SpeedEstimator.cpp
@@ -26,4 +26,12 @@
     return Milliseconds(static_cast<Milliseconds::rep>(static_cast<double>(estimate.count()) * position->second.mean));
 }
 
+Milliseconds SpeedEstimator::expectedAtBest(const std::string& queue, Milliseconds estimate) const
+{
+    auto best = Milliseconds::max();
+    for (auto position = this->ratios.lower_bound(Key { queue, {} }); position != this->ratios.end() && position->first.queue == queue; ++position)
+        best = std::min(best, this->expected(queue, position->first.kind, estimate));
+    return best == Milliseconds::max() ? estimate : best;
+}
+
 }
--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -9,7 +9,7 @@
 static constexpr Milliseconds maximumSetAside { 4000 };
 // Failures in a row after which a target is set aside.
 static constexpr int toleratedFailures { 2 };
-static constexpr Milliseconds stopRepeat { 150 };
+static constexpr Milliseconds stopRepeat { 120 };
 
 TargetSession::TargetSession(Membership::TargetReport report, uint64_t fence, LeaseOptions options, Instant now)
     : report(std::move(report))
@@ -39,6 +39,7 @@
     this->fence = token;
     this->phase = Phase::Claiming;
     this->openHold.reset();
+    this->openProbe.reset();
     this->nextHold = now;
     // An earlier dispatcher may have granted leases that are not known here.
     this->leasesUnknownUntil = std::max(this->leasesUnknownUntil, now + this->options.maximumLease * (100 + this->options.clockDriftPercent) / 100);
@@ -86,13 +87,24 @@
     return now >= this->clockReadAt + remaining + Milliseconds(1);
 }
 
+TargetSession::OpenHold TargetSession::makeHold(Milliseconds wait, Instant now)
+{
+    OpenHold hold { this->nextNumber++, now };
+    this->orders.holds.push_back(HoldOrder { this->place(), hold.number, this->fence, this->lastEndSeen, this->leaseEnd(now), wait });
+    this->lastEndReported = this->lastEndSeen;
+    return hold;
+}
+
 void TargetSession::sendHold(Instant now)
 {
-    this->openHold = this->nextNumber++;
-    this->holdSentAt = now;
     bool settled = this->phase == Phase::Claimed && this->clock;
-    this->orders.holds.push_back(HoldOrder { this->place(), *this->openHold, this->fence, this->lastEndSeen, this->leaseEnd(now), settled ? this->options.holdWait : Milliseconds(0) });
-    this->lastEndReported = this->lastEndSeen;
+    this->openHold = this->makeHold(settled ? this->options.holdWait : Milliseconds(0), now);
+}
+
+// Asks what runs now, beside a hold that waits for an end.
+void TargetSession::sendProbe(Instant now)
+{
+    this->openProbe = this->makeHold(Milliseconds(0), now);
 }
 
 void TargetSession::start(const RunName& name, const Catalog::Needs& needs, const std::string& payload, Instant now)
@@ -143,7 +155,9 @@
     if (!run.needsKnown)
         --this->unknownNeeds;
     this->used = this->used.minus(run.needs);
-    auto duration = run.startedAt == Instant {} ? Milliseconds(0) : std::chrono::duration_cast<Milliseconds>(now - run.startedAt);
+    // Where answers were missing, the run may have ended long ago.
+    bool isKnown = run.startedAt != Instant {} && this->unansweredHolds == 0;
+    auto duration = isKnown ? std::chrono::duration_cast<Milliseconds>(now - run.startedAt) : Milliseconds(0);
     this->events.push_back(Event { Event::Kind::Over, position->first, end, staleNumber, duration });
     this->knownRuns.erase(position);
 }
@@ -206,25 +220,41 @@
 
 void TargetSession::onHoldAnswer(uint64_t number, const HoldAnswer& answer, Instant now)
 {
-    if (this->openHold != number || this->phase == Phase::Gone)
+    bool isProbe = this->openProbe && this->openProbe->number == number;
+    bool isHold = this->openHold && this->openHold->number == number;
+    if ((!isProbe && !isHold) || this->phase == Phase::Gone)
         return;
-    this->openHold.reset();
+    auto hold = *std::exchange(isProbe ? this->openProbe : this->openHold, std::nullopt);
     if (const auto* list = std::get_if<RunList>(&answer)) {
-        if (!list->incarnation.empty() && list->incarnation != this->report.incarnation)
-            this->onRestart(list->incarnation);
-        this->observeClock(list->clock, now);
-        this->phase = Phase::Claimed;
-        this->takeIn(*list, this->holdSentAt, now);
+        this->takeInAnswer(hold, *list, now);
         this->nextHold = now;
         return;
     }
-    this->nextHold = now + this->options.claimRetry;
     if (const auto* refused = std::get_if<Refused>(&answer)) {
+        this->nextHold = now + this->options.claimRetry;
         this->onRefusal(refused->why, now);
         return;
     }
-    this->setAside(this->options.claimRetry, now);
-    this->nextHold = now + (this->knownRuns.empty() ? this->options.claimRetry : Milliseconds(20));
+    if (isHold)
+        this->onUnansweredHold(now);
+}
+
+void TargetSession::takeInAnswer(const OpenHold& hold, const RunList& list, Instant now)
+{
+    if (!list.incarnation.empty() && list.incarnation != this->report.incarnation)
+        this->onRestart(list.incarnation);
+    this->observeClock(list.clock, now);
+    this->phase = Phase::Claimed;
+    this->takeIn(list, hold.sentAt, now);
+    this->unansweredHolds = 0;
+}
+
+void TargetSession::onUnansweredHold(Instant now)
+{
+    ++this->unansweredHolds;
+    this->nextHold = now + (this->knownRuns.empty() ? this->options.claimRetry : Milliseconds(0));
+    if (this->unansweredHolds >= toleratedFailures)
+        this->setAside(this->options.claimRetry, now);
 }
 
 // Another process answers under the same identity: it knows nothing of earlier runs, and its counts begin anew.
@@ -258,6 +288,7 @@
     std::set<RunName> running(list.running.begin(), list.running.end());
     for (const auto& name : running) {
         auto [position, isNew] = this->knownRuns.try_emplace(name);
+        position->second.seenAt = now;
         if (!isNew)
             continue;
         position->second.state = RunState::Foreign;
@@ -273,7 +304,7 @@
             continue;
         // Only an answer to a question that was asked later than the run's state was confirmed says that it is over.
         bool wasConfirmed = (run.state == RunState::Running && run.startedAt < sentAt) || run.state == RunState::Foreign
-            || (run.stopConfirmed && *run.stopConfirmed < sentAt);
+            || (run.stopConfirmed && *run.stopConfirmed <= sentAt);
         if (wasConfirmed)
             absent.push_back(name);
     }
@@ -300,8 +331,8 @@
         return;
     }
     this->countFailure(now);
-    this->setAside(firstSetAside, now);
     if (std::get<Unanswered>(answer).verdict == Verdict::NotRun) {
+        this->setAside(firstSetAside, now);
         this->finish(position, {}, now);
         return;
     }
@@ -316,9 +347,8 @@
     if (std::holds_alternative<Obeyed>(answer)) {
         if (position != this->knownRuns.end())
             position->second.stopConfirmed = now;
-        // The answer that is waited for may have been written before the stop.
-        if (!this->openHold)
-            this->nextHold = now;
+        if (position != this->knownRuns.end() && !this->openProbe)
+            this->sendProbe(now);
         return;
     }
     if (const auto* refused = std::get_if<Refused>(&answer))
@@ -334,8 +364,11 @@
 {
     if (this->phase == Phase::Gone)
         return;
-    if (this->openHold && now >= this->holdSentAt + this->options.holdWait + this->options.answerTimeout + Milliseconds(50))
-        this->onHoldAnswer(*this->openHold, Unanswered {}, now);
+    auto latest = this->options.holdWait + this->options.answerTimeout + Milliseconds(50);
+    for (auto open : { this->openHold, this->openProbe }) {
+        if (open && now >= open->sentAt + latest)
+            this->onHoldAnswer(open->number, Unanswered {}, now);
+    }
     if (this->leasesLapsed(now) && !this->knownRuns.empty() && this->phase != Phase::Claimed)
         this->finishAll(RunEnd::Lapsed, now);
     else if (this->leasesLapsed(now) && !this->knownRuns.empty()) {
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -15,9 +15,9 @@
     /// The longest lease that a target grants.
     Milliseconds maximumLease { 1000 };
     /// How long a target may wait with the answer to a hold.
-    Milliseconds holdWait { 400 };
+    Milliseconds holdWait { 250 };
     /// How long an answer may take beyond that.
-    Milliseconds answerTimeout { 350 };
+    Milliseconds answerTimeout { 200 };
     /// Between two attempts to reach a target that does not answer.
     Milliseconds claimRetry { 400 };
     /// How long a run of unknown origin is left for its entry to name its job again.
@@ -51,6 +51,8 @@
         bool needsKnown { true };
         Instant since {};
         Instant startedAt {};
+        /// When the target last said that it was going on.
+        Instant seenAt {};
         /// When the target confirmed that the run cannot start any more, or is being stopped.
         std::optional<Instant> stopConfirmed;
         std::optional<Instant> stopSentAt;
@@ -72,6 +74,7 @@
         std::optional<RunEnd> end;
         /// Whether the run's number was too low for the target.
         bool staleNumber { false };
+        /// Zero where it is not known how long the run went on.
         Milliseconds duration { 0 };
     };
 
@@ -126,11 +129,21 @@
         Gone,
     };
 
+    /// A hold that is not answered yet.
+    struct OpenHold {
+        uint64_t number { 0 };
+        Instant sentAt {};
+    };
+
     [[nodiscard]] TargetPlace place() const;
     [[nodiscard]] int64_t leaseEnd(Instant now);
     [[nodiscard]] bool needsHold() const;
     [[nodiscard]] bool leasesLapsed(Instant now) const;
     void sendHold(Instant now);
+    void sendProbe(Instant now);
+    [[nodiscard]] OpenHold makeHold(Milliseconds wait, Instant now);
+    void takeInAnswer(const OpenHold&, const RunList&, Instant now);
+    void onUnansweredHold(Instant now);
     void learnNeeds(Run&, const Catalog::Needs&);
     void sendStop(const RunName&, Run&, Instant now);
     void onRestart(const std::string& incarnation);
@@ -152,9 +165,11 @@
     /// Runs that occupy nobody knows how much: nothing is started beside them.
     size_t unknownNeeds { 0 };
 
-    std::optional<uint64_t> openHold;
+    std::optional<OpenHold> openHold;
+    /// One that was sent beside it, to be answered at once.
+    std::optional<OpenHold> openProbe;
     uint64_t nextNumber { 1 };
-    Instant holdSentAt {};
+    int unansweredHolds { 0 };
     Instant nextHold {};
     uint64_t lastEndSeen { 0 };
     uint64_t lastEndReported { 0 };
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -8,8 +8,12 @@
 using Membership::TargetState;
 
 static constexpr Milliseconds forgetInterval { 500 };
+// The share of a target's room that tasks fill on average, since they do not divide it evenly.
+static constexpr double usableShare { 0.8 };
 // Run numbers that are skipped where a target knows a higher one than this dispatcher does.
 static constexpr uint64_t staleRunStep { 100 };
+// A target that is slower than this gets nothing until what is known of it is old.
+static constexpr double tolerableSlowness { 2.5 };
 static constexpr Milliseconds minimumRetryAfter { 200 };
 // What a job's answer needs to reach its caller.
 static constexpr Milliseconds deadlineMargin { 60 };
@@ -73,6 +77,7 @@
 void TaskScheduler::onTargetGone(const std::string& identity, Instant now)
 {
     this->reports.erase(identity);
+    this->targetSpeeds.erase(identity);
     auto position = this->sessions.find(identity);
     if (position == this->sessions.end())
         return;
@@ -90,23 +95,34 @@
     return &position->second;
 }
 
+// Milliseconds of a thousandth of a core.
+double TaskScheduler::remainingWork(const Job& job)
+{
+    return static_cast<double>(job.waiting) * static_cast<double>(job.submission.needs.milliCores) * toMilliseconds(job.expected);
+}
+
+// Thousandths of a core that targets can put to use; tasks do not fill them to the last.
+double TaskScheduler::workRate() const
+{
+    double capacity = 0;
+    for (const auto& [identity, session] : this->sessions) {
+        if (session.target().state == TargetState::Serving && !session.isFenced())
+            capacity += static_cast<double>(session.target().capacity.milliCores);
+    }
+    return capacity * usableShare;
+}
+
 Milliseconds TaskScheduler::expectedWait(const Submission& submission) const
 {
     double queued = 0;
     for (const auto& [rank, name] : this->order) {
         if (rank.priority > submission.priority)
             break;
-        const auto& job = this->jobs.at(name);
-        queued += static_cast<double>(job.waiting) * static_cast<double>(job.submission.needs.milliCores) * static_cast<double>(job.submission.estimateMilliseconds);
+        if (!rank.isLate)
+            queued += remainingWork(this->jobs.at(name));
     }
-    double capacity = 0;
-    for (const auto& [identity, session] : this->sessions) {
-        if (session.target().pool == submission.pool && session.target().state == TargetState::Serving && !session.isFenced())
-            capacity += static_cast<double>(session.target().capacity.milliCores);
-    }
-    if (capacity <= 0)
-        return maximumRetryAfter;
-    return Milliseconds(static_cast<Milliseconds::rep>(queued / capacity));
+    auto rate = this->workRate();
+    return rate > 0 ? Milliseconds(static_cast<Milliseconds::rep>(queued / rate)) : Milliseconds(0);
 }
 
 std::optional<JobOutcome> TaskScheduler::refusalFor(const Submission& submission, Instant) const
@@ -119,13 +135,16 @@
         const auto& target = session.target();
         anyTarget = anyTarget || (target.pool == submission.pool && submission.needs.fitInto(target.capacity));
     }
+    if (!this->knowsAllTargets)
+        return {};
     if (!anyTarget) {
         outcome.reason = "no-target";
         outcome.retryAfterMilliseconds = 1000;
         return outcome;
     }
     auto wait = this->expectedWait(submission);
-    if (wait.count() + submission.estimateMilliseconds / 2 <= submission.untilDeadline)
+    auto expected = this->speeds.expectedAtBest(submission.queue, Milliseconds(submission.estimateMilliseconds));
+    if (wait.count() + expected.count() <= submission.untilDeadline)
         return {};
     outcome.retryAfterMilliseconds = std::clamp(wait, minimumRetryAfter, maximumRetryAfter).count();
     return outcome;
@@ -159,7 +178,8 @@
     job.arrivedAt = now;
     job.deadline = now + Milliseconds(submission.untilDeadline);
     job.notBefore = now + Milliseconds(submission.untilEarlierRunsEnd);
-    job.rank = Rank { submission.priority, now + Milliseconds(submission.untilObjective), this->arrivals++ };
+    job.expected = this->speeds.expectedAtBest(submission.queue, Milliseconds(submission.estimateMilliseconds));
+    job.rank = Rank { submission.priority, false, now + Milliseconds(submission.untilObjective), this->arrivals++ };
     job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, firstRun, {}, 0 });
     job.waiting = submission.taskCount;
     auto& kept = this->jobs.emplace(submission.job, std::move(job)).first->second;
@@ -305,7 +325,11 @@
             continue;
         if (submission.maximumPerTarget > 0 && session.runsOf(submission.job) >= submission.maximumPerTarget)
             continue;
-        auto expected = this->speeds.expected(submission.queue, target.kind, Milliseconds(submission.estimateMilliseconds));
+        auto usual = this->speeds.expected(submission.queue, target.kind, Milliseconds(submission.estimateMilliseconds));
+        auto slowness = this->targetSpeeds[identity].slowness(now);
+        if (slowness > tolerableSlowness)
+            continue;
+        auto expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(usual) * slowness));
         std::pair score { expected, session.freeRoom().minus(submission.needs).milliCores };
         if (!best || score < bestScore) {
             best = &session;
@@ -358,6 +382,16 @@
     }
 }
 
+void TaskScheduler::observeRun(const Job& job, const TargetSession& session, Milliseconds duration, Instant now)
+{
+    const auto& target = session.target();
+    Milliseconds estimate(job.submission.estimateMilliseconds);
+    this->targetSpeeds[target.identity].observe(duration, this->speeds.expected(job.submission.queue, target.kind, estimate), now);
+    // A target that is slow at present says nothing of its kind.
+    if (this->targetSpeeds[target.identity].slowness(now) < tolerableSlowness)
+        this->speeds.observe(job.submission.queue, target.kind, estimate, duration);
+}
+
 void TaskScheduler::onOver(const TargetSession& session, const TargetSession::Event& event, Instant now)
 {
     auto position = this->jobs.find(event.run.task.job);
@@ -371,7 +405,7 @@
         task.nextRun += staleRunStep;
     if (event.end == RunEnd::Done) {
         if (event.duration.count() > 0)
-            this->speeds.observe(job.submission.queue, session.target().kind, Milliseconds(job.submission.estimateMilliseconds), event.duration);
+            this->observeRun(job, session, event.duration, now);
         task.state = TaskState::Done;
         if (++job.done == job.tasks.size())
             this->finish(event.run.task.job, JobEnd::Completed, "completed", now);
@@ -429,18 +463,56 @@
     }
 }
 
-// A job of which nothing has started, and which cannot end in time any more, is refused at once.
+// Answers a burst beyond what the targets can do: were all served in the order of their objectives, all would be late.
+void TaskScheduler::demoteLate(Instant now)
+{
+    std::vector<std::string> late;
+    for (const auto& [rank, name] : this->order) {
+        const auto& job = this->jobs.at(name);
+        if (!rank.isLate && job.starts == 0 && now + job.expected > rank.objective)
+            late.push_back(name);
+    }
+    for (const auto& name : late) {
+        auto& job = this->jobs.at(name);
+        this->order.erase(job.rank);
+        job.rank.isLate = true;
+        this->order.emplace(job.rank, name);
+    }
+}
+
+// A job of which nothing has started, and which cannot end in time behind what comes before it, is refused at once.
 void TaskScheduler::refuseHopeless(Instant now)
 {
+    auto rate = this->knowsAllTargets ? this->workRate() : 0;
+    double ahead = 0;
     std::vector<std::string> hopeless;
-    for (const auto& [name, job] : this->jobs) {
-        if (job.starts == 0 && job.waiting == job.tasks.size() && now + Milliseconds(job.submission.estimateMilliseconds / 2) + deadlineMargin >= job.deadline)
+    for (const auto& [rank, name] : this->order) {
+        const auto& job = this->jobs.at(name);
+        auto wait = rate > 0 ? Milliseconds(static_cast<Milliseconds::rep>(ahead / rate)) : Milliseconds(0);
+        if (job.starts == 0 && job.waiting == job.tasks.size() && now + wait + job.expected + deadlineMargin >= job.deadline)
             hopeless.push_back(name);
+        else
+            ahead += remainingWork(job);
     }
     for (const auto& name : hopeless)
         this->finish(name, JobEnd::Refused, "deadline", now);
 }
 
+// Runs that go on for longer than is usual tell of a slow target before they end.
+void TaskScheduler::observeStragglers(Instant now)
+{
+    for (const auto& [identity, session] : this->sessions) {
+        for (const auto& [name, run] : session.runs()) {
+            auto position = this->jobs.find(name.task.job);
+            if (position == this->jobs.end() || run.startedAt == Instant {} || run.seenAt < run.startedAt)
+                continue;
+            const auto& submission = position->second.submission;
+            auto usual = this->speeds.expected(submission.queue, session.target().kind, Milliseconds(submission.estimateMilliseconds));
+            this->targetSpeeds[identity].observeUnfinished(std::chrono::duration_cast<Milliseconds>(run.seenAt - run.startedAt), usual, now);
+        }
+    }
+}
+
 void TaskScheduler::forgetFinished(Instant now)
 {
     if (now < this->nextForget)
@@ -465,6 +537,8 @@
     }
     for (const auto& name : lost)
         this->dropJob(name, now);
+    this->observeStragglers(now);
+    this->demoteLate(now);
     this->refuseHopeless(now);
     this->forgetFinished(now);
     this->pump(now);
@@ -493,6 +567,21 @@
     return std::exchange(this->effects, {});
 }
 
+TaskScheduler::TargetCounts TaskScheduler::countTargets(Instant now) const
+{
+    TargetCounts counts;
+    for (const auto& [identity, session] : this->sessions) {
+        ++counts.known;
+        if (!session.mayStart(now))
+            continue;
+        ++counts.usable;
+        auto speed = this->targetSpeeds.find(identity);
+        if (speed != this->targetSpeeds.end() && speed->second.slowness(now) > tolerableSlowness)
+            ++counts.slow;
+    }
+    return counts;
+}
+
 bool TaskScheduler::hasFencedTargets() const
 {
     return std::any_of(this->sessions.begin(), this->sessions.end(), [](const auto& entry) { return entry.second.isFenced(); });
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -2,6 +2,7 @@
 
 #include <LibScheduler/SpeedEstimator.h>
 #include <LibScheduler/TargetSession.h>
+#include <LibScheduler/TargetSpeed.h>
 #include <map>
 #include <memory>
 #include <set>
@@ -61,6 +62,15 @@
 
     [[nodiscard]] Effects takeEffects();
 
+    /// How many targets there are, and in which state; for logs and metrics.
+    struct TargetCounts {
+        size_t known { 0 };
+        /// Claimed, serving, and not set aside.
+        size_t usable { 0 };
+        /// Usable, and left out since they are slow.
+        size_t slow { 0 };
+    };
+    [[nodiscard]] TargetCounts countTargets(Instant now) const;
     /// Whether another dispatcher holds any target under a higher token.
     [[nodiscard]] bool hasFencedTargets() const;
     [[nodiscard]] size_t openJobs() const { return this->jobs.size(); }
@@ -88,6 +98,8 @@
     /// The order in which jobs are served.
     struct Rank {
         int64_t priority { 0 };
+        /// Whether it is too late for the job's objective: others can still be served in time.
+        bool isLate { false };
         Instant objective {};
         uint64_t arrival { 0 };
 
@@ -101,6 +113,8 @@
         Instant arrivedAt {};
         Instant deadline {};
         Instant notBefore {};
+        /// The usual duration of one of its tasks.
+        Milliseconds expected { 0 };
         std::vector<Task> tasks;
         size_t waiting { 0 };
         size_t done { 0 };
@@ -120,6 +134,7 @@
     [[nodiscard]] TargetSession* chooseTarget(const Job&, Instant now);
     [[nodiscard]] bool mayStart(const Job&, Instant now) const;
     void drainSession(TargetSession&, Instant now);
+    void observeRun(const Job&, const TargetSession&, Milliseconds duration, Instant now);
     void onOver(const TargetSession&, const TargetSession::Event&, Instant now);
     void onFound(TargetSession&, const RunName&);
     void adoptRuns(Job&);
@@ -127,11 +142,15 @@
     void finish(const std::string& job, JobEnd, std::string reason, Instant now);
     void dropJob(const std::string& job, Instant now);
     void stopRuns(const Job&, Instant now);
+    void demoteLate(Instant now);
     void refuseHopeless(Instant now);
+    void observeStragglers(Instant now);
+    [[nodiscard]] double workRate() const;
     void forgetFinished(Instant now);
     [[nodiscard]] bool allTargetsClaimed() const;
     [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&, Instant now) const;
     [[nodiscard]] Milliseconds expectedWait(const Submission&) const;
+    [[nodiscard]] static double remainingWork(const Job&);
     TargetSession* findSession(const TargetPlace&);
 
     Options options;
@@ -146,6 +165,7 @@
     bool knowsAllTargets { true };
     uint64_t arrivals { 0 };
     SpeedEstimator speeds;
+    std::map<std::string, TargetSpeed> targetSpeeds;
     Instant nextForget {};
     Effects effects;
 };
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -12,6 +12,7 @@
 static constexpr uint64_t claimantMask = (1U << claimantBits) - 1;
 // By then, hosts that take reports have told a member that came back of all targets.
 static constexpr Milliseconds settlingTime { 3500 };
+static constexpr Milliseconds descriptionInterval { 1000 };
 static constexpr Milliseconds raiseInterval { 200 };
 // The longest pause between two raises, in intervals: two dispatchers that reach the same targets must not chase each other.
 static constexpr uint64_t longestRaisePause = 16;
@@ -20,8 +21,8 @@
 {
     Scheduler::TaskScheduler::Options options;
     options.leases.maximumLease = settings.maximumLease;
-    options.leases.holdWait = settings.maximumLease * 2 / 5;
-    options.leases.answerTimeout = Platform::TargetClient::answerTimeout;
+    options.leases.holdWait = settings.maximumLease / 4;
+    options.leases.answerTimeout = Platform::TargetClient::holdTimeout;
     return options;
 }
 
@@ -99,6 +100,7 @@
     this->scheduler.tick(now);
     this->raiseFenceIfDue(now);
     this->carryOut();
+    this->describe(now);
 }
 
 void DispatchService::onPause(Instant now)
@@ -106,6 +108,17 @@
     this->scheduler.onPause(now);
 }
 
+void DispatchService::describe(Instant now)
+{
+    if (!this->scheduler.isActive() || now < this->nextDescription)
+        return;
+    this->nextDescription = now + descriptionInterval;
+    auto counts = this->scheduler.countTargets(now);
+    Telemetry::log(LogLevel::Information, "dispatch-state", "what the dispatcher holds",
+        { { "openJobs", std::to_string(this->scheduler.openJobs()) }, { "waitingTasks", std::to_string(this->scheduler.waitingTasks()) }, { "runs", std::to_string(this->scheduler.openRuns()) },
+            { "targets", std::to_string(counts.known) }, { "usable", std::to_string(counts.usable) }, { "slow", std::to_string(counts.slow) } });
+}
+
 // The orders of one turn of the loop leave together.
 void DispatchService::scheduleCarryOut()
 {
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -26,6 +26,7 @@
     void followClaim(Instant now);
     void raiseFenceIfDue(Instant now);
     void carryOut();
+    void describe(Instant now);
     void scheduleCarryOut();
     [[nodiscard]] uint64_t fencingToken() const;
 
@@ -34,6 +35,7 @@
     Scheduler::TaskScheduler scheduler;
     uint64_t activeEpoch { 0 };
     Instant nextRaise {};
+    Instant nextDescription {};
     uint64_t raiseStep { 1 };
     bool carryOutScheduled { false };
 };
--- a/Tests/LibScheduler/TestTaskScheduler.cpp
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -224,3 +224,58 @@
         BOOST_TEST(fleet.mostCopies() <= 1U, "seed " << seed);
     }
 }
+
+// A burst of more than the targets can do: those that can still be served in time come before those that cannot.
+BOOST_AUTO_TEST_CASE(in_a_burst_late_jobs_wait_for_those_that_can_be_in_time)
+{
+    auto fleet = makeFleet(1, { 32 });
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    for (int i = 0; i < 20; ++i) {
+        auto job = makeJob("early-" + std::to_string(i), 1, 27);
+        job.untilObjective = 400;
+        fleet.submit(0, job);
+    }
+    fleet.run(600ms);
+    auto fresh = makeJob("fresh", 1, 27);
+    fresh.untilObjective = 400;
+    auto submitted = fleet.now;
+    fleet.submit(0, fresh);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("fresh") != nullptr; }, 400ms));
+    BOOST_TEST((fleet.now - submitted <= 400ms));
+    BOOST_TEST(fleet.outcome("early-19") == nullptr);
+    // Late answers are delivered all the same.
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("early-19") != nullptr; }, 5s));
+    BOOST_TEST((fleet.outcome("early-19")->end == JobEnd::Completed));
+}
+
+// An order that gets no answer, as when a target carries it out seconds later: its task soon runs all the same.
+BOOST_AUTO_TEST_CASE(a_lost_start_is_made_up_for_soon)
+{
+    auto fleet = makeFleet(1, { 64, 64 });
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.run(50ms);
+    bool first = true;
+    fleet.decideFate = [&](size_t, const TargetPlace&, bool isStart) {
+        SimulatedFleet::Fate fate;
+        fate.orderLost = isStart && std::exchange(first, isStart ? false : first);
+        return fate;
+    };
+    fleet.submit(0, makeJob("job", 1, 27));
+    // The simulated client gives up an order after 350 ms; the stop, the proof and the run itself follow.
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 350ms + 150ms));
+    BOOST_TEST(fleet.mostCopies() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_refused_for_want_of_targets_before_they_can_have_reported)
+{
+    SimulatedFleet fleet(1);
+    fleet.addTarget("target-a", 64);
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.dispatchers[0]->setKnowsAllTargets(false);
+    fleet.submit(0, makeJob("job", 1, 27));
+    fleet.run(300ms);
+    BOOST_TEST(fleet.outcome("job") == nullptr);
+    fleet.report();
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 1s));
+    BOOST_TEST((fleet.outcome("job")->end == JobEnd::Completed));
+}
