LibScheduler: Serve late jobs of any priority after all that can be in time

Cause: in a burst, late jobs of the first priority displaced jobs of the others that could still be in time. No worth was put behind what is less urgent.

--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -116,10 +116,9 @@
 {
     double queued = 0;
     for (const auto& [rank, name] : this->order) {
-        if (rank.priority > submission.priority)
+        if (rank.isLate || rank.priority > submission.priority)
             break;
-        if (!rank.isLate)
-            queued += remainingWork(this->jobs.at(name));
+        queued += remainingWork(this->jobs.at(name));
     }
     auto rate = this->workRate();
     return rate > 0 ? Milliseconds(static_cast<Milliseconds::rep>(queued / rate)) : Milliseconds(0);
@@ -179,7 +178,7 @@
     job.deadline = now + Milliseconds(submission.untilDeadline);
     job.notBefore = now + Milliseconds(submission.untilEarlierRunsEnd);
     job.expected = this->speeds.expectedAtBest(submission.queue, Milliseconds(submission.estimateMilliseconds));
-    job.rank = Rank { submission.priority, false, now + Milliseconds(submission.untilObjective), this->arrivals++ };
+    job.rank = Rank { false, submission.priority, now + Milliseconds(submission.untilObjective), this->arrivals++ };
     job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, firstRun, {}, 0 });
     job.waiting = submission.taskCount;
     auto& kept = this->jobs.emplace(submission.job, std::move(job)).first->second;
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -97,9 +97,9 @@
 
     /// The order in which jobs are served.
     struct Rank {
-        int64_t priority { 0 };
         /// Whether it is too late for the job's objective: others can still be served in time.
         bool isLate { false };
+        int64_t priority { 0 };
         Instant objective {};
         uint64_t arrival { 0 };
 
