LibMembership: Detect lost members sooner, and let a lonely member wait before it claims

Cause: after a loss of power everywhere, each entry claimed to be the dispatcher before it had heard of any other (seven claims, each raising its token above the others'), connections to hosts without power hung for a second, the ledger took up to a second to elect, and each document of the log was told to all entries. In a cut zone, one second passed before the dispatcher beyond the cut was given up. Change: gossip every 100 ms in small clusters, loss after 7 intervals; connections between members are given up after 250 ms, batches after 700 ms; elections after 300 ms; a member that has heard of nobody waits 1500 ms; only the latest document is told.

--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -13,6 +13,11 @@
 {
 }
 
+Milliseconds Cluster::interval() const
+{
+    return this->peers.size() + 1 < this->options.largeCluster ? this->options.smallClusterInterval : this->options.largeClusterInterval;
+}
+
 std::vector<std::string> Cluster::nextRecipients(Instant now)
 {
     ++this->own.heartbeat;
@@ -87,7 +92,7 @@
     if (address == this->own.address)
         return true;
     auto position = this->peers.find(address);
-    return position != this->peers.end() && now - position->second.lastRise <= this->options.failureTimeout;
+    return position != this->peers.end() && now - position->second.lastRise <= this->failureTimeout();
 }
 
 const MemberRecord* Cluster::find(const std::string& address) const
@@ -156,8 +161,9 @@
     if (!this->candidateSince)
         this->candidateSince = now;
     // A claim that is known to have ended is followed at once; otherwise others may still be on their way.
-    bool mayClaim = this->highestEpoch > 0 || now - *this->candidateSince >= this->options.claimDelay;
-    if (mayClaim && now - this->startedAt >= this->options.claimDelay)
+    auto delay = this->peers.empty() ? this->options.lonelyClaimDelay : this->options.claimDelay;
+    bool mayClaim = this->highestEpoch > 0 || now - *this->candidateSince >= delay;
+    if (mayClaim && now - this->startedAt >= delay)
         this->raiseEpoch(std::max(this->highestEpoch, epochFloor));
 }
 
@@ -175,7 +181,7 @@
 void Cluster::excuseSilence(Instant now)
 {
     for (auto& [address, peer] : this->peers) {
-        if (this->options.failureTimeout * 10 > now - peer.lastRise)
+        if (this->failureTimeout() * 10 > now - peer.lastRise)
             peer.lastRise = now;
     }
 }
--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -48,18 +48,27 @@
 class Cluster {
 public:
     struct Options {
-        /// A member whose heartbeat has not risen for this long counts as lost.
-        Milliseconds failureTimeout { 1000 };
+        /// Between two gossip messages of one member of a small cluster, and of a large one.
+        Milliseconds smallClusterInterval { 100 };
+        Milliseconds largeClusterInterval { 250 };
+        /// Members from which on a cluster is large.
+        size_t largeCluster { 20 };
+        /// A member whose heartbeat has not risen for this many intervals counts as lost.
+        int failureIntervals { 7 };
         /// A lost member is forgotten after this long.
         Milliseconds forgetAfter { 120'000 };
-        /// How long a host waits for other claims before it claims to be the dispatcher.
-        Milliseconds claimDelay { 500 };
+        /// How long a host waits for other claims before it makes the first one that it knows of.
+        Milliseconds claimDelay { 300 };
+        /// The same for a host that has heard of nobody: the others may still be starting.
+        Milliseconds lonelyClaimDelay { 1500 };
         /// Members to which each gossip message goes.
         size_t fanout { 3 };
     };
 
     Cluster(MemberRecord self, std::vector<std::string> seeds, Options, Random, Instant now);
 
+    /// How long after one gossip message the next is due. It grows with the cluster, whose records each message carries.
+    [[nodiscard]] Milliseconds gossipInterval() const { return this->interval(); }
     /// The addresses to which the next gossip message goes. Raises the own heartbeat.
     [[nodiscard]] std::vector<std::string> nextRecipients(Instant now);
     /// Own record and those of all members that are not lost.
@@ -96,6 +105,8 @@
         Instant aliveSince;
     };
 
+    [[nodiscard]] Milliseconds interval() const;
+    [[nodiscard]] Milliseconds failureTimeout() const { return this->interval() * this->options.failureIntervals; }
     [[nodiscard]] bool isBestCandidate(Instant now) const;
     void observeOne(const MemberRecord&, Instant now);
     void observeSelf(const MemberRecord&);
--- a/Libraries/LibTransport/PeerLink.cpp
+++ b/Libraries/LibTransport/PeerLink.cpp
@@ -15,10 +15,10 @@
 static constexpr size_t maximumQueuedBytes = 64 * 1024 * 1024;
 static constexpr size_t maximumBatchBytes = 1024 * 1024;
 static constexpr size_t maximumBatchesInProgress = 4;
-static constexpr Milliseconds acknowledgementTimeout { 1000 };
-static constexpr Milliseconds connectTimeout { 1000 };
+static constexpr Milliseconds acknowledgementTimeout { 700 };
+static constexpr Milliseconds connectTimeout { 250 };
 static constexpr Milliseconds minimumReconnectDelay { 20 };
-static constexpr Milliseconds maximumReconnectDelay { 500 };
+static constexpr Milliseconds maximumReconnectDelay { 100 };
 
 struct Batch {
     std::string body;
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -14,7 +14,6 @@
 using Transport::HttpServer;
 
 static constexpr Milliseconds tickInterval { 20 };
-static constexpr Milliseconds gossipInterval { 200 };
 static constexpr Milliseconds settingsCheckInterval { 1000 };
 // A tick that comes this much later than the one before says that the process stood still.
 static constexpr Milliseconds pauseThreshold { 350 };
@@ -157,7 +156,7 @@
     bool changed = self.dispatchEpoch != this->gossipedEpoch || self.configurationVersion != this->gossipedVersion;
     if (now < this->nextGossip && !changed)
         return;
-    this->nextGossip = now + gossipInterval;
+    this->nextGossip = now + this->cluster->gossipInterval();
     this->gossipedEpoch = self.dispatchEpoch;
     this->gossipedVersion = self.configurationVersion;
     auto recipients = this->cluster->nextRecipients(now);
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -10,8 +10,8 @@
 
 using Telemetry::LogLevel;
 
-static constexpr Milliseconds electionTimeout { 500 };
-static constexpr Milliseconds ledgerHeartbeat { 100 };
+static constexpr Milliseconds electionTimeout { 300 };
+static constexpr Milliseconds ledgerHeartbeat { 75 };
 static constexpr Milliseconds proposalResend { 300 };
 static constexpr Milliseconds joinInterval { 300 };
 static constexpr Milliseconds jobKeyRetention { 3'600'000 };
--- a/Services/sassafrasshiftd/Cluster/RouteKeeper.cpp
+++ b/Services/sassafrasshiftd/Cluster/RouteKeeper.cpp
@@ -1,6 +1,7 @@
 #include "Cluster/RouteKeeper.h"
 #include <LibTelemetry/Log.h>
 #include <platform/Decode.h>
+#include <utility>
 
 namespace Sassafrasshift::Daemon {
 
@@ -26,17 +27,25 @@
     this->table = std::make_unique<const Catalog::RouteTable>(std::move(routes).value());
     this->context.cluster.self().configurationVersion = document.version;
     Telemetry::log(LogLevel::Information, "routes-in-force", "a published document is in force", { { "version", std::to_string(document.version) }, { "routes", std::to_string(this->table->routes().size()) } });
-    // The replicas of the ledger learn of it by the log; they tell the others at once.
-    if (this->context.cluster.self().replicaIdentity.empty() || this->context.cluster.self().ledgerLeader != this->context.ownAddress())
+    this->tellOthers = true;
+}
+
+// The replicas of the ledger learn of a document by the log; their leader tells the others at once. Of several that come
+// together, as after a restart, only the latest is told.
+void RouteKeeper::tellMembers(Instant now)
+{
+    const auto& self = this->context.cluster.self();
+    if (!std::exchange(this->tellOthers, false) || self.replicaIdentity.empty() || self.ledgerLeader != this->context.ownAddress())
         return;
-    for (const auto* member : this->context.cluster.alive(this->context.now())) {
+    for (const auto* member : this->context.cluster.alive(now)) {
         if (member->replicaIdentity.empty())
-            this->context.send(member->address, DocumentTransfer { document });
+            this->context.send(member->address, DocumentTransfer { this->inForce });
     }
 }
 
 void RouteKeeper::follow(Instant now)
 {
+    this->tellMembers(now);
     if (now < this->nextRequest)
         return;
     for (const auto* member : this->context.cluster.alive(now)) {
--- a/Services/sassafrasshiftd/Cluster/RouteKeeper.h
+++ b/Services/sassafrasshiftd/Cluster/RouteKeeper.h
@@ -14,7 +14,7 @@
 
     /// Puts a published document in force. One that is not newer is ignored.
     void offer(const DurableState::PublishedDocument&);
-    /// Asks a member whose document is newer for it.
+    /// Tells other members of a new document, and asks a member whose document is newer for it.
     void follow(Instant now);
 
     void onMessage(const std::string& from, const DocumentRequest&);
@@ -25,10 +25,13 @@
     [[nodiscard]] const DurableState::PublishedDocument& document() const { return this->inForce; }
 
 private:
+    void tellMembers(Instant now);
+
     ClusterContext& context;
     DurableState::PublishedDocument inForce;
     std::unique_ptr<const Catalog::RouteTable> table;
     Instant nextRequest {};
+    bool tellOthers { false };
 };
 
 }
--- /dev/null
+++ b/Tests/LibMembership/TestCluster.cpp
@@ -0,0 +1,162 @@
+#include <LibMembership/Cluster.h>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+using namespace Sassafrasshift;
+using namespace Sassafrasshift::Membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Members that exchange gossip over links that tests cut.
+struct Network {
+    Instant now { std::chrono::hours(1) };
+    std::map<std::string, std::unique_ptr<Cluster>> members;
+    std::map<std::string, Instant> nextGossip;
+    std::function<bool(const std::string& from, const std::string& to)> isCut = [](const auto&, const auto&) { return false; };
+
+    void add(const std::string& address, std::vector<std::string> seeds, uint32_t weight, bool isEntry = true)
+    {
+        MemberRecord self;
+        self.address = address;
+        self.name = address;
+        self.incarnation = static_cast<uint64_t>(this->now.time_since_epoch().count());
+        self.isEntry = isEntry;
+        self.dispatchWeight = weight;
+        this->members[address] = std::make_unique<Cluster>(self, std::move(seeds), Cluster::Options {}, Random(std::hash<std::string> {}(address)), this->now);
+        this->nextGossip[address] = this->now;
+    }
+
+    void run(Milliseconds duration)
+    {
+        for (auto end = this->now + duration; this->now < end; this->now += 10ms) {
+            for (auto& [address, member] : this->members) {
+                member->updateClaim(this->now, 0);
+                if (this->now < this->nextGossip[address])
+                    continue;
+                this->nextGossip[address] = this->now + member->gossipInterval();
+                auto recipients = member->nextRecipients(this->now);
+                auto gossip = member->gossip(this->now);
+                for (const auto& to : recipients) {
+                    if (this->members.contains(to) && !this->isCut(address, to))
+                        this->members.at(to)->observe(gossip, this->now);
+                }
+            }
+        }
+    }
+
+    std::string dispatcherAt(const std::string& address)
+    {
+        const auto* dispatcher = this->members.at(address)->dispatcher(this->now);
+        return dispatcher ? dispatcher->address : "";
+    }
+
+    bool allSeeAsDispatcher(const std::string& wanted)
+    {
+        return std::all_of(this->members.begin(), this->members.end(), [&](const auto& entry) { return this->dispatcherAt(entry.first) == wanted; });
+    }
+};
+
+struct Fixture : Network {
+    Fixture()
+    {
+        this->add("seed-a", { "seed-a", "seed-b" }, 0, false);
+        this->add("seed-b", { "seed-a", "seed-b" }, 0, false);
+        this->add("entry-a", { "seed-a", "seed-b" }, 250);
+        this->add("entry-b", { "seed-a", "seed-b" }, 250);
+        this->add("entry-c", { "seed-a", "seed-b" }, 500);
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(members_find_each_other_and_agree_on_the_heaviest_as_the_dispatcher, Fixture)
+{
+    this->run(2s);
+    for (const auto& [address, member] : this->members)
+        BOOST_TEST(member->alive(this->now).size() == 5U);
+    BOOST_TEST(this->allSeeAsDispatcher("entry-c"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lost_dispatcher_is_followed_by_one_with_a_higher_epoch, Fixture)
+{
+    this->run(2s);
+    auto epoch = this->members.at("entry-c")->self().dispatchEpoch;
+    this->members.erase("entry-c");
+    this->run(2s);
+    auto next = this->dispatcherAt("entry-a");
+    BOOST_TEST(this->allSeeAsDispatcher(next));
+    BOOST_TEST(this->members.at(next)->self().dispatchEpoch > epoch);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_dispatcher_that_returns_does_not_take_the_place_of_its_successor, Fixture)
+{
+    this->run(2s);
+    this->members.erase("entry-c");
+    this->run(2s);
+    auto successor = this->dispatcherAt("entry-a");
+    this->add("entry-c", { "seed-a", "seed-b" }, 500);
+    this->run(2s);
+    BOOST_TEST(this->allSeeAsDispatcher(successor));
+}
+
+BOOST_FIXTURE_TEST_CASE(each_side_of_a_partition_has_a_dispatcher_and_one_remains_when_it_heals, Fixture)
+{
+    this->run(2s);
+    this->isCut = [](const std::string& from, const std::string& to) { return (from == "entry-a") != (to == "entry-a"); };
+    this->run(2s);
+    BOOST_TEST(this->dispatcherAt("entry-a") == "entry-a");
+    BOOST_TEST(this->dispatcherAt("entry-b") == "entry-c");
+    this->isCut = [](const auto&, const auto&) { return false; };
+    this->run(2s);
+    BOOST_TEST(this->allSeeAsDispatcher(this->dispatcherAt("entry-b")));
+}
+
+BOOST_AUTO_TEST_CASE(a_lonely_member_waits_for_others_before_it_claims)
+{
+    Network network;
+    network.add("entry-a", { "seed-a" }, 250);
+    network.run(1s);
+    BOOST_TEST(network.dispatcherAt("entry-a").empty());
+    network.run(1s);
+    BOOST_TEST(network.dispatcherAt("entry-a") == "entry-a");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_leaving_dispatcher_is_followed_at_once, Fixture)
+{
+    this->run(2s);
+    auto& leaving = *this->members.at("entry-c");
+    leaving.self().state = HostState::Leaving;
+    leaving.self().dispatchEpoch = 0;
+    this->run(500ms);
+    BOOST_TEST(!this->dispatcherAt("entry-a").empty());
+    BOOST_TEST(this->dispatcherAt("entry-a") != "entry-c");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_member_is_settled_only_some_time_after_the_last_return, Fixture)
+{
+    this->run(5s);
+    auto& member = *this->members.at("entry-a");
+    BOOST_TEST(member.isSettled(3s, this->now));
+    this->members.erase("seed-b");
+    this->run(2s);
+    BOOST_TEST(!member.isSettled(3s, this->now));
+    this->add("seed-b", { "seed-a", "seed-b" }, 0, false);
+    this->run(2s);
+    BOOST_TEST(!member.isSettled(3s, this->now));
+    this->run(2s);
+    BOOST_TEST(member.isSettled(3s, this->now));
+}
+
+BOOST_AUTO_TEST_CASE(a_process_whose_clock_went_back_outlives_its_former_record)
+{
+    Network network;
+    network.add("seed-a", {}, 0, false);
+    MemberRecord former;
+    former.address = "seed-a";
+    former.incarnation = network.members.at("seed-a")->self().incarnation + 5;
+    network.members.at("seed-a")->observe({ former }, network.now);
+    BOOST_TEST(network.members.at("seed-a")->self().incarnation > former.incarnation);
+}
