LibScheduler: Place once a turn, and keep a target's speed beside its session

Cause: each answer of a target walked over all waiting jobs and all targets, with look-ups by name for each pair; with 350 targets the dispatcher used its whole share of a core in a burst. Change: what has changed in one turn of the loop is placed together, the queue holds jobs and not their names, the usual duration is looked up once a kind, and late, hopeless and slow ones are looked for every 50 ms.

--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -111,6 +111,7 @@
     void end();
 
     [[nodiscard]] std::vector<Event> takeEvents();
+    [[nodiscard]] bool hasOrders() const { return !this->orders.holds.empty() || !this->orders.starts.empty() || !this->orders.stops.empty(); }
     [[nodiscard]] Orders takeOrders();
 
     [[nodiscard]] const Membership::TargetReport& target() const { return this->report; }
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -7,6 +7,7 @@
 using Membership::TargetReport;
 using Membership::TargetState;
 
+static constexpr Milliseconds reviewInterval { 50 };
 static constexpr Milliseconds forgetInterval { 500 };
 // The share of a target's room that tasks fill on average, since they do not divide it evenly.
 static constexpr double usableShare { 0.8 };
@@ -29,18 +30,18 @@
     bool wasActive = this->isActive();
     this->fence = token;
     if (wasActive) {
-        for (auto& [identity, session] : this->sessions)
-            session.reclaim(token, now);
+        for (auto& [identity, target] : this->targets)
+            target.session.reclaim(token, now);
         return;
     }
     for (const auto& [identity, report] : this->reports)
-        this->sessions.emplace(identity, TargetSession(report, token, this->options.leases, now));
+        this->targets.emplace(identity, Target { TargetSession(report, token, this->options.leases, now), {} });
 }
 
 void TaskScheduler::deactivate()
 {
     this->fence = 0;
-    this->sessions.clear();
+    this->targets.clear();
     this->jobs.clear();
     this->order.clear();
     this->finished.clear();
@@ -59,38 +60,37 @@
     this->reports.insert_or_assign(report.identity, report);
     if (!this->isActive())
         return;
-    auto position = this->sessions.find(report.identity);
-    if (position != this->sessions.end()) {
-        auto& session = position->second;
+    auto position = this->targets.find(report.identity);
+    if (position != this->targets.end()) {
+        auto& session = position->second.session;
         if (!session.isGone() && session.target().incarnation == report.incarnation && session.target().address == report.address) {
             session.updateReport(report);
-            this->pump(now);
+            this->placingDue = true;
             return;
         }
         session.end();
-        this->drainSession(session, now);
-        this->sessions.erase(position);
+        this->drainEvents(position->second, now);
+        this->targets.erase(position);
     }
-    this->sessions.emplace(report.identity, TargetSession(report, this->fence, this->options.leases, now));
+    this->targets.emplace(report.identity, Target { TargetSession(report, this->fence, this->options.leases, now), {} });
 }
 
 void TaskScheduler::onTargetGone(const std::string& identity, Instant now)
 {
     this->reports.erase(identity);
-    this->targetSpeeds.erase(identity);
-    auto position = this->sessions.find(identity);
-    if (position == this->sessions.end())
+    auto position = this->targets.find(identity);
+    if (position == this->targets.end())
         return;
-    position->second.end();
-    this->drainSession(position->second, now);
-    this->sessions.erase(position);
-    this->pump(now);
+    position->second.session.end();
+    this->drainEvents(position->second, now);
+    this->targets.erase(position);
+    this->placingDue = true;
 }
 
-TargetSession* TaskScheduler::findSession(const TargetPlace& place)
+TaskScheduler::Target* TaskScheduler::findTarget(const TargetPlace& place)
 {
-    auto position = this->sessions.find(place.identity);
-    if (position == this->sessions.end() || position->second.target().address != place.address)
+    auto position = this->targets.find(place.identity);
+    if (position == this->targets.end() || position->second.session.target().address != place.address)
         return nullptr;
     return &position->second;
 }
@@ -105,9 +105,10 @@
 double TaskScheduler::workRate() const
 {
     double capacity = 0;
-    for (const auto& [identity, session] : this->sessions) {
-        if (session.target().state == TargetState::Serving && !session.isFenced())
-            capacity += static_cast<double>(session.target().capacity.milliCores);
+    for (const auto& [identity, target] : this->targets) {
+        const auto& report = target.session.target();
+        if (report.state == TargetState::Serving && !target.session.isFenced())
+            capacity += static_cast<double>(report.capacity.milliCores);
     }
     return capacity * usableShare;
 }
@@ -115,10 +116,10 @@
 Milliseconds TaskScheduler::expectedWait(const Submission& submission) const
 {
     double queued = 0;
-    for (const auto& [rank, name] : this->order) {
+    for (const auto& [rank, job] : this->order) {
         if (rank.isLate || rank.priority > submission.priority)
             break;
-        queued += remainingWork(this->jobs.at(name));
+        queued += remainingWork(*job);
     }
     auto rate = this->workRate();
     return rate > 0 ? Milliseconds(static_cast<Milliseconds::rep>(queued / rate)) : Milliseconds(0);
@@ -130,9 +131,9 @@
     if (this->jobs.size() >= this->options.maximumJobs)
         return outcome;
     bool anyTarget = false;
-    for (const auto& [identity, session] : this->sessions) {
-        const auto& target = session.target();
-        anyTarget = anyTarget || (target.pool == submission.pool && submission.needs.fitInto(target.capacity));
+    for (const auto& [identity, target] : this->targets) {
+        const auto& report = target.session.target();
+        anyTarget = anyTarget || (report.pool == submission.pool && submission.needs.fitInto(report.capacity));
     }
     if (!this->knowsAllTargets)
         return {};
@@ -182,21 +183,21 @@
     job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, firstRun, {}, 0 });
     job.waiting = submission.taskCount;
     auto& kept = this->jobs.emplace(submission.job, std::move(job)).first->second;
-    this->order.emplace(kept.rank, submission.job);
+    this->order.emplace(kept.rank, &kept);
     this->adoptRuns(kept);
-    this->pump(now);
+    this->placingDue = true;
 }
 
 // Runs that an earlier dispatcher started for the job go on; those that are being stopped are waited for.
 void TaskScheduler::adoptRuns(Job& job)
 {
-    for (auto& [identity, session] : this->sessions) {
+    for (auto& [identity, target] : this->targets) {
         std::vector<RunName> found;
-        const auto& runs = session.runs();
+        const auto& runs = target.session.runs();
         for (auto position = runs.lower_bound(RunName { TaskName { job.submission.job, 0, 0, 0 }, 0 }); position != runs.end() && position->first.task.job == job.submission.job; ++position)
             found.push_back(position->first);
         for (const auto& name : found)
-            this->onFound(session, name);
+            this->onFound(target.session, name);
     }
 }
 
@@ -228,7 +229,7 @@
     if (position == this->jobs.end() || position->second.entry != entry)
         return;
     this->dropJob(name, now);
-    this->pump(now);
+    this->placingDue = true;
 }
 
 std::vector<std::string> TaskScheduler::renew(const std::string& entry, const std::vector<std::string>& names, Instant now)
@@ -255,7 +256,7 @@
         else
             unknown.push_back(name);
     }
-    this->pump(now);
+    this->placingDue = true;
     return unknown;
 }
 
@@ -265,9 +266,9 @@
         const auto& task = job.tasks[index];
         if (task.state != TaskState::Placed)
             continue;
-        auto position = this->sessions.find(task.target);
-        if (position != this->sessions.end())
-            position->second.stop(RunName { TaskName { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, now);
+        auto position = this->targets.find(task.target);
+        if (position != this->targets.end())
+            position->second.session.stop(RunName { TaskName { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, now);
     }
 }
 
@@ -301,7 +302,7 @@
 // Whether all that runs on any target is known here.
 bool TaskScheduler::allTargetsClaimed() const
 {
-    return this->knowsAllTargets && std::all_of(this->sessions.begin(), this->sessions.end(), [](const auto& entry) { return entry.second.isClaimed(); });
+    return this->knowsAllTargets && std::all_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.session.isClaimed(); });
 }
 
 bool TaskScheduler::mayStart(const Job& job, Instant now) const
@@ -310,25 +311,50 @@
     return (now >= job.notBefore || this->allTargetsClaimed()) && now < job.deadline && heard != this->entryHeard.end() && now - heard->second < this->options.entryLease;
 }
 
+class TaskScheduler::ExpectedByKind {
+public:
+    ExpectedByKind(const SpeedEstimator& speeds, const Submission& submission)
+        : speeds(speeds)
+        , submission(submission)
+    {
+    }
+
+    Milliseconds at(const std::string& kind)
+    {
+        for (const auto& known : this->durations) {
+            if (*known.first == kind)
+                return known.second;
+        }
+        auto expected = this->speeds.expected(this->submission.queue, kind, Milliseconds(this->submission.estimateMilliseconds));
+        this->durations.emplace_back(&kind, expected);
+        return expected;
+    }
+
+private:
+    const SpeedEstimator& speeds;
+    const Submission& submission;
+    std::vector<std::pair<const std::string*, Milliseconds>> durations;
+};
+
 // The target on which the task is expected to end first; of equal ones, the one with the least room left over.
-TargetSession* TaskScheduler::chooseTarget(const Job& job, Instant now)
+TargetSession* TaskScheduler::chooseTarget(const Job& job, ExpectedByKind& expectedByKind, Instant now)
 {
     const auto& submission = job.submission;
     TargetSession* best = nullptr;
     std::pair<Milliseconds, int64_t> bestScore {};
-    for (auto& [identity, session] : this->sessions) {
-        const auto& target = session.target();
-        if (!submission.needs.fitInto(session.freeRoom()) || target.pool != submission.pool || !session.mayStart(now))
+    for (auto& [identity, target] : this->targets) {
+        auto& session = target.session;
+        const auto& report = session.target();
+        if (!submission.needs.fitInto(session.freeRoom()) || report.pool != submission.pool || !session.mayStart(now))
             continue;
-        if (!submission.requiredLabel.empty() && std::find(target.labels.begin(), target.labels.end(), submission.requiredLabel) == target.labels.end())
+        if (!submission.requiredLabel.empty() && std::find(report.labels.begin(), report.labels.end(), submission.requiredLabel) == report.labels.end())
             continue;
         if (submission.maximumPerTarget > 0 && session.runsOf(submission.job) >= submission.maximumPerTarget)
             continue;
-        auto usual = this->speeds.expected(submission.queue, target.kind, Milliseconds(submission.estimateMilliseconds));
-        auto slowness = this->targetSpeeds[identity].slowness(now);
+        auto slowness = target.speed.slowness(now);
         if (slowness > tolerableSlowness)
             continue;
-        auto expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(usual) * slowness));
+        auto expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expectedByKind.at(report.kind)) * slowness));
         std::pair score { expected, session.freeRoom().minus(submission.needs).milliCores };
         if (!best || score < bestScore) {
             best = &session;
@@ -340,11 +366,12 @@
 
 void TaskScheduler::place(Job& job, Instant now)
 {
+    ExpectedByKind expectedByKind(this->speeds, job.submission);
     for (size_t index = 0; index < job.tasks.size() && job.waiting > 0; ++index) {
         auto& task = job.tasks[index];
         if (task.state != TaskState::Waiting)
             continue;
-        auto* session = this->chooseTarget(job, now);
+        auto* session = this->chooseTarget(job, expectedByKind, now);
         if (!session)
             return;
         task.state = TaskState::Placed;
@@ -357,54 +384,56 @@
     }
 }
 
+int64_t TaskScheduler::mostRoom(Instant now) const
+{
+    int64_t most = 0;
+    for (const auto& [identity, target] : this->targets) {
+        if (auto room = target.session.freeRoom().milliCores; room > most && target.session.mayStart(now))
+            most = room;
+    }
+    return most;
+}
+
 void TaskScheduler::pump(Instant now)
 {
-    if (!this->isActive())
+    this->placingDue = false;
+    if (!this->isActive() || this->order.empty())
         return;
-    int64_t mostRoom = 0;
-    auto measureRoom = [&] {
-        mostRoom = 0;
-        for (const auto& [identity, session] : this->sessions) {
-            if (session.mayStart(now))
-                mostRoom = std::max(mostRoom, session.freeRoom().milliCores);
-        }
-    };
-    measureRoom();
-    for (const auto& [rank, name] : this->order) {
-        if (mostRoom <= 0)
+    auto most = this->mostRoom(now);
+    for (const auto& [rank, job] : this->order) {
+        if (most <= 0)
             return;
-        auto& job = this->jobs.at(name);
-        if (job.waiting == 0 || job.submission.needs.milliCores > mostRoom || !this->mayStart(job, now))
+        if (job->waiting == 0 || job->submission.needs.milliCores > most || !this->mayStart(*job, now))
             continue;
-        this->place(job, now);
-        measureRoom();
+        this->place(*job, now);
+        most = this->mostRoom(now);
     }
 }
 
-void TaskScheduler::observeRun(const Job& job, const TargetSession& session, Milliseconds duration, Instant now)
+void TaskScheduler::observeRun(const Job& job, Target& target, Milliseconds duration, Instant now)
 {
-    const auto& target = session.target();
+    const auto& kind = target.session.target().kind;
     Milliseconds estimate(job.submission.estimateMilliseconds);
-    this->targetSpeeds[target.identity].observe(duration, this->speeds.expected(job.submission.queue, target.kind, estimate), now);
+    target.speed.observe(duration, this->speeds.expected(job.submission.queue, kind, estimate), now);
     // A target that is slow at present says nothing of its kind.
-    if (this->targetSpeeds[target.identity].slowness(now) < tolerableSlowness)
-        this->speeds.observe(job.submission.queue, target.kind, estimate, duration);
+    if (target.speed.slowness(now) < tolerableSlowness)
+        this->speeds.observe(job.submission.queue, kind, estimate, duration);
 }
 
-void TaskScheduler::onOver(const TargetSession& session, const TargetSession::Event& event, Instant now)
+void TaskScheduler::onOver(Target& target, const TargetSession::Event& event, Instant now)
 {
     auto position = this->jobs.find(event.run.task.job);
     if (position == this->jobs.end() || event.run.task.index >= position->second.tasks.size())
         return;
     auto& job = position->second;
     auto& task = job.tasks[event.run.task.index];
-    if (task.state != TaskState::Placed || task.run != event.run.number || task.target != session.target().identity)
+    if (task.state != TaskState::Placed || task.run != event.run.number || task.target != target.session.target().identity)
         return;
     if (event.staleNumber)
         task.nextRun += staleRunStep;
     if (event.end == RunEnd::Done) {
         if (event.duration.count() > 0)
-            this->observeRun(job, session, event.duration, now);
+            this->observeRun(job, target, event.duration, now);
         task.state = TaskState::Done;
         if (++job.done == job.tasks.size())
             this->finish(event.run.task.job, JobEnd::Completed, "completed", now);
@@ -416,15 +445,15 @@
         this->finish(event.run.task.job, JobEnd::Failed, "task-failed", now);
 }
 
-void TaskScheduler::drainSession(TargetSession& session, Instant now)
+void TaskScheduler::drainEvents(Target& target, Instant now)
 {
-    for (const auto& event : session.takeEvents()) {
+    for (const auto& event : target.session.takeEvents()) {
         switch (event.kind) {
         case TargetSession::Event::Kind::Over:
-            this->onOver(session, event, now);
+            this->onOver(target, event, now);
             break;
         case TargetSession::Event::Kind::Found:
-            this->onFound(session, event.run);
+            this->onFound(target.session, event.run);
             break;
         case TargetSession::Event::Kind::Gone:
             break;
@@ -434,48 +463,50 @@
 
 void TaskScheduler::onHoldAnswer(const TargetPlace& place, uint64_t number, const HoldAnswer& answer, Instant now)
 {
-    if (auto* session = this->findSession(place)) {
-        session->onHoldAnswer(number, answer, now);
-        this->drainSession(*session, now);
-        session->tick(now);
-        this->pump(now);
-    }
+    auto* target = this->findTarget(place);
+    if (!target)
+        return;
+    target->session.onHoldAnswer(number, answer, now);
+    this->drainEvents(*target, now);
+    target->session.tick(now);
+    this->placingDue = true;
 }
 
 void TaskScheduler::onStartAnswer(const TargetPlace& place, const RunName& run, const OrderAnswer& answer, Instant now)
 {
-    if (auto* session = this->findSession(place)) {
-        session->onStartAnswer(run, answer, now);
-        session->tick(now);
-        this->drainSession(*session, now);
-        if (!std::holds_alternative<Obeyed>(answer))
-            this->pump(now);
+    auto* target = this->findTarget(place);
+    if (!target)
+        return;
+    target->session.onStartAnswer(run, answer, now);
+    if (std::holds_alternative<Obeyed>(answer)) {
+        target->session.tick(now);
+        return;
     }
+    this->drainEvents(*target, now);
+    this->placingDue = true;
 }
 
 void TaskScheduler::onStopAnswer(const TargetPlace& place, const RunName& run, const OrderAnswer& answer, Instant now)
 {
-    if (auto* session = this->findSession(place)) {
-        session->onStopAnswer(run, answer, now);
-        session->tick(now);
-        this->drainSession(*session, now);
-    }
+    auto* target = this->findTarget(place);
+    if (!target)
+        return;
+    target->session.onStopAnswer(run, answer, now);
+    this->drainEvents(*target, now);
 }
 
 // Answers a burst beyond what the targets can do: were all served in the order of their objectives, all would be late.
 void TaskScheduler::demoteLate(Instant now)
 {
-    std::vector<std::string> late;
-    for (const auto& [rank, name] : this->order) {
-        const auto& job = this->jobs.at(name);
-        if (!rank.isLate && job.starts == 0 && now + job.expected > rank.objective)
-            late.push_back(name);
+    std::vector<Job*> late;
+    for (const auto& [rank, job] : this->order) {
+        if (!rank.isLate && job->starts == 0 && now + job->expected > rank.objective)
+            late.push_back(job);
     }
-    for (const auto& name : late) {
-        auto& job = this->jobs.at(name);
-        this->order.erase(job.rank);
-        job.rank.isLate = true;
-        this->order.emplace(job.rank, name);
+    for (auto* job : late) {
+        this->order.erase(job->rank);
+        job->rank.isLate = true;
+        this->order.emplace(job->rank, job);
     }
 }
 
@@ -485,11 +516,11 @@
     auto rate = this->knowsAllTargets ? this->workRate() : 0;
     double ahead = 0;
     std::vector<std::string> hopeless;
-    for (const auto& [rank, name] : this->order) {
-        const auto& job = this->jobs.at(name);
+    for (const auto& [rank, entry] : this->order) {
+        const auto& job = *entry;
         auto wait = rate > 0 ? Milliseconds(static_cast<Milliseconds::rep>(ahead / rate)) : Milliseconds(0);
         if (job.starts == 0 && job.waiting == job.tasks.size() && now + wait + job.expected + deadlineMargin >= job.deadline)
-            hopeless.push_back(name);
+            hopeless.push_back(job.submission.job);
         else
             ahead += remainingWork(job);
     }
@@ -500,14 +531,14 @@
 // Runs that go on for longer than is usual tell of a slow target before they end.
 void TaskScheduler::observeStragglers(Instant now)
 {
-    for (const auto& [identity, session] : this->sessions) {
-        for (const auto& [name, run] : session.runs()) {
+    for (auto& [identity, target] : this->targets) {
+        for (const auto& [name, run] : target.session.runs()) {
             auto position = this->jobs.find(name.task.job);
             if (position == this->jobs.end() || run.startedAt == Instant {} || run.seenAt < run.startedAt)
                 continue;
             const auto& submission = position->second.submission;
-            auto usual = this->speeds.expected(submission.queue, session.target().kind, Milliseconds(submission.estimateMilliseconds));
-            this->targetSpeeds[identity].observeUnfinished(std::chrono::duration_cast<Milliseconds>(run.seenAt - run.startedAt), usual, now);
+            auto usual = this->speeds.expected(submission.queue, target.session.target().kind, Milliseconds(submission.estimateMilliseconds));
+            target.speed.observeUnfinished(std::chrono::duration_cast<Milliseconds>(run.seenAt - run.startedAt), usual, now);
         }
     }
 }
@@ -524,10 +555,20 @@
 {
     if (!this->isActive())
         return;
-    for (auto& [identity, session] : this->sessions) {
-        session.tick(now);
-        this->drainSession(session, now);
+    for (auto& [identity, target] : this->targets) {
+        target.session.tick(now);
+        this->drainEvents(target, now);
     }
+    this->placingDue = true;
+    if (now < this->nextReview)
+        return;
+    this->nextReview = now + reviewInterval;
+    this->review(now);
+}
+
+// What need not be looked at in each tick.
+void TaskScheduler::review(Instant now)
+{
     std::vector<std::string> lost;
     for (const auto& [name, job] : this->jobs) {
         auto heard = this->entryHeard.find(job.entry);
@@ -540,7 +581,6 @@
     this->demoteLate(now);
     this->refuseHopeless(now);
     this->forgetFinished(now);
-    this->pump(now);
 }
 
 void TaskScheduler::onPause(Instant now)
@@ -550,14 +590,18 @@
     // The entries have to name their jobs again before anything of them is started.
     for (auto& [entry, heard] : this->entryHeard)
         heard = now - this->options.entryLease / 2;
-    for (auto& [identity, session] : this->sessions)
-        session.reclaim(this->fence, now);
+    for (auto& [identity, target] : this->targets)
+        target.session.reclaim(this->fence, now);
 }
 
-TaskScheduler::Effects TaskScheduler::takeEffects()
+TaskScheduler::Effects TaskScheduler::takeEffects(Instant now)
 {
-    for (auto& [identity, session] : this->sessions) {
-        auto orders = session.takeOrders();
+    if (this->placingDue)
+        this->pump(now);
+    for (auto& [identity, target] : this->targets) {
+        if (!target.session.hasOrders())
+            continue;
+        auto orders = target.session.takeOrders();
         auto append = [](auto& to, auto& from) { to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end())); };
         append(this->effects.orders.holds, orders.holds);
         append(this->effects.orders.starts, orders.starts);
@@ -569,13 +613,12 @@
 TaskScheduler::TargetCounts TaskScheduler::countTargets(Instant now) const
 {
     TargetCounts counts;
-    for (const auto& [identity, session] : this->sessions) {
+    for (const auto& [identity, target] : this->targets) {
         ++counts.known;
-        if (!session.mayStart(now))
+        if (!target.session.mayStart(now))
             continue;
         ++counts.usable;
-        auto speed = this->targetSpeeds.find(identity);
-        if (speed != this->targetSpeeds.end() && speed->second.slowness(now) > tolerableSlowness)
+        if (target.speed.slowness(now) > tolerableSlowness)
             ++counts.slow;
     }
     return counts;
@@ -583,7 +626,7 @@
 
 bool TaskScheduler::hasFencedTargets() const
 {
-    return std::any_of(this->sessions.begin(), this->sessions.end(), [](const auto& entry) { return entry.second.isFenced(); });
+    return std::any_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.session.isFenced(); });
 }
 
 size_t TaskScheduler::waitingTasks() const
@@ -597,8 +640,8 @@
 size_t TaskScheduler::openRuns() const
 {
     size_t count = 0;
-    for (const auto& [identity, session] : this->sessions)
-        count += session.runs().size();
+    for (const auto& [identity, target] : this->targets)
+        count += target.session.runs().size();
     return count;
 }
 
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -60,7 +60,8 @@
     /// This process stood still for some time: nothing is started before it is known what has changed meanwhile.
     void onPause(Instant now);
 
-    [[nodiscard]] Effects takeEffects();
+    /// Places what can be placed, and hands out what has to be done.
+    [[nodiscard]] Effects takeEffects(Instant now);
 
     /// How many targets there are, and in which state; for logs and metrics.
     struct TargetCounts {
@@ -78,8 +79,6 @@
     [[nodiscard]] size_t openRuns() const;
     /// The jobs of a queue of which nothing has started.
     [[nodiscard]] size_t pendingJobs(const std::string& queue) const;
-    [[nodiscard]] const std::map<std::string, TargetSession>& targets() const { return this->sessions; }
-
 private:
     enum class TaskState {
         Waiting,
@@ -122,6 +121,14 @@
         Milliseconds waited { 0 };
     };
 
+    struct Target {
+        TargetSession session;
+        TargetSpeed speed;
+    };
+
+    /// The usual duration of a job's tasks on each kind of target, looked up once for all targets.
+    class ExpectedByKind;
+
     struct Finished {
         std::string entry;
         JobOutcome outcome;
@@ -131,17 +138,19 @@
 
     void pump(Instant now);
     void place(Job&, Instant now);
-    [[nodiscard]] TargetSession* chooseTarget(const Job&, Instant now);
+    [[nodiscard]] TargetSession* chooseTarget(const Job&, ExpectedByKind&, Instant now);
+    [[nodiscard]] int64_t mostRoom(Instant now) const;
     [[nodiscard]] bool mayStart(const Job&, Instant now) const;
-    void drainSession(TargetSession&, Instant now);
-    void observeRun(const Job&, const TargetSession&, Milliseconds duration, Instant now);
-    void onOver(const TargetSession&, const TargetSession::Event&, Instant now);
+    void drainEvents(Target&, Instant now);
+    void observeRun(const Job&, Target&, Milliseconds duration, Instant now);
+    void onOver(Target&, const TargetSession::Event&, Instant now);
     void onFound(TargetSession&, const RunName&);
     void adoptRuns(Job&);
     void adopt(Job&, Task&, TargetSession&, const RunName&);
     void finish(const std::string& job, JobEnd, std::string reason, Instant now);
     void dropJob(const std::string& job, Instant now);
     void stopRuns(const Job&, Instant now);
+    void review(Instant now);
     void demoteLate(Instant now);
     void refuseHopeless(Instant now);
     void observeStragglers(Instant now);
@@ -151,22 +160,24 @@
     [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&, Instant now) const;
     [[nodiscard]] Milliseconds expectedWait(const Submission&) const;
     [[nodiscard]] static double remainingWork(const Job&);
-    TargetSession* findSession(const TargetPlace&);
+    Target* findTarget(const TargetPlace&);
 
     Options options;
     uint64_t fence { 0 };
-    std::map<std::string, TargetSession> sessions;
+    std::map<std::string, Target> targets;
     /// The latest report of each target; kept while not dispatching, so that dispatching can begin at once.
     std::map<std::string, Membership::TargetReport> reports;
     std::unordered_map<std::string, Job> jobs;
-    std::map<Rank, std::string> order;
+    std::map<Rank, Job*> order;
     std::unordered_map<std::string, Finished> finished;
     std::map<std::string, Instant> entryHeard;
     bool knowsAllTargets { true };
     uint64_t arrivals { 0 };
     SpeedEstimator speeds;
-    std::map<std::string, TargetSpeed> targetSpeeds;
     Instant nextForget {};
+    Instant nextReview {};
+    /// Whether something has changed since tasks were last placed.
+    bool placingDue { false };
     Effects effects;
 };
 
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -133,7 +133,7 @@
 
 void DispatchService::carryOut()
 {
-    auto effects = this->scheduler.takeEffects();
+    auto effects = this->scheduler.takeEffects(this->context.now());
     for (const auto& order : effects.orders.starts) {
         this->targets.send(order, [this, place = order.place, run = order.run](const Scheduler::OrderAnswer& answer) {
             this->scheduler.onStartAnswer(place, run, answer, this->context.now());
--- a/Tests/LibScheduler/SimulatedTargets.cpp
+++ b/Tests/LibScheduler/SimulatedTargets.cpp
@@ -176,7 +176,7 @@
 {
     auto& dispatcher = *this->dispatchers[number];
     static constexpr Milliseconds answerTimeout { 350 };
-    auto effects = dispatcher.takeEffects();
+    auto effects = dispatcher.takeEffects(this->now);
     auto perform = [&](const auto& order, Milliseconds pause, bool isStart, auto act, auto deliver) {
         auto fate = this->fateOf(number, order.place, isStart);
         using Answer = decltype(act(this->targets.begin()->second, Instant {}));
