sassafrasshiftd: Log the decisions behind each failed job, without waiting for the reader

Lines now go through a bounded queue that drops and counts (log4cxx's asynchronous appender), and the dispatcher's are bounded by a number a second.

--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -162,6 +162,11 @@
     this->knownRuns.erase(position);
 }
 
+void TargetSession::noteEvent(Event::Kind kind, const RunName& run)
+{
+    this->events.push_back(Event { kind, run, {}, false, {} });
+}
+
 void TargetSession::finishAll(std::optional<RunEnd> end, Instant now)
 {
     while (!this->knownRuns.empty())
@@ -173,7 +178,7 @@
     this->phase = Phase::Gone;
     this->openHold.reset();
     this->finishAll({}, {});
-    this->events.push_back(Event { Event::Kind::Gone, {}, {}, false, {} });
+    this->noteEvent(Event::Kind::Gone);
 }
 
 void TargetSession::setAside(Milliseconds duration, Instant now)
@@ -197,6 +202,7 @@
         if (this->phase != Phase::Fenced && this->phase != Phase::Gone) {
             this->phase = Phase::Fenced;
             this->openHold.reset();
+            this->noteEvent(Event::Kind::Fenced);
         }
         return;
     case OrderRefusal::OtherIncarnation:
@@ -244,6 +250,8 @@
     if (!list.incarnation.empty() && list.incarnation != this->report.incarnation)
         this->onRestart(list.incarnation);
     this->observeClock(list.clock, now);
+    if (this->phase != Phase::Claimed || this->unansweredHolds >= toleratedFailures)
+        this->noteEvent(Event::Kind::Answering);
     this->phase = Phase::Claimed;
     this->takeIn(list, hold.sentAt, now);
     this->unansweredHolds = 0;
@@ -253,6 +261,8 @@
 {
     ++this->unansweredHolds;
     this->nextHold = now + (this->knownRuns.empty() ? this->options.claimRetry : Milliseconds(0));
+    if (this->unansweredHolds == toleratedFailures)
+        this->noteEvent(Event::Kind::Silent);
     if (this->unansweredHolds >= toleratedFailures)
         this->setAside(this->options.claimRetry, now);
 }
@@ -296,7 +306,7 @@
         position->second.needsKnown = false;
         position->second.since = now;
         ++this->unknownNeeds;
-        this->events.push_back(Event { Event::Kind::Found, name, {}, false, {} });
+        this->noteEvent(Event::Kind::Found, name);
     }
     std::vector<RunName> absent;
     for (const auto& [name, run] : this->knownRuns) {
@@ -336,6 +346,7 @@
         this->finish(position, {}, now);
         return;
     }
+    this->noteEvent(Event::Kind::StartUnanswered, name);
     // A stop that is answered keeps the start from being carried out later.
     run.state = RunState::Uncertain;
     this->sendStop(name, run, now);
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -67,6 +67,14 @@
             Found,
             /// The incarnation is gone with everything that ran there.
             Gone,
+            /// The target has stopped answering.
+            Silent,
+            /// The target answers, for the first time or again.
+            Answering,
+            /// Another dispatcher holds the target under a higher token.
+            Fenced,
+            /// An order to start got no answer.
+            StartUnanswered,
         };
         Kind kind { Kind::Over };
         RunName run;
@@ -147,6 +155,7 @@
     void onUnansweredHold(Instant now);
     void learnNeeds(Run&, const Catalog::Needs&);
     void sendStop(const RunName&, Run&, Instant now);
+    void noteEvent(Event::Kind, const RunName& = {});
     void onRestart(const std::string& incarnation);
     void takeIn(const RunList&, Instant sentAt, Instant now);
     void takeInRunning(const RunList&, Instant sentAt, Instant now);
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -169,6 +169,7 @@
         this->finished.erase(former);
     }
     if (auto refusal = this->refusalFor(submission, now)) {
+        this->decide(Decision::Kind::JobRefused, {}, RunName { TaskName { submission.job, 0, 0, 0 }, 0 }, refusal->reason);
         this->effects.notices.push_back(Notice { entry, *refusal });
         return;
     }
@@ -217,6 +218,7 @@
 void TaskScheduler::adopt(Job& job, Task& task, TargetSession& session, const RunName& name)
 {
     session.adopt(name, job.submission.needs);
+    this->decide(Decision::Kind::RunAdopted, session.target().identity, name, "found at its target");
     task.state = TaskState::Placed;
     task.target = session.target().identity;
     task.run = name.number;
@@ -228,7 +230,7 @@
     auto position = this->jobs.find(name);
     if (position == this->jobs.end() || position->second.entry != entry)
         return;
-    this->dropJob(name, now);
+    this->dropJob(name, "withdrawn by its entry", now);
     this->placingDue = true;
 }
 
@@ -246,7 +248,7 @@
             dropped.push_back(name);
     }
     for (const auto& name : dropped)
-        this->dropJob(name, now);
+        this->dropJob(name, "no longer named by its entry", now);
     for (const auto& name : names) {
         if (this->jobs.contains(name))
             continue;
@@ -272,7 +274,13 @@
     }
 }
 
-void TaskScheduler::dropJob(const std::string& name, Instant now)
+void TaskScheduler::dropJob(const std::string& name, std::string cause, Instant now)
+{
+    this->decide(Decision::Kind::JobDropped, {}, RunName { TaskName { name, 0, 0, 0 }, 0 }, std::move(cause));
+    this->removeJob(name, now);
+}
+
+void TaskScheduler::removeJob(const std::string& name, Instant now)
 {
     auto position = this->jobs.find(name);
     if (position == this->jobs.end())
@@ -290,10 +298,12 @@
 void TaskScheduler::finish(const std::string& name, JobEnd end, std::string reason, Instant now)
 {
     const auto& job = this->jobs.at(name);
+    if (end != JobEnd::Completed)
+        this->decide(end == JobEnd::Failed ? Decision::Kind::JobFailed : Decision::Kind::JobRefused, {}, RunName { TaskName { name, 0, 0, 0 }, 0 }, reason);
     JobOutcome outcome { name, end, std::move(reason), 0, job.waited.count(), job.starts };
     auto entry = job.entry;
     this->effects.notices.push_back(Notice { entry, outcome });
-    this->dropJob(name, now);
+    this->removeJob(name, now);
     auto& record = this->finished.at(name);
     record.entry = entry;
     record.outcome = std::move(outcome);
@@ -441,21 +451,43 @@
     }
     task.state = TaskState::Waiting;
     ++job.waiting;
-    if (event.end == RunEnd::Failed && ++task.failures >= job.submission.maximumFailures)
+    bool hasFailed = event.end == RunEnd::Failed;
+    this->decide(hasFailed ? Decision::Kind::RunFailed : Decision::Kind::RunLost, task.target, event.run, "failures " + std::to_string(task.failures + (hasFailed ? 1 : 0)) + " of " + std::to_string(job.submission.maximumFailures));
+    if (hasFailed && ++task.failures >= job.submission.maximumFailures)
         this->finish(event.run.task.job, JobEnd::Failed, "task-failed", now);
 }
 
+void TaskScheduler::decide(Decision::Kind kind, const std::string& target, const RunName& run, std::string cause)
+{
+    this->effects.decisions.push_back(Decision { kind, target, run.task.job, run.task.index, run.number, std::move(cause) });
+}
+
 void TaskScheduler::drainEvents(Target& target, Instant now)
 {
+    using Kind = TargetSession::Event::Kind;
+    const auto identity = target.session.target().identity;
     for (const auto& event : target.session.takeEvents()) {
         switch (event.kind) {
-        case TargetSession::Event::Kind::Over:
+        case Kind::Over:
             this->onOver(target, event, now);
             break;
-        case TargetSession::Event::Kind::Found:
+        case Kind::Found:
             this->onFound(target.session, event.run);
             break;
-        case TargetSession::Event::Kind::Gone:
+        case Kind::Gone:
+            this->decide(Decision::Kind::TargetGone, identity, {}, "it ended, or another process took its place");
+            break;
+        case Kind::Silent:
+            this->decide(Decision::Kind::TargetSilent, identity, {}, "holds got no answer");
+            break;
+        case Kind::Answering:
+            this->decide(Decision::Kind::TargetAnswers, identity, {}, "a hold was answered");
+            break;
+        case Kind::Fenced:
+            this->decide(Decision::Kind::TargetFenced, identity, {}, "it has seen a higher token");
+            break;
+        case Kind::StartUnanswered:
+            this->decide(Decision::Kind::StartUnanswered, identity, event.run, "stopped before it is started elsewhere");
             break;
         }
     }
@@ -576,7 +608,7 @@
             lost.push_back(name);
     }
     for (const auto& name : lost)
-        this->dropJob(name, now);
+        this->dropJob(name, "its entry fell silent or its deadline has passed", now);
     this->observeStragglers(now);
     this->demoteLate(now);
     this->refuseHopeless(now);
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibScheduler/Decision.h>
 #include <LibScheduler/SpeedEstimator.h>
 #include <LibScheduler/TargetSession.h>
 #include <LibScheduler/TargetSpeed.h>
@@ -33,6 +34,7 @@
     struct Effects {
         TargetSession::Orders orders;
         std::vector<Notice> notices;
+        std::vector<Decision> decisions;
     };
 
     explicit TaskScheduler(Options);
@@ -79,6 +81,7 @@
     [[nodiscard]] size_t openRuns() const;
     /// The jobs of a queue of which nothing has started.
     [[nodiscard]] size_t pendingJobs(const std::string& queue) const;
+
 private:
     enum class TaskState {
         Waiting,
@@ -148,7 +151,9 @@
     void adoptRuns(Job&);
     void adopt(Job&, Task&, TargetSession&, const RunName&);
     void finish(const std::string& job, JobEnd, std::string reason, Instant now);
-    void dropJob(const std::string& job, Instant now);
+    void dropJob(const std::string& job, std::string cause, Instant now);
+    void removeJob(const std::string& job, Instant now);
+    void decide(Decision::Kind, const std::string& target, const RunName&, std::string cause);
     void stopRuns(const Job&, Instant now);
     void review(Instant now);
     void demoteLate(Instant now);
--- a/Libraries/LibTelemetry/Log.cpp
+++ b/Libraries/LibTelemetry/Log.cpp
@@ -1,4 +1,5 @@
 #include <LibTelemetry/Log.h>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
@@ -9,6 +10,8 @@
 
 namespace Sassafrasshift::Telemetry {
 
+static constexpr int maximumWaitingLines = 2048;
+
 static log4cxx::LevelPtr nativeLevel(LogLevel level)
 {
     switch (level) {
@@ -39,8 +42,13 @@
     appender->setTarget(destination == LogDestination::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::helpers::Pool pool;
     appender->activateOptions(pool);
+    // Lines are written by a thread of their own, and dropped and counted where the reader does not keep up.
+    auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(maximumWaitingLines);
+    queue->setBlocking(false);
+    queue->addAppender(appender);
     log4cxx::BasicConfigurator::resetConfiguration();
-    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::BasicConfigurator::configure(queue);
     log4cxx::Logger::getRootLogger()->setLevel(nativeLevel(level));
 }
 
@@ -58,4 +66,9 @@
     log4cxx::MDC::clear();
 }
 
+void stopLog()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 }
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -13,6 +13,7 @@
 // By then, hosts that take reports have told a member that came back of all targets.
 static constexpr Milliseconds settlingTime { 3500 };
 static constexpr Milliseconds descriptionInterval { 1000 };
+static constexpr unsigned linesPerInterval = 300;
 static constexpr Milliseconds raiseInterval { 200 };
 // The longest pause between two raises, in intervals: two dispatchers that reach the same targets must not chase each other.
 static constexpr uint64_t longestRaisePause = 16;
@@ -108,11 +109,56 @@
     this->scheduler.onPause(now);
 }
 
+static std::string_view eventName(Scheduler::Decision::Kind kind)
+{
+    using Kind = Scheduler::Decision::Kind;
+    switch (kind) {
+    case Kind::TargetAnswers:
+        return "target-answers";
+    case Kind::TargetSilent:
+        return "target-silent";
+    case Kind::TargetGone:
+        return "target-gone";
+    case Kind::TargetFenced:
+        return "target-fenced";
+    case Kind::StartUnanswered:
+        return "start-unanswered";
+    case Kind::RunFailed:
+        return "run-failed";
+    case Kind::RunLost:
+        return "run-lost";
+    case Kind::RunAdopted:
+        return "run-adopted";
+    case Kind::JobRefused:
+        return "job-refused";
+    case Kind::JobFailed:
+        return "job-failed";
+    case Kind::JobDropped:
+        return "job-dropped";
+    }
+    return "unknown";
+}
+
+// Bounded by a number of lines a second; what is left out is counted.
+void DispatchService::logDecision(const Scheduler::Decision& decision)
+{
+    auto event = eventName(decision.kind);
+    this->context.metrics.count("decisions_total{event=\"" + std::string(event) + "\"}");
+    if (this->linesLeft == 0) {
+        this->context.metrics.count("log_lines_dropped_total");
+        return;
+    }
+    --this->linesLeft;
+    Telemetry::log(LogLevel::Information, event, decision.cause,
+        { { "job", decision.job }, { "task", std::to_string(decision.task) }, { "run", std::to_string(decision.run) }, { "target", decision.target }, { "epoch", std::to_string(this->activeEpoch) } });
+}
+
 void DispatchService::describe(Instant now)
 {
     if (!this->scheduler.isActive() || now < this->nextDescription)
         return;
     this->nextDescription = now + descriptionInterval;
+    this->linesLeft = linesPerInterval;
     auto counts = this->scheduler.countTargets(now);
     Telemetry::log(LogLevel::Information, "dispatch-state", "what the dispatcher holds",
         { { "openJobs", std::to_string(this->scheduler.openJobs()) }, { "waitingTasks", std::to_string(this->scheduler.waitingTasks()) }, { "runs", std::to_string(this->scheduler.openRuns()) },
@@ -157,6 +203,8 @@
     this->context.metrics.count("orders_total{kind=\"hold\"}", effects.orders.holds.size());
     for (const auto& notice : effects.notices)
         this->context.send(notice.entry, notice.outcome);
+    for (const auto& decision : effects.decisions)
+        this->logDecision(decision);
 }
 
 // No live member claims a higher epoch, so that the tokens in force are those of one that is gone, or cut off.
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -27,6 +27,7 @@
     void raiseFenceIfDue(Instant now);
     void carryOut();
     void describe(Instant now);
+    void logDecision(const Scheduler::Decision&);
     void scheduleCarryOut();
     [[nodiscard]] uint64_t fencingToken() const;
 
@@ -36,6 +37,7 @@
     uint64_t activeEpoch { 0 };
     Instant nextRaise {};
     Instant nextDescription {};
+    unsigned linesLeft { 100 };
     uint64_t raiseStep { 1 };
     bool carryOutScheduled { false };
 };
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -103,6 +103,7 @@
 {
     Telemetry::log(LogLevel::Error, "storage-failed", "the data folder failed; the process ends", { { "detail", error.detail } });
     std::cout.flush();
+    Telemetry::stopLog();
     std::_Exit(storageFailureExitCode);
 }
 
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -259,7 +259,7 @@
         answer(caller, status, body, retryAfter);
     this->context.metrics.count("jobs_total{outcome=\"" + std::string(outcome) + "\"}");
     this->context.metrics.observeMilliseconds("job_milliseconds", static_cast<double>(took.count()));
-    Telemetry::log(status == 200 ? LogLevel::Debug : LogLevel::Information, "job-answered", "a job was answered",
+    Telemetry::log(LogLevel::Information, "job-answered", "a job was answered",
         { { "job", job.submission.job }, { "queue", job.submission.queue }, { "status", std::to_string(status) }, { "outcome", std::string(outcome) }, { "reason", std::string(reason) }, { "tookMs", std::to_string(took.count()) },
             { "routesVersion", std::to_string(job.routesVersion) }, { "dispatcher", job.dispatcher }, { "submissions", std::to_string(job.submissions) } });
 }
--- a/Services/sassafrasshiftd/LedgerService.cpp
+++ b/Services/sassafrasshiftd/LedgerService.cpp
@@ -109,6 +109,7 @@
     Telemetry::log(LogLevel::Error, "storage-failed", "the data folder failed; the process ends", { { "detail", error.detail } });
     this->context.timeLine.record("storage-failed", { { "detail", error.detail } });
     this->context.timeLine.flush();
+    Telemetry::stopLog();
     std::_Exit(storageFailureExitCode);
 }
 
--- a/Services/sassafrasshiftd/Main.cpp
+++ b/Services/sassafrasshiftd/Main.cpp
@@ -100,6 +100,7 @@
         return signals;
     });
     (*daemon)->run();
+    Telemetry::stopLog();
     std::cout.flush();
     std::_Exit(ExitSuccess);
 }
@@ -121,6 +122,7 @@
     });
     (*daemon)->run();
     // The parts of the daemon refer to each other; the process ends here, so that they are not taken apart.
+    Telemetry::stopLog();
     std::cout.flush();
     std::_Exit(ExitSuccess);
 }
