LibLedger: Remove voters that are gone for good once others stand in for them

Ruled out: the joins themselves; each successor became a voter within a second. Change: the leader removes a voter that it has not heard for 4 s, where more than three remain and those that do have a reachable quorum. One that returns joins again, also where it does not know that it was removed. Tests: two_voters_in_turn_may_be_replaced_for_good fails without the change; the random schedules remove voters too.

--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -69,6 +69,7 @@
         if (this->currentRole != Role::Leader)
             return;
         this->advanceJoins();
+        this->removeLostVoter();
         if (this->now >= this->nextHeartbeat)
             this->sendHeartbeats();
         return;
@@ -339,26 +340,41 @@
     if (former->identity == this->options.identity)
         return;
     auto remaining = membership.without(former->identity);
-    size_t reachable = 0;
-    for (const auto& member : remaining.members) {
-        if (member.role == MemberRole::Voter && this->isInContact(member.identity))
-            ++reachable;
-    }
-    if (reachable >= remaining.quorum())
+    if (this->hasReachableQuorum(remaining))
         this->proposeMembership(remaining);
 }
 
-void Replica::checkQuorum()
+bool Replica::hasReachableQuorum(const Membership& membership) const
+{
+    auto isReachableVoter = [&](const Member& member) { return member.role == MemberRole::Voter && this->isInContact(member.identity); };
+    auto reachable = std::count_if(membership.members.begin(), membership.members.end(), isReachableVoter);
+    return static_cast<size_t>(reachable) >= membership.quorum();
+}
+
+// A host that is gone for good leaves the quorum once others stand in for it.
+void Replica::removeLostVoter()
 {
     const auto& membership = this->log.membership();
-    size_t reachable = 0;
+    if (this->options.lostVoterTimeout.count() == 0 || membership.voterCount() <= this->options.minimumVoters || !this->mayChangeMembership())
+        return;
     for (const auto& member : membership.members) {
-        if (member.role == MemberRole::Voter && this->isInContact(member.identity))
-            ++reachable;
+        if (member.role != MemberRole::Voter || member.identity == this->options.identity)
+            continue;
+        bool isLost = this->now >= this->progressOf(member.identity).lastContact + this->options.lostVoterTimeout;
+        auto remaining = membership.without(member.identity);
+        if (!isLost || !this->hasReachableQuorum(remaining))
+            continue;
+        this->proposeMembership(remaining);
+        return;
     }
+}
+
+void Replica::checkQuorum()
+{
+    const auto& membership = this->log.membership();
     // A leader that was removed hands over once the removal is committed.
     bool removed = !membership.isVoter(this->options.identity) && this->log.membershipIndex() <= this->committedIndex;
-    if (reachable < membership.quorum() || removed)
+    if (!this->hasReachableQuorum(membership) || removed)
         this->becomeFollower(this->hardState.term, {});
 }
 
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -33,6 +33,11 @@
         /// The least time without a leader after which a follower stands for election; the most is twice this.
         Milliseconds electionTimeout { 600 };
         Milliseconds heartbeatInterval { 100 };
+        /// A voter that the leader has not heard for this long is removed, so that it does not count in the quorum; it
+        /// joins again when it returns. Zero for never.
+        Milliseconds lostVoterTimeout { 0 };
+        /// So many voters are kept, also where some of them are lost.
+        size_t minimumVoters { 3 };
         /// Bytes of entries in one AppendRequest.
         size_t maximumAppendBytes { 512 * 1024 };
     };
@@ -130,6 +135,8 @@
     void advanceJoins();
     void advanceJoin(const std::string& host, const std::string& identity);
     void proposeMembership(const Membership&);
+    void removeLostVoter();
+    [[nodiscard]] bool hasReachableQuorum(const Membership&) const;
     [[nodiscard]] bool mayChangeMembership() const;
     void sendAppends();
     void sendHeartbeats();
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -12,6 +12,8 @@
 
 static constexpr Milliseconds electionTimeout { 300 };
 static constexpr Milliseconds ledgerHeartbeat { 75 };
+// Longer than a restart takes.
+static constexpr Milliseconds lostVoterTimeout { 4000 };
 static constexpr Milliseconds proposalResend { 300 };
 static constexpr Milliseconds joinInterval { 300 };
 static constexpr Milliseconds jobKeyRetention { 3'600'000 };
@@ -84,6 +86,7 @@
     options.replica.host = this->context.ownAddress();
     options.replica.electionTimeout = electionTimeout;
     options.replica.heartbeatInterval = ledgerHeartbeat;
+    options.replica.lostVoterTimeout = lostVoterTimeout;
     options.snapshotInterval = snapshotInterval;
     Ledger::Node::Environment environment;
     environment.clock = &this->context.loop;
@@ -114,6 +117,11 @@
         if (!leader.empty())
             return leader;
     }
+    return this->gossipedLeader(now);
+}
+
+std::string DocumentLedger::gossipedLeader(Instant now) const
+{
     std::string leader;
     uint64_t highest = 0;
     for (const auto* member : this->context.cluster.alive(now)) {
@@ -226,10 +234,12 @@
         return;
     bool isVoter = this->node->replica().membership().isVoter(this->identity);
     this->initialized = this->initialized || isVoter;
-    if (isVoter)
+    // One that was removed while it was away hears nothing of that: it is no longer sent the log.
+    bool hasLeader = !this->node->replica().leaderHost().empty();
+    if (isVoter && hasLeader)
         return;
     this->nextJoin = now + joinInterval;
-    auto leader = this->leaderAddress(now);
+    auto leader = hasLeader ? this->node->replica().leaderHost() : this->gossipedLeader(now);
     if (!leader.empty() && leader != this->context.ownAddress())
         this->context.send(leader, JoinRequest { this->context.ownAddress(), this->identity });
 }
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.h
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.h
@@ -34,6 +34,9 @@
     [[nodiscard]] std::string leaderAddress(Instant now) const;
 
 private:
+    /// The leader of the latest term of which another member tells.
+    [[nodiscard]] std::string gossipedLeader(Instant now) const;
+
     struct Proposal {
         std::string command;
         Completion completion;
--- a/Tests/LibLedger/SimulatedCluster.cpp
+++ b/Tests/LibLedger/SimulatedCluster.cpp
@@ -35,6 +35,7 @@
     Replica::Options options;
     options.identity = host.identity;
     options.host = host.name;
+    options.lostVoterTimeout = Milliseconds(3000);
     host.applied = host.disk.snapshot.index;
     host.digest = host.disk.snapshot.state.empty() ? 0 : std::stoull(host.disk.snapshot.state);
     host.replica = std::make_unique<Replica>(options, host.disk, Random(this->random()), this->clock.now());
--- /dev/null
+++ b/Tests/LibLedger/TestMembership.cpp
@@ -0,0 +1,107 @@
+#include <LibLedger/Replica.h>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+
+using namespace Sassafrasshift;
+using namespace Sassafrasshift::Ledger;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Replicas that store at once, on a network that loses nothing between those that run.
+struct Group {
+    Instant now { std::chrono::hours(1) };
+    std::map<std::string, std::unique_ptr<Replica>> replicas;
+    std::deque<Message> network;
+
+    explicit Group(const std::vector<std::string>& names)
+    {
+        StoredState first;
+        for (const auto& name : names)
+            first.snapshot.membership.members.push_back({ name, name, MemberRole::Voter });
+        for (const auto& name : names)
+            this->start(name, first);
+    }
+
+    void start(const std::string& name, const StoredState& stored)
+    {
+        Replica::Options options;
+        options.identity = name;
+        options.host = name;
+        options.lostVoterTimeout = 4s;
+        this->replicas[name] = std::make_unique<Replica>(options, stored, Random(std::hash<std::string> {}(name)), this->now);
+    }
+
+    void run(Milliseconds duration)
+    {
+        for (auto end = this->now + duration; this->now < end; this->now += 5ms) {
+            for (auto& [name, replica] : this->replicas) {
+                replica->tick(this->now);
+                this->carryOut(*replica);
+            }
+            while (!this->network.empty()) {
+                auto message = std::move(this->network.front());
+                this->network.pop_front();
+                auto position = this->replicas.find(message.toHost);
+                if (position == this->replicas.end())
+                    continue;
+                position->second->receive(message, this->now);
+                this->carryOut(*position->second);
+            }
+        }
+    }
+
+    void carryOut(Replica& replica)
+    {
+        auto effects = replica.takeEffects();
+        replica.stored(effects.ticket);
+        for (const auto* messages : { &effects.immediateMessages, &effects.messagesAfterStore })
+            this->network.insert(this->network.end(), messages->begin(), messages->end());
+    }
+
+    Replica* leader()
+    {
+        for (auto& [name, replica] : this->replicas) {
+            if (replica->isEstablishedLeader())
+                return replica.get();
+        }
+        return nullptr;
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_CASE(two_voters_in_turn_may_be_replaced_for_good)
+{
+    Group group({ "a", "b", "c" });
+    group.run(3s);
+    for (const auto* lost : { "a", "b" }) {
+        group.replicas.erase(lost);
+        group.run(2s);
+        auto successor = std::string(lost) + "-successor";
+        group.start(successor, {});
+        for (int i = 0; i < 20; ++i) {
+            BOOST_REQUIRE(group.leader());
+            group.leader()->requestJoin(successor, successor);
+            group.run(500ms);
+        }
+        BOOST_TEST(group.leader()->membership().voterCount() == 3U);
+        BOOST_TEST(!group.leader()->membership().find(lost));
+    }
+    auto index = group.leader()->propose("command");
+    BOOST_REQUIRE(index.has_value());
+    group.run(1s);
+    BOOST_TEST(group.leader()->commitIndex() >= *index);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_voter_without_a_successor_is_kept)
+{
+    Group group({ "a", "b", "c" });
+    group.run(3s);
+    group.replicas.erase(group.replicas.begin()->second->leaderHost() == "a" ? "b" : "a");
+    group.run(10s);
+    BOOST_REQUIRE(group.leader());
+    BOOST_TEST(group.leader()->membership().voterCount() == 3U);
+}
