--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -48,7 +48,7 @@
 
 bool TargetSession::mayStart(Instant now) const
 {
-    return this->phase == Phase::Claimed && this->unknownNeeds == 0 && this->clock && now >= this->setAsideUntil
+    return this->phase == Phase::Claimed && this->unknownNeeds == 0 && !this->isSuspect && this->clock && now >= this->setAsideUntil
         && this->report.state == Membership::TargetState::Serving;
 }
 
@@ -255,6 +255,7 @@
     this->phase = Phase::Claimed;
     this->takeIn(list, hold.sentAt, now);
     this->unansweredHolds = 0;
+    this->isSuspect = false;
 }
 
 void TargetSession::onUnansweredHold(Instant now)
@@ -346,6 +347,7 @@
         this->finish(position, {}, now);
         return;
     }
+    this->isSuspect = true;
     this->noteEvent(Event::Kind::StartUnanswered, name);
     // A stop that is answered keeps the start from being carried out later.
     run.state = RunState::Uncertain;
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -192,6 +192,8 @@
     /// Where the clock was not known, leases may have been granted up to here.
     Instant leasesUnknownUntil {};
 
+    /// Whether an order to start got no answer, and nothing has been heard since.
+    bool isSuspect { false };
     Instant setAsideUntil {};
     int consecutiveFailures { 0 };
 
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -5,6 +5,11 @@
 source "$root/Meta/explain-failure.sh"
 cd "$root"
 mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.h' '*.cpp')
+# The users' platform is spoken of in one folder only.
+if git grep -nE 'run-start|run-stop|heartbeat_addr|last_seen|best_effort|Expect-Instance|max_attempts|target_latency_ms' -- Libraries Services Utilities Benchmarks; then
+    echo "lint: names of the users' platform outside platform/" >&2
+    exit 1
+fi
 clang-format --dry-run --Werror "${files[@]}"
 [ -f build/compile_commands.json ] || Meta/sassafrasshift.sh build >&2
 mapfile -t units < <(git ls-files --cached --others --exclude-standard '*.cpp' | grep -v '^Tests/Fuzz/')
--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -42,7 +42,7 @@
 load = json.load(open(f"{work}/load-1.json"))
 result = json.load(open(f"{work}/replay.json"))
 result["config_in_force_ms"] = json.load(open(f"{work}/publish.json"))["inForceMs"]
-for name in ("messages", "wasted_messages", "upkeep_messages", "wrong", "jobs_cancelled"):
+for name in ("messages", "wasted_messages", "wasted_by_unused_grants", "wasted_by_returned_hand_overs", "wasted_by_repeated_proposals", "upkeep_messages", "wrong", "jobs_cancelled"):
     result[name] = load[name]
 result["request_over_run_time"] = load["request_over_run_time"]
 result["job_over_longest_task"] = load["job_over_longest_task"]
--- a/Services/sassafrasshiftd/DispatcherService.cpp
+++ b/Services/sassafrasshiftd/DispatcherService.cpp
@@ -97,7 +97,7 @@
 void DispatcherService::onMessage(const std::string& from, const HandOverResult& result)
 {
     if (result.returned > 0)
-        this->context.metrics.count("messages_wasted_total", 2);
+        this->context.metrics.count("messages_wasted_total{cause=\"hand-over-returned\"}", 2);
     this->core.handOverResult(from, result, this->context.now());
     this->carryOut();
 }
--- a/Services/sassafrasshiftd/GrantClient.cpp
+++ b/Services/sassafrasshiftd/GrantClient.cpp
@@ -58,7 +58,7 @@
 {
     this->held.erase({ grant.dispatcher, grant.number });
     if (result == WorkResult::Unused || result == WorkResult::NotStarted)
-        this->context.metrics.count("messages_wasted_total", 2);
+        this->context.metrics.count("messages_wasted_total{cause=\"unused-grant\"}", 2);
     this->context.send(grant.dispatcher, Dispatch::Release { grant.number, result, runTime.count() });
 }
 
--- a/Services/sassafrasshiftd/LedgerService.cpp
+++ b/Services/sassafrasshiftd/LedgerService.cpp
@@ -224,7 +224,7 @@
         bool leaderChanged = !leader.empty() && leader != proposal.sentTo;
         if (leaderChanged || now >= proposal.sentAt + proposalResend) {
             if (proposal.everSent)
-                this->context.metrics.count("messages_wasted_total");
+                this->context.metrics.count("messages_wasted_total{cause=\"proposal-repeated\"}");
             this->sendProposal(number, proposal);
         }
     }
--- a/Tests/LibScheduler/TestTaskScheduler.cpp
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -279,3 +279,22 @@
     BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 1s));
     BOOST_TEST((fleet.outcome("job")->end == JobEnd::Completed));
 }
+
+// A target that vanishes without a word: what was started there is lost, and nothing more is sent into the void.
+BOOST_AUTO_TEST_CASE(a_target_that_left_a_start_unanswered_gets_no_other_before_it_answers)
+{
+    auto fleet = makeFleet(1, { 64, 64 });
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.run(50ms);
+    uint64_t sentIntoTheVoid = 0;
+    fleet.decideFate = [&](size_t, const TargetPlace& place, bool isStart) {
+        bool isVoid = place.identity == "target-a";
+        sentIntoTheVoid += isVoid && isStart ? 1 : 0;
+        return SimulatedFleet::Fate { 1ms, false, isVoid };
+    };
+    for (int i = 0; i < 10; ++i) {
+        fleet.submit(0, makeJob("job-" + std::to_string(i), 1, 27));
+        fleet.run(500ms);
+    }
+    BOOST_TEST(sentIntoTheVoid == 1U);
+}
--- a/Utilities/sassafrasshift/LoadCommand.cpp
+++ b/Utilities/sassafrasshift/LoadCommand.cpp
@@ -63,12 +63,19 @@
 struct MessageCounts {
     uint64_t work { 0 };
     uint64_t upkeep { 0 };
-    uint64_t wasted { 0 };
+    /// Sent for grants that were not used, since the target refused or the request was gone.
+    uint64_t unusedGrants { 0 };
+    /// Sent for requests that another failure domain handed back.
+    uint64_t returnedHandOvers { 0 };
+    uint64_t repeatedProposals { 0 };
+
+    [[nodiscard]] uint64_t wasted() const { return this->unusedGrants + this->returnedHandOvers + this->repeatedProposals; }
 };
 
 static MessageCounts countMessages(const std::vector<Transport::Endpoint>& entries)
 {
-    return MessageCounts { sumCounter(entries, "messages_total{purpose=\"work\"}"), sumCounter(entries, "messages_total{purpose=\"upkeep\"}"), sumCounter(entries, "messages_wasted_total") };
+    return MessageCounts { sumCounter(entries, "messages_total{purpose=\"work\"}"), sumCounter(entries, "messages_total{purpose=\"upkeep\"}"), sumCounter(entries, "messages_wasted_total{cause=\"unused-grant\"}"),
+        sumCounter(entries, "messages_wasted_total{cause=\"hand-over-returned\"}"), sumCounter(entries, "messages_wasted_total{cause=\"proposal-repeated\"}") };
 }
 
 static Json describe(const LoadProfile& profile, const LoadResults& results, const MessageCounts& before, const MessageCounts& after)
@@ -87,7 +94,10 @@
     body["wrong"] = results.wrong;
     body["messages"] = after.work - std::min(before.work, after.work);
     body["upkeep_messages"] = after.upkeep - std::min(before.upkeep, after.upkeep);
-    body["wasted_messages"] = after.wasted - std::min(before.wasted, after.wasted);
+    body["wasted_messages"] = after.wasted() - std::min(before.wasted(), after.wasted());
+    body["wasted_by_unused_grants"] = after.unusedGrants - std::min(before.unusedGrants, after.unusedGrants);
+    body["wasted_by_returned_hand_overs"] = after.returnedHandOvers - std::min(before.returnedHandOvers, after.returnedHandOvers);
+    body["wasted_by_repeated_proposals"] = after.repeatedProposals - std::min(before.repeatedProposals, after.repeatedProposals);
     body["request_ms"] = toJson(summarize(results.requestLatencies));
     body["request_over_run_time"] = toJson(summarize(results.requestRatios));
     body["job_ms"] = toJson(summarize(results.jobLatencies));
