--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -5,20 +5,11 @@
 namespace Sassafrasshift::Scheduler {
 
 using Membership::TargetReport;
-using Membership::TargetState;
 
 static constexpr Milliseconds reviewInterval { 50 };
 static constexpr Milliseconds forgetInterval { 500 };
-// The share of a target's room that tasks fill on average, since they do not divide it evenly.
-static constexpr double usableShare { 0.8 };
 // Run numbers that are skipped where a target knows a higher one than this dispatcher does.
 static constexpr uint64_t staleRunStep { 100 };
-// A target that is slower than this gets nothing until what is known of it is old.
-static constexpr double tolerableSlowness { 2.5 };
-static constexpr Milliseconds minimumRetryAfter { 200 };
-// What a job's answer needs to reach its caller.
-static constexpr Milliseconds deadlineMargin { 60 };
-static constexpr Milliseconds maximumRetryAfter { 5000 };
 
 TaskScheduler::TaskScheduler(Options options)
     : options(options)
@@ -95,61 +86,6 @@
     return &position->second;
 }
 
-// Milliseconds of a thousandth of a core.
-double TaskScheduler::remainingWork(const Job& job)
-{
-    return static_cast<double>(job.waiting) * static_cast<double>(job.submission.needs.milliCores) * toMilliseconds(job.expected);
-}
-
-// Thousandths of a core that targets can put to use; tasks do not fill them to the last.
-double TaskScheduler::workRate() const
-{
-    double capacity = 0;
-    for (const auto& [identity, target] : this->targets) {
-        const auto& report = target.session.target();
-        if (report.state == TargetState::Serving && !target.session.isFenced())
-            capacity += static_cast<double>(report.capacity.milliCores);
-    }
-    return capacity * usableShare;
-}
-
-Milliseconds TaskScheduler::expectedWait(const Submission& submission) const
-{
-    double queued = 0;
-    for (const auto& [rank, job] : this->order) {
-        if (rank.isLate || rank.priority > submission.priority)
-            break;
-        queued += remainingWork(*job);
-    }
-    auto rate = this->workRate();
-    return rate > 0 ? Milliseconds(static_cast<Milliseconds::rep>(queued / rate)) : Milliseconds(0);
-}
-
-std::optional<JobOutcome> TaskScheduler::refusalFor(const Submission& submission, Instant) const
-{
-    JobOutcome outcome { submission.job, JobEnd::Refused, "overloaded", minimumRetryAfter.count() };
-    if (this->jobs.size() >= this->options.maximumJobs)
-        return outcome;
-    bool anyTarget = false;
-    for (const auto& [identity, target] : this->targets) {
-        const auto& report = target.session.target();
-        anyTarget = anyTarget || (report.pool == submission.pool && submission.needs.fitInto(report.capacity));
-    }
-    if (!this->knowsAllTargets)
-        return {};
-    if (!anyTarget) {
-        outcome.reason = "no-target";
-        outcome.retryAfterMilliseconds = 1000;
-        return outcome;
-    }
-    auto wait = this->expectedWait(submission);
-    auto expected = this->speeds.expectedAtBest(submission.queue, Milliseconds(submission.estimateMilliseconds));
-    if (wait.count() + expected.count() <= submission.untilDeadline)
-        return {};
-    outcome.retryAfterMilliseconds = std::clamp(wait, minimumRetryAfter, maximumRetryAfter).count();
-    return outcome;
-}
-
 void TaskScheduler::submit(const std::string& entry, const Submission& submission, Instant now)
 {
     if (!this->isActive())
@@ -309,127 +245,6 @@
     record.outcome = std::move(outcome);
 }
 
-// Whether all that runs on any target is known here.
-bool TaskScheduler::allTargetsClaimed() const
-{
-    return this->knowsAllTargets && std::all_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.session.isClaimed(); });
-}
-
-bool TaskScheduler::mayStart(const Job& job, Instant now) const
-{
-    auto heard = this->entryHeard.find(job.entry);
-    return (now >= job.notBefore || this->allTargetsClaimed()) && now < job.deadline && heard != this->entryHeard.end() && now - heard->second < this->options.entryLease;
-}
-
-class TaskScheduler::ExpectedByKind {
-public:
-    ExpectedByKind(const SpeedEstimator& speeds, const Submission& submission)
-        : speeds(speeds)
-        , submission(submission)
-    {
-    }
-
-    Milliseconds at(const std::string& kind)
-    {
-        for (const auto& known : this->durations) {
-            if (*known.first == kind)
-                return known.second;
-        }
-        auto expected = this->speeds.expected(this->submission.queue, kind, Milliseconds(this->submission.estimateMilliseconds));
-        this->durations.emplace_back(&kind, expected);
-        return expected;
-    }
-
-private:
-    const SpeedEstimator& speeds;
-    const Submission& submission;
-    std::vector<std::pair<const std::string*, Milliseconds>> durations;
-};
-
-// The target on which the task is expected to end first; of equal ones, the one with the least room left over.
-TargetSession* TaskScheduler::chooseTarget(const Job& job, ExpectedByKind& expectedByKind, Instant now)
-{
-    const auto& submission = job.submission;
-    TargetSession* best = nullptr;
-    std::pair<Milliseconds, int64_t> bestScore {};
-    for (auto& [identity, target] : this->targets) {
-        auto& session = target.session;
-        const auto& report = session.target();
-        if (!submission.needs.fitInto(session.freeRoom()) || report.pool != submission.pool || !session.mayStart(now))
-            continue;
-        if (!submission.requiredLabel.empty() && std::find(report.labels.begin(), report.labels.end(), submission.requiredLabel) == report.labels.end())
-            continue;
-        if (submission.maximumPerTarget > 0 && session.runsOf(submission.job) >= submission.maximumPerTarget)
-            continue;
-        auto slowness = target.speed.slowness(now);
-        if (slowness > tolerableSlowness)
-            continue;
-        auto expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expectedByKind.at(report.kind)) * slowness));
-        std::pair score { expected, session.freeRoom().minus(submission.needs).milliCores };
-        if (!best || score < bestScore) {
-            best = &session;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
-void TaskScheduler::place(Job& job, Instant now)
-{
-    ExpectedByKind expectedByKind(this->speeds, job.submission);
-    for (size_t index = 0; index < job.tasks.size() && job.waiting > 0; ++index) {
-        auto& task = job.tasks[index];
-        if (task.state != TaskState::Waiting)
-            continue;
-        auto* session = this->chooseTarget(job, expectedByKind, now);
-        if (!session)
-            return;
-        task.state = TaskState::Placed;
-        task.target = session->target().identity;
-        task.run = task.nextRun++;
-        --job.waiting;
-        if (job.starts++ == 0)
-            job.waited = std::chrono::duration_cast<Milliseconds>(now - job.arrivedAt);
-        session->start(RunName { TaskName { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, job.submission.needs, job.submission.payload, now);
-    }
-}
-
-int64_t TaskScheduler::mostRoom(Instant now) const
-{
-    int64_t most = 0;
-    for (const auto& [identity, target] : this->targets) {
-        if (auto room = target.session.freeRoom().milliCores; room > most && target.session.mayStart(now))
-            most = room;
-    }
-    return most;
-}
-
-void TaskScheduler::pump(Instant now)
-{
-    this->placingDue = false;
-    if (!this->isActive() || this->order.empty())
-        return;
-    auto most = this->mostRoom(now);
-    for (const auto& [rank, job] : this->order) {
-        if (most <= 0)
-            return;
-        if (job->waiting == 0 || job->submission.needs.milliCores > most || !this->mayStart(*job, now))
-            continue;
-        this->place(*job, now);
-        most = this->mostRoom(now);
-    }
-}
-
-void TaskScheduler::observeRun(const Job& job, Target& target, Milliseconds duration, Instant now)
-{
-    const auto& kind = target.session.target().kind;
-    Milliseconds estimate(job.submission.estimateMilliseconds);
-    target.speed.observe(duration, this->speeds.expected(job.submission.queue, kind, estimate), now);
-    // A target that is slow at present says nothing of its kind.
-    if (target.speed.slowness(now) < tolerableSlowness)
-        this->speeds.observe(job.submission.queue, kind, estimate, duration);
-}
-
 void TaskScheduler::onOver(Target& target, const TargetSession::Event& event, Instant now)
 {
     auto position = this->jobs.find(event.run.task.job);
@@ -527,54 +342,6 @@
     this->drainEvents(*target, now);
 }
 
-// Answers a burst beyond what the targets can do: were all served in the order of their objectives, all would be late.
-void TaskScheduler::demoteLate(Instant now)
-{
-    std::vector<Job*> late;
-    for (const auto& [rank, job] : this->order) {
-        if (!rank.isLate && job->starts == 0 && now + job->expected > rank.objective)
-            late.push_back(job);
-    }
-    for (auto* job : late) {
-        this->order.erase(job->rank);
-        job->rank.isLate = true;
-        this->order.emplace(job->rank, job);
-    }
-}
-
-// A job of which nothing has started, and which cannot end in time behind what comes before it, is refused at once.
-void TaskScheduler::refuseHopeless(Instant now)
-{
-    auto rate = this->knowsAllTargets ? this->workRate() : 0;
-    double ahead = 0;
-    std::vector<std::string> hopeless;
-    for (const auto& [rank, entry] : this->order) {
-        const auto& job = *entry;
-        auto wait = rate > 0 ? Milliseconds(static_cast<Milliseconds::rep>(ahead / rate)) : Milliseconds(0);
-        if (job.starts == 0 && job.waiting == job.tasks.size() && now + wait + job.expected + deadlineMargin >= job.deadline)
-            hopeless.push_back(job.submission.job);
-        else
-            ahead += remainingWork(job);
-    }
-    for (const auto& name : hopeless)
-        this->finish(name, JobEnd::Refused, "deadline", now);
-}
-
-// Runs that go on for longer than is usual tell of a slow target before they end.
-void TaskScheduler::observeStragglers(Instant now)
-{
-    for (auto& [identity, target] : this->targets) {
-        for (const auto& [name, run] : target.session.runs()) {
-            auto position = this->jobs.find(name.task.job);
-            if (position == this->jobs.end() || run.startedAt == Instant {} || run.seenAt < run.startedAt)
-                continue;
-            const auto& submission = position->second.submission;
-            auto usual = this->speeds.expected(submission.queue, target.session.target().kind, Milliseconds(submission.estimateMilliseconds));
-            target.speed.observeUnfinished(std::chrono::duration_cast<Milliseconds>(run.seenAt - run.startedAt), usual, now);
-        }
-    }
-}
-
 void TaskScheduler::forgetFinished(Instant now)
 {
     if (now < this->nextForget)
@@ -642,20 +409,6 @@
     return std::exchange(this->effects, {});
 }
 
-TaskScheduler::TargetCounts TaskScheduler::countTargets(Instant now) const
-{
-    TargetCounts counts;
-    for (const auto& [identity, target] : this->targets) {
-        ++counts.known;
-        if (!target.session.mayStart(now))
-            continue;
-        ++counts.usable;
-        if (target.speed.slowness(now) > tolerableSlowness)
-            ++counts.slow;
-    }
-    return counts;
-}
-
 bool TaskScheduler::hasFencedTargets() const
 {
     return std::any_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.session.isFenced(); });
--- /dev/null
+++ b/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
@@ -0,0 +1,160 @@
+#include <LibScheduler/TaskScheduler.h>
+#include <algorithm>
+
+// Which task goes where: the answer to targets of different kinds, of which some are slow for a while.
+namespace Sassafrasshift::Scheduler {
+
+// A target that is slower than this gets nothing until what is known of it is old.
+static constexpr double tolerableSlowness { 2.5 };
+
+// Whether all that runs on any target is known here.
+bool TaskScheduler::allTargetsClaimed() const
+{
+    return this->knowsAllTargets && std::all_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.session.isClaimed(); });
+}
+
+bool TaskScheduler::mayStart(const Job& job, Instant now) const
+{
+    auto heard = this->entryHeard.find(job.entry);
+    return (now >= job.notBefore || this->allTargetsClaimed()) && now < job.deadline && heard != this->entryHeard.end() && now - heard->second < this->options.entryLease;
+}
+
+class TaskScheduler::ExpectedByKind {
+public:
+    ExpectedByKind(const SpeedEstimator& speeds, const Submission& submission)
+        : speeds(speeds)
+        , submission(submission)
+    {
+    }
+
+    Milliseconds at(const std::string& kind)
+    {
+        for (const auto& known : this->durations) {
+            if (*known.first == kind)
+                return known.second;
+        }
+        auto expected = this->speeds.expected(this->submission.queue, kind, Milliseconds(this->submission.estimateMilliseconds));
+        this->durations.emplace_back(&kind, expected);
+        return expected;
+    }
+
+private:
+    const SpeedEstimator& speeds;
+    const Submission& submission;
+    std::vector<std::pair<const std::string*, Milliseconds>> durations;
+};
+
+// The target on which the task is expected to end first; of equal ones, the one with the least room left over.
+TargetSession* TaskScheduler::chooseTarget(const Job& job, ExpectedByKind& expectedByKind, Instant now)
+{
+    const auto& submission = job.submission;
+    TargetSession* best = nullptr;
+    std::pair<Milliseconds, int64_t> bestScore {};
+    for (auto& [identity, target] : this->targets) {
+        auto& session = target.session;
+        const auto& report = session.target();
+        if (!submission.needs.fitInto(session.freeRoom()) || report.pool != submission.pool || !session.mayStart(now))
+            continue;
+        if (!submission.requiredLabel.empty() && std::find(report.labels.begin(), report.labels.end(), submission.requiredLabel) == report.labels.end())
+            continue;
+        if (submission.maximumPerTarget > 0 && session.runsOf(submission.job) >= submission.maximumPerTarget)
+            continue;
+        auto slowness = target.speed.slowness(now);
+        if (slowness > tolerableSlowness)
+            continue;
+        auto expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expectedByKind.at(report.kind)) * slowness));
+        std::pair score { expected, session.freeRoom().minus(submission.needs).milliCores };
+        if (!best || score < bestScore) {
+            best = &session;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void TaskScheduler::place(Job& job, Instant now)
+{
+    ExpectedByKind expectedByKind(this->speeds, job.submission);
+    for (size_t index = 0; index < job.tasks.size() && job.waiting > 0; ++index) {
+        auto& task = job.tasks[index];
+        if (task.state != TaskState::Waiting)
+            continue;
+        auto* session = this->chooseTarget(job, expectedByKind, now);
+        if (!session)
+            return;
+        task.state = TaskState::Placed;
+        task.target = session->target().identity;
+        task.run = task.nextRun++;
+        --job.waiting;
+        if (job.starts++ == 0)
+            job.waited = std::chrono::duration_cast<Milliseconds>(now - job.arrivedAt);
+        session->start(RunName { TaskName { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, job.submission.needs, job.submission.payload, now);
+    }
+}
+
+int64_t TaskScheduler::mostRoom(Instant now) const
+{
+    int64_t most = 0;
+    for (const auto& [identity, target] : this->targets) {
+        if (auto room = target.session.freeRoom().milliCores; room > most && target.session.mayStart(now))
+            most = room;
+    }
+    return most;
+}
+
+void TaskScheduler::pump(Instant now)
+{
+    this->placingDue = false;
+    if (!this->isActive() || this->order.empty())
+        return;
+    auto most = this->mostRoom(now);
+    for (const auto& [rank, job] : this->order) {
+        if (most <= 0)
+            return;
+        if (job->waiting == 0 || job->submission.needs.milliCores > most || !this->mayStart(*job, now))
+            continue;
+        this->place(*job, now);
+        most = this->mostRoom(now);
+    }
+}
+
+void TaskScheduler::observeRun(const Job& job, Target& target, Milliseconds duration, Instant now)
+{
+    const auto& kind = target.session.target().kind;
+    Milliseconds estimate(job.submission.estimateMilliseconds);
+    target.speed.observe(duration, this->speeds.expected(job.submission.queue, kind, estimate), now);
+    // A target that is slow at present says nothing of its kind.
+    if (target.speed.slowness(now) < tolerableSlowness)
+        this->speeds.observe(job.submission.queue, kind, estimate, duration);
+}
+
+// Runs that go on for longer than is usual tell of a slow target before they end.
+void TaskScheduler::observeStragglers(Instant now)
+{
+    for (auto& [identity, target] : this->targets) {
+        for (const auto& [name, run] : target.session.runs()) {
+            auto position = this->jobs.find(name.task.job);
+            if (position == this->jobs.end() || run.startedAt == Instant {} || run.seenAt < run.startedAt)
+                continue;
+            const auto& submission = position->second.submission;
+            auto usual = this->speeds.expected(submission.queue, target.session.target().kind, Milliseconds(submission.estimateMilliseconds));
+            target.speed.observeUnfinished(std::chrono::duration_cast<Milliseconds>(run.seenAt - run.startedAt), usual, now);
+        }
+    }
+}
+
+TaskScheduler::TargetCounts TaskScheduler::countTargets(Instant now) const
+{
+    TargetCounts counts;
+    for (const auto& [identity, target] : this->targets) {
+        ++counts.known;
+        if (!target.session.mayStart(now))
+            continue;
+        ++counts.usable;
+        if (target.speed.slowness(now) > tolerableSlowness)
+            ++counts.slow;
+    }
+    return counts;
+}
+
+}
