LibScheduler: Do not take for lapsed what a late claim finds

Cause: a dispatcher that reached a target only after its first second took the runs that it found there for lapsed, since it had granted them no lease itself, and started them again elsewhere while another dispatcher's lease kept them. Also: a dropped job's runs are stopped wherever they are known, also those that were not taken over. Tests, failing before: a_run_that_a_late_claim_finds_is_not_taken_for_lapsed (two copies), and neighbours_in_a_failure_domain_that_is_cut_off_do_not_lose_each_other.

--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -31,6 +31,12 @@
             others.push_back(seed);
     }
     std::shuffle(live.begin(), live.end(), this->random);
+    // One neighbour always: a partition leaves the members of a failure domain together, and right after it most of those
+    // that still count as alive are out of reach.
+    auto isNeighbour = [&](const auto& address) { return this->peers.at(address).record.failureDomain == this->own.failureDomain; };
+    auto neighbour = std::find_if(live.begin(), live.end(), isNeighbour);
+    if (neighbour != live.end())
+        std::iter_swap(live.begin(), neighbour);
     if (live.size() > this->options.fanout)
         live.resize(this->options.fanout);
     if (live.empty()) {
--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -41,11 +41,16 @@
     this->openHold.reset();
     this->openProbe.reset();
     this->nextHold = now;
-    // An earlier dispatcher may have granted leases that are not known here.
-    this->leasesUnknownUntil = std::max(this->leasesUnknownUntil, now + this->options.maximumLease * (100 + this->options.clockDriftPercent) / 100);
+    this->expectUnknownLeases(now);
     this->sendHold(now);
 }
 
+// Another dispatcher may have granted leases up to now that are not known here.
+void TargetSession::expectUnknownLeases(Instant now)
+{
+    this->leasesUnknownUntil = std::max(this->leasesUnknownUntil, now + this->options.maximumLease * (100 + this->options.clockDriftPercent) / 100);
+}
+
 bool TargetSession::mayStart(Instant now) const
 {
     return this->phase == Phase::Claimed && this->unknownNeeds == 0 && !this->isSuspect && this->clock && now >= this->setAsideUntil
@@ -250,6 +255,9 @@
     if (!list.incarnation.empty() && list.incarnation != this->report.incarnation)
         this->onRestart(list.incarnation);
     this->observeClock(list.clock, now);
+    // What runs there was held by somebody else until this answer.
+    if (this->phase != Phase::Claimed)
+        this->expectUnknownLeases(now);
     if (this->phase != Phase::Claimed || this->unansweredHolds >= toleratedFailures)
         this->noteEvent(Event::Kind::Answering);
     this->phase = Phase::Claimed;
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -21,7 +21,7 @@
     /// Between two attempts to reach a target that does not answer.
     Milliseconds claimRetry { 400 };
     /// How long a run of unknown origin is left for its entry to name its job again.
-    Milliseconds adoptionWait { 700 };
+    Milliseconds adoptionWait { 400 };
     /// How much slower the clock of a target may run, in hundredths.
     int64_t clockDriftPercent { 2 };
 };
@@ -146,6 +146,7 @@
 
     [[nodiscard]] TargetPlace place() const;
     [[nodiscard]] int64_t leaseEnd(Instant now);
+    void expectUnknownLeases(Instant now);
     [[nodiscard]] bool needsHold() const;
     [[nodiscard]] bool leasesLapsed(Instant now) const;
     void sendHold(Instant now);
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -198,15 +198,16 @@
     return unknown;
 }
 
-void TaskScheduler::stopRuns(const Job& job, Instant now)
+// Stops whatever runs of a job, also what was started by another dispatcher and not taken over.
+void TaskScheduler::stopRuns(const std::string& job, Instant now)
 {
-    for (size_t index = 0; index < job.tasks.size(); ++index) {
-        const auto& task = job.tasks[index];
-        if (task.state != TaskState::Placed)
-            continue;
-        auto position = this->targets.find(task.target);
-        if (position != this->targets.end())
-            position->second.session.stop(RunName { TaskName { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, now);
+    for (auto& [identity, target] : this->targets) {
+        std::vector<RunName> found;
+        const auto& runs = target.session.runs();
+        for (auto position = runs.lower_bound(RunName { TaskName { job, 0, 0, 0 }, 0 }); position != runs.end() && position->first.task.job == job; ++position)
+            found.push_back(position->first);
+        for (const auto& run : found)
+            target.session.stop(run, now);
     }
 }
 
@@ -222,7 +223,8 @@
     if (position == this->jobs.end())
         return;
     auto& job = position->second;
-    this->stopRuns(job, now);
+    if (job.done < job.tasks.size())
+        this->stopRuns(name, now);
     Finished record { {}, JobOutcome { name, JobEnd::Refused, "dropped" }, now, 1 };
     for (const auto& task : job.tasks)
         record.nextRun = std::max(record.nextRun, task.nextRun);
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -154,7 +154,7 @@
     void dropJob(const std::string& job, std::string cause, Instant now);
     void removeJob(const std::string& job, Instant now);
     void decide(Decision::Kind, const std::string& target, const RunName&, std::string cause);
-    void stopRuns(const Job&, Instant now);
+    void stopRuns(const std::string& job, Instant now);
     void review(Instant now);
     void demoteLate(Instant now);
     void refuseHopeless(Instant now);
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -22,12 +22,14 @@
 static constexpr Milliseconds answerMargin { 25 };
 static constexpr Milliseconds longestDeadline { 60'000 };
 // How long after its last answer the runs of an unreachable dispatcher may go on. It may have heard this entry once more
-// without being heard, keeps the runs for the entry's lease, and its orders to stop take time.
+// without being heard, keeps the runs for the entry's lease, may be followed by another one beyond the same partition that
+// waits for their entry, and orders to stop take time.
 static constexpr Milliseconds stopTime { 250 };
-static constexpr Milliseconds earlierRunsEnd = renewalInterval + Scheduler::TaskScheduler::Options {}.entryLease + stopTime;
-// The runs have to end before a caller whose connection broke may send its job again.
+static constexpr Scheduler::TaskScheduler::Options schedulerOptions {};
+static constexpr Milliseconds earlierRunsEnd = renewalInterval + schedulerOptions.entryLease + schedulerOptions.leases.adoptionWait + stopTime;
+// The runs of an entry that is lost have to end before a caller whose connection broke may send its job again.
 static constexpr Milliseconds callerRetransmission { 1300 };
-static_assert(earlierRunsEnd < callerRetransmission);
+static_assert(schedulerOptions.entryLease + stopTime < callerRetransmission);
 // Each further dispatcher numbers its runs above those of the ones before.
 static constexpr uint64_t runsPerDispatcher = 1000;
 // How long a job waits for a dispatcher to be found.
--- a/Tests/LibMembership/TestCluster.cpp
+++ b/Tests/LibMembership/TestCluster.cpp
@@ -17,9 +17,10 @@
     std::map<std::string, Instant> nextGossip;
     std::function<bool(const std::string& from, const std::string& to)> isCut = [](const auto&, const auto&) { return false; };
 
-    void add(const std::string& address, std::vector<std::string> seeds, uint32_t weight, bool isEntry = true)
+    void add(const std::string& address, std::vector<std::string> seeds, uint32_t weight, bool isEntry = true, const std::string& failureDomain = "")
     {
         MemberRecord self;
+        self.failureDomain = failureDomain;
         self.address = address;
         self.name = address;
         self.incarnation = static_cast<uint64_t>(this->now.time_since_epoch().count());
@@ -160,3 +161,25 @@
     network.members.at("seed-a")->observe({ former }, network.now);
     BOOST_TEST(network.members.at("seed-a")->self().incarnation > former.incarnation);
 }
+
+BOOST_AUTO_TEST_CASE(neighbours_in_a_failure_domain_that_is_cut_off_do_not_lose_each_other)
+{
+    for (int attempt = 0; attempt < 10; ++attempt) {
+        Network network;
+        auto suffix = std::to_string(attempt);
+        auto first = "north-1-" + suffix;
+        auto second = "north-2-" + suffix;
+        network.add(first, { "south-0" }, 250, true, "north");
+        network.add(second, { "south-0" }, 250, true, "north");
+        for (int i = 0; i < 10; ++i)
+            network.add("south-" + std::to_string(i), { "south-0" }, 250, true, "south");
+        network.run(2s);
+        network.isCut = [](const std::string& from, const std::string& to) { return from.starts_with("north") != to.starts_with("north"); };
+        for (int i = 0; i < 200; ++i) {
+            network.run(10ms);
+            BOOST_REQUIRE(network.members.at(first)->isAlive(second, network.now));
+            BOOST_REQUIRE(network.members.at(second)->isAlive(first, network.now));
+        }
+        BOOST_TEST(network.dispatcherAt(first) == network.dispatcherAt(second));
+    }
+}
--- a/Tests/LibScheduler/TestTaskScheduler.cpp
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -298,3 +298,28 @@
     }
     BOOST_TEST(sentIntoTheVoid == 1U);
 }
+
+// The sides of a partition meet again: the dispatcher that remains reaches a target that the other one has held meanwhile.
+BOOST_AUTO_TEST_CASE(a_run_that_a_late_claim_finds_is_not_taken_for_lapsed)
+{
+    auto fleet = makeFleet(2, { 32, 32 });
+    fleet.work = 4s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 1, 27));
+    fleet.run(100ms);
+    bool isCut = true;
+    fleet.decideFate = [&](size_t dispatcher, const TargetPlace&, bool) { return SimulatedFleet::Fate { 1ms, false, dispatcher == 1 && isCut }; };
+    fleet.dispatchers[1]->activate(secondFence, fleet.now);
+    fleet.run(2s);
+    isCut = false;
+    fleet.dispatchers[0]->deactivate();
+    auto again = makeJob("job", 1, 27);
+    again.firstRun = 1001;
+    fleet.submit(1, again);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 10s));
+    uint64_t starts = 0;
+    for (const auto& [identity, target] : fleet.targets)
+        starts += target.starts;
+    BOOST_TEST(starts == 1U);
+    BOOST_TEST(fleet.mostCopies() == 1U);
+}
