--- a/Services/sassafrasshiftd/LedgerService.cpp
+++ b/Services/sassafrasshiftd/LedgerService.cpp
@@ -173,17 +173,7 @@
 void LedgerService::onMessage(const std::string& from, const ProposeRequest& request)
 {
     auto respond = [this, from, number = request.number](ErrorOr<std::string> result) {
-        ProposeResponse response;
-        response.number = number;
-        response.succeeded = result.has_value();
-        if (result) {
-            response.result = std::move(result).value();
-        } else {
-            response.reason = result.error().reason;
-            response.verdict = result.error().verdict;
-            response.detail = result.error().detail;
-        }
-        this->context.send(from, response);
+        this->context.send(from, ProposeResponse::create(number, std::move(result)));
     };
     if (!this->node) {
         respond(tl::unexpected(Error::notRun(Reason::NotLeader, "this host runs no replica")));
--- a/Services/sassafrasshiftd/PeerMessages.h
+++ b/Services/sassafrasshiftd/PeerMessages.h
@@ -47,6 +47,8 @@
     Verdict verdict { Verdict::MayHaveRun };
     std::string detail;
 
+    [[nodiscard]] static ProposeResponse create(uint64_t number, ErrorOr<std::string> result);
+
     CODEC_FIELDS(number, succeeded, result, reason, verdict, detail);
 };
 
