LibTransport: Keep timers on a clock that the time of day does not move

Cause: the HTTP library's timeouts read gettimeofday(). When the time of day went back by seconds, every timer and deferred call of a process waited that long: ticks, renewals of leases, messages to peers. It then looked like a process that stood still, but that noticed nothing. Instants came from the steady clock, which does not count the time in which a machine is suspended, so that a dispatcher or entry that woke up took all it knew for fresh. Ruled out: the timeouts of h2o's own connections (idle and connection-pool limits of seconds) stay with the library; a step ends an idle connection early at most. Change: EventLoop keeps its timers itself, ordered by instant, and runs them in one entry of the library that is due whenever it is linked. SystemClock reads CLOCK_BOOTTIME. Also: the test of idle connections passed only because the server's idle timeout ended it after 60 s (the close came while the answer was being written). It now fails unless the server ends the connection within 5 s; the raw client of the wire tests has a timeout.

--- a/Libraries/LibBase/Clock.cpp
+++ b/Libraries/LibBase/Clock.cpp
@@ -1,10 +1,13 @@
 #include <LibBase/Clock.h>
+#include <ctime>
 
 namespace Sassafrasshift {
 
 Instant SystemClock::now() const
 {
-    return std::chrono::steady_clock::now();
+    timespec reading {};
+    clock_gettime(CLOCK_BOOTTIME, &reading);
+    return Instant { std::chrono::seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec) };
 }
 
 WallTime SystemClock::wallNow() const
--- a/Libraries/LibBase/Clock.h
+++ b/Libraries/LibBase/Clock.h
@@ -7,7 +7,8 @@
 using Milliseconds = std::chrono::milliseconds;
 using Microseconds = std::chrono::microseconds;
 
-/// A point on a clock that never goes back; it has no meaning outside the process.
+/// A point on a clock that never goes back, and that goes on while the machine is suspended; it has no meaning outside the
+/// machine.
 using Instant = std::chrono::steady_clock::time_point;
 
 /// A point in civil time; it may jump and differs from machine to machine.
--- a/Libraries/LibTransport/EventLoop.cpp
+++ b/Libraries/LibTransport/EventLoop.cpp
@@ -1,76 +1,103 @@
 #include <LibTransport/EventLoop.h>
 #include <LibTransport/H2O.h>
-#include <bit>
+#include <algorithm>
 #include <csignal>
 #include <map>
-#include <mutex>
+#include <utility>
 #include <vector>
 
 namespace Sassafrasshift::Transport {
 
-static constexpr int32_t maximumPollMilliseconds = 1000;
+static constexpr Milliseconds maximumPoll { 1000 };
 
 struct PostedCall {
     h2o_multithread_message_t message {};
     std::function<void()> function;
 };
 
+class TimerImplementation;
+
+// The library's own timeouts follow the time of day, which may jump. So timers are kept here, on a clock that does not,
+// and run in one entry of the library that is due whenever it is linked.
 struct EventLoop::Implementation {
     h2o_loop_t* loop { nullptr };
     h2o_multithread_queue_t* queue { nullptr };
     h2o_multithread_receiver_t postReceiver {};
     h2o_multithread_receiver_t addressReceiver {};
-    std::map<uint64_t, std::unique_ptr<h2o_timeout_t>> timeouts;
+    h2o_timeout_t immediately {};
+    struct DueEntry {
+        h2o_timeout_entry_t entry {};
+        Implementation* owner { nullptr };
+    } due;
+    std::multimap<Instant, TimerImplementation*> timers;
+    std::vector<std::function<void()>> deferred;
     SystemClock clock;
     bool stopped { false };
 
-    h2o_timeout_t* timeoutFor(uint64_t milliseconds);
-};
-
-struct TimerEntry {
-    h2o_timeout_entry_t entry {};
-    std::function<void()> function;
+    void linkDue();
+    void runDue();
+    [[nodiscard]] Milliseconds untilNextTimer() const;
 };
 
 class TimerImplementation final : public Timer {
 public:
-    explicit TimerImplementation(std::function<void()> function)
+    using Timers = std::multimap<Instant, TimerImplementation*>;
+
+    TimerImplementation(Timers& timers, Instant at, std::function<void()> function)
+        : timers(timers)
+        , position(timers.emplace(at, this))
+        , function(std::move(function))
     {
-        this->state.function = std::move(function);
-        this->state.entry.cb = [](h2o_timeout_entry_t* entry) {
-            auto* state = H2O_STRUCT_FROM_MEMBER(TimerEntry, entry, entry);
-            // The function may destroy this timer, so it is moved out before it is called.
-            auto function = std::move(state->function);
-            function();
-        };
     }
 
     ~TimerImplementation() override
     {
-        if (h2o_timeout_is_linked(&this->state.entry))
-            h2o_timeout_unlink(&this->state.entry);
+        if (this->isPending)
+            this->timers.erase(this->position);
+    }
+
+    // The function may destroy this timer, so it is moved out before it is called.
+    [[nodiscard]] std::function<void()> expire()
+    {
+        this->timers.erase(this->position);
+        this->isPending = false;
+        return std::move(this->function);
     }
 
-    TimerEntry state;
+private:
+    Timers& timers;
+    Timers::iterator position;
+    std::function<void()> function;
+    bool isPending { true };
 };
 
-// The library keeps a list for each distinct delay; rounding bounds the number of lists.
-static uint64_t roundDelay(uint64_t milliseconds)
+void EventLoop::Implementation::linkDue()
 {
-    if (milliseconds < 16)
-        return milliseconds;
-    uint64_t step = std::bit_floor(milliseconds) / 8;
-    return (milliseconds + step - 1) / step * step;
+    if (h2o_timeout_is_linked(&this->due.entry))
+        return;
+    h2o_timeout_link(this->loop, &this->immediately, &this->due.entry);
+    this->due.entry.registered_at = 0;
 }
 
-h2o_timeout_t* EventLoop::Implementation::timeoutFor(uint64_t milliseconds)
+void EventLoop::Implementation::runDue()
 {
-    auto& slot = this->timeouts[roundDelay(milliseconds)];
-    if (!slot) {
-        slot = std::make_unique<h2o_timeout_t>();
-        h2o_timeout_init(this->loop, slot.get(), roundDelay(milliseconds));
+    auto calls = std::exchange(this->deferred, {});
+    for (auto& call : calls)
+        call();
+    auto now = this->clock.now();
+    while (!this->timers.empty() && this->timers.begin()->first <= now) {
+        auto function = this->timers.begin()->second->expire();
+        function();
     }
-    return slot.get();
+    if (!this->deferred.empty())
+        this->linkDue();
+}
+
+Milliseconds EventLoop::Implementation::untilNextTimer() const
+{
+    if (this->timers.empty())
+        return maximumPoll;
+    return std::min(std::chrono::ceil<Milliseconds>(this->timers.begin()->first - this->clock.now()), maximumPoll);
 }
 
 EventLoop::EventLoop()
@@ -97,6 +124,9 @@
     std::unique_ptr<EventLoop> loop(new EventLoop);
     auto& state = *loop->implementation;
     state.loop = h2o_evloop_create();
+    h2o_timeout_init(state.loop, &state.immediately, 0);
+    state.due.owner = &state;
+    state.due.entry.cb = [](h2o_timeout_entry_t* entry) { H2O_STRUCT_FROM_MEMBER(Implementation::DueEntry, entry, entry)->owner->runDue(); };
     state.queue = h2o_multithread_create_queue(state.loop);
     h2o_multithread_register_receiver(state.queue, &state.postReceiver, onPosted);
     h2o_multithread_register_receiver(state.queue, &state.addressReceiver, h2o_hostinfo_getaddr_receiver);
@@ -105,9 +135,14 @@
 
 void EventLoop::run()
 {
-    this->implementation->stopped = false;
-    while (!this->implementation->stopped)
-        h2o_evloop_run(this->implementation->loop, maximumPollMilliseconds);
+    auto& state = *this->implementation;
+    state.stopped = false;
+    while (!state.stopped) {
+        auto wait = state.untilNextTimer();
+        if (wait.count() <= 0)
+            state.linkDue();
+        h2o_evloop_run(state.loop, static_cast<int32_t>(std::max<int64_t>(wait.count(), 0)));
+    }
 }
 
 void EventLoop::stop()
@@ -117,20 +152,15 @@
 
 std::unique_ptr<Timer> EventLoop::after(Milliseconds delay, std::function<void()> function)
 {
-    auto timer = std::make_unique<TimerImplementation>(std::move(function));
-    auto milliseconds = static_cast<uint64_t>(std::max<int64_t>(delay.count(), 0));
-    h2o_timeout_link(this->implementation->loop, this->implementation->timeoutFor(milliseconds), &timer->state.entry);
-    return timer;
+    auto& state = *this->implementation;
+    return std::make_unique<TimerImplementation>(state.timers, state.clock.now() + std::max(delay, Milliseconds(0)), std::move(function));
 }
 
 void EventLoop::defer(std::function<void()> function)
 {
-    auto* timer = new TimerImplementation({});
-    timer->state.function = [timer, function = std::move(function)]() {
-        std::unique_ptr<TimerImplementation> owner(timer);
-        function();
-    };
-    h2o_timeout_link(this->implementation->loop, this->implementation->timeoutFor(0), &timer->state.entry);
+    auto& state = *this->implementation;
+    state.deferred.push_back(std::move(function));
+    state.linkDue();
 }
 
 void EventLoop::post(std::function<void()> function)
--- a/Libraries/LibTransport/EventLoop.h
+++ b/Libraries/LibTransport/EventLoop.h
@@ -31,7 +31,8 @@
     void run();
     void stop();
 
-    /// Calls a function once after a delay, which is rounded up by at most an eighth.
+    /// Calls a function once after a delay. The time of day has no influence on it; a time in which the machine was
+    /// suspended counts.
     [[nodiscard]] std::unique_ptr<Timer> after(Milliseconds, std::function<void()>);
 
     /// Calls a function in the loop's thread as soon as the present callback has returned.
--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -257,24 +257,34 @@
 namespace {
 
 // Sends bytes on a connection of its own, and reads until the other side closes it.
-std::string exchangeRaw(EventLoop& loop, const std::string& bytes)
+struct RawAnswer {
+    std::string bytes;
+    // Whether the server ended the connection, as it has to within some seconds.
+    bool ended { false };
+};
+
+RawAnswer exchangeRaw(EventLoop& loop, const std::string& bytes)
 {
-    std::string received;
+    RawAnswer answer;
     std::thread thread([&] {
         int connection = socket(AF_INET, SOCK_STREAM, 0);
+        timeval limit { 5, 0 };
+        setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
         auto address = serverEndpoint.toSocketAddress();
         if (connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
             (void)!write(connection, bytes.data(), bytes.size());
             char buffer[4096];
-            for (ssize_t count = 0; (count = read(connection, buffer, sizeof(buffer))) > 0;)
-                received.append(buffer, static_cast<size_t>(count));
+            ssize_t count = 0;
+            while ((count = read(connection, buffer, sizeof(buffer))) > 0)
+                answer.bytes.append(buffer, static_cast<size_t>(count));
+            answer.ended = count == 0;
         }
         close(connection);
         loop.post([&] { loop.stop(); });
     });
     loop.run();
     thread.join();
-    return received;
+    return answer;
 }
 
 }
@@ -290,18 +300,26 @@
              "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 6\r\n\r\n1\r\na\r\n0\r\n\r\n",
              "POST / HTTP/1.1\r\nHost: a\r\ncontent-length: 6\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n" }) {
         auto answer = exchangeRaw(*this->loop, request);
-        BOOST_TEST(answer.starts_with("HTTP/1.1 400"), answer);
+        BOOST_TEST(answer.bytes.starts_with("HTTP/1.1 400"), answer.bytes);
+        BOOST_TEST(answer.ended);
     }
     BOOST_TEST(served == 0U);
 }
 
 BOOST_FIXTURE_TEST_CASE(idle_connections_are_closed_when_asked_for, Fixture)
 {
+    // Asked for again and again, as a process that stops does: a connection whose answer is being written is left alone.
+    std::unique_ptr<Timer> timer;
+    std::function<void()> closeAgain = [&] {
+        this->server->closeIdleConnections();
+        timer = this->loop->after(5ms, closeAgain);
+    };
     this->serve([&](const auto& exchange) {
         exchange->respond(HttpResponse { 200, {}, {} });
-        this->loop->post([this] { this->server->closeIdleConnections(); });
+        timer = this->loop->after(5ms, closeAgain);
     });
     // The connection stays open after the answer unless the server closes it.
     auto answer = exchangeRaw(*this->loop, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
-    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answer.bytes.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answer.ended);
 }
