LibMembership: Divide the targets of a large cluster into shards

Weighed: targets by rendezvous hashing over all dispatchers (a lost one scatters its runs over several successors, none of which can find out alone what runs); a shard for each failure domain, whose successor claims all of the shard's targets. Change: from 20 members on each failure domain has a dispatcher of its own, chosen among the domain's members; claims name their shard. The layout only ever goes from one shard to several and spreads by gossip, so that members with different views agree. A light dispatcher gives way to a member of three times its weight. A dispatcher that leaves messages unanswered can be suspected before its heartbeat is missed (1.75 s in a large cluster).

--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -20,7 +20,7 @@
 
 std::vector<std::string> Cluster::nextRecipients(Instant now)
 {
-    ++this->own.heartbeat;
+    this->beat();
     std::vector<std::string> live;
     // Seeds and lost members are tried too, so that the two sides of a healed partition find each other again.
     std::vector<std::string> others;
@@ -65,12 +65,23 @@
 {
     for (const auto& record : records) {
         this->highestEpoch = std::max(this->highestEpoch, record.dispatchEpoch);
+        if (record.dispatchEpoch > 0)
+            this->claimedShards.insert(record.dispatchShard);
+        this->adoptLayout(record.layout);
         if (record.address == this->own.address)
             this->observeSelf(record);
         else
             this->observeOne(record, now);
     }
     std::erase_if(this->peers, [&](const auto& entry) { return now - entry.second.lastRise > this->options.forgetAfter; });
+    if (this->peers.size() + 1 >= this->options.shardedCluster)
+        this->adoptLayout(DispatchLayout::FailureDomains);
+}
+
+// It only ever goes one way, so that members with different views come to the same layout.
+void Cluster::adoptLayout(DispatchLayout layout)
+{
+    this->own.layout = std::max(this->own.layout, layout);
 }
 
 // An earlier process at this address may have had a clock ahead of this one's.
@@ -83,14 +94,15 @@
 
 void Cluster::observeOne(const MemberRecord& record, Instant now)
 {
-    auto [position, isNew] = this->peers.try_emplace(record.address, Peer { record, now, now });
+    auto [position, isNew] = this->peers.try_emplace(record.address, Peer { record, now, now, {} });
     if (isNew)
         return;
     auto& peer = position->second;
     if (std::tie(record.incarnation, record.heartbeat) <= std::tie(peer.record.incarnation, peer.record.heartbeat))
         return;
-    bool wasAlive = this->isAlive(record.address, now) && record.incarnation == peer.record.incarnation;
-    peer = Peer { record, now, wasAlive ? peer.aliveSince : now };
+    bool isSameProcess = record.incarnation == peer.record.incarnation;
+    bool wasAlive = isSameProcess && this->isAlive(record.address, now);
+    peer = Peer { record, now, wasAlive ? peer.aliveSince : now, isSameProcess ? peer.suspectedUntil : Instant {} };
 }
 
 bool Cluster::isAlive(const std::string& address, Instant now) const
@@ -98,7 +110,21 @@
     if (address == this->own.address)
         return true;
     auto position = this->peers.find(address);
-    return position != this->peers.end() && now - position->second.lastRise <= this->failureTimeout();
+    return position != this->peers.end() && now - position->second.lastRise <= this->failureTimeout() && now >= position->second.suspectedUntil;
+}
+
+void Cluster::suspect(const std::string& address, Instant now)
+{
+    auto position = this->peers.find(address);
+    if (position != this->peers.end())
+        position->second.suspectedUntil = now + this->failureTimeout();
+}
+
+void Cluster::clearSuspicion(const std::string& address)
+{
+    auto position = this->peers.find(address);
+    if (position != this->peers.end())
+        position->second.suspectedUntil = {};
 }
 
 const MemberRecord* Cluster::find(const std::string& address) const
@@ -129,11 +155,28 @@
     });
 }
 
-const MemberRecord* Cluster::dispatcher(Instant now) const
+std::string Cluster::shardFor(const std::string& failureDomain) const
+{
+    if (this->own.layout == DispatchLayout::WholeCluster)
+        return {};
+    std::set<std::string> shards;
+    if (this->own.dispatchWeight > 0)
+        shards.insert(this->own.failureDomain);
+    for (const auto& [address, peer] : this->peers) {
+        if (peer.record.dispatchWeight > 0)
+            shards.insert(peer.record.failureDomain);
+    }
+    if (shards.empty())
+        return failureDomain;
+    auto position = shards.lower_bound(failureDomain);
+    return position == shards.end() ? *shards.begin() : *position;
+}
+
+const MemberRecord* Cluster::dispatcher(const std::string& shard, Instant now) const
 {
     const MemberRecord* best = nullptr;
     for (const auto* member : this->alive(now)) {
-        if (member->dispatchEpoch == 0 || member->state != HostState::Serving)
+        if (member->dispatchEpoch == 0 || member->state != HostState::Serving || member->dispatchShard != shard)
             continue;
         if (!best || std::tie(member->dispatchEpoch, member->address) > std::tie(best->dispatchEpoch, best->address))
             best = member;
@@ -141,21 +184,54 @@
     return best;
 }
 
+std::vector<const MemberRecord*> Cluster::dispatchers(Instant now) const
+{
+    std::map<std::string, const MemberRecord*> best;
+    bool isSharded = this->own.layout == DispatchLayout::FailureDomains;
+    for (const auto* member : this->alive(now)) {
+        if (member->dispatchEpoch == 0 || member->state != HostState::Serving || member->dispatchShard.empty() == isSharded)
+            continue;
+        auto& present = best[member->dispatchShard];
+        if (!present || std::tie(member->dispatchEpoch, member->address) > std::tie(present->dispatchEpoch, present->address))
+            present = member;
+    }
+    std::vector<const MemberRecord*> dispatchers;
+    dispatchers.reserve(best.size());
+    for (const auto& [shard, member] : best)
+        dispatchers.push_back(member);
+    return dispatchers;
+}
+
 bool Cluster::isBestCandidate(Instant now) const
 {
     auto rank = [](const MemberRecord& member) { return std::tie(member.dispatchWeight, member.address); };
     if (this->own.state != HostState::Serving || this->own.dispatchWeight == 0)
         return false;
     auto members = this->alive(now);
-    return std::all_of(members.begin(), members.end(), [&](const auto* member) { return member->state != HostState::Serving || rank(*member) <= rank(this->own); });
+    return std::all_of(members.begin(), members.end(), [&](const auto* member) {
+        return member->state != HostState::Serving || this->shardFor(member->failureDomain) != this->own.dispatchShard || rank(*member) <= rank(this->own);
+    });
+}
+
+// Whether the dispatcher has too little processor time beside this member to keep its place.
+bool Cluster::outweighs(const MemberRecord& dispatcher, Instant now) const
+{
+    return this->own.state == HostState::Serving && now - this->startedAt >= this->options.takeOverDelay
+        && dispatcher.dispatchWeight * this->options.takeOverFactor <= this->own.dispatchWeight && this->isBestCandidate(now);
 }
 
 void Cluster::updateClaim(Instant now, uint64_t epochFloor)
 {
-    const auto* present = this->dispatcher(now);
+    auto shard = this->ownShard();
+    if (this->own.dispatchShard != shard) {
+        this->own.dispatchShard = shard;
+        this->own.dispatchEpoch = 0;
+        this->candidateSince.reset();
+    }
+    const auto* present = this->dispatcher(shard, now);
     if (present == &this->own)
         return;
-    if (present || this->own.state != HostState::Serving) {
+    if (this->own.state != HostState::Serving || (present && !this->outweighs(*present, now))) {
         this->own.dispatchEpoch = 0;
         this->candidateSince.reset();
         return;
@@ -168,7 +244,7 @@
         this->candidateSince = now;
     // A claim that is known to have ended is followed at once; otherwise others may still be on their way.
     auto delay = this->peers.empty() ? this->options.lonelyClaimDelay : this->options.claimDelay;
-    bool mayClaim = this->highestEpoch > 0 || now - *this->candidateSince >= delay;
+    bool mayClaim = this->claimedShards.contains(shard) || now - *this->candidateSince >= delay;
     if (mayClaim && now - this->startedAt >= delay)
         this->raiseEpoch(std::max(this->highestEpoch, epochFloor));
 }
@@ -177,6 +253,7 @@
 {
     this->highestEpoch = std::max(this->highestEpoch, above) + 1;
     this->own.dispatchEpoch = this->highestEpoch;
+    this->claimedShards.insert(this->own.dispatchShard);
 }
 
 void Cluster::setSeeds(std::vector<std::string> addresses)
--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -8,11 +8,20 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace Sassafrasshift::Membership {
 
+/// How the targets are divided among dispatchers.
+enum class DispatchLayout {
+    /// One dispatcher has all targets.
+    WholeCluster,
+    /// Each failure domain has a dispatcher for its targets.
+    FailureDomains,
+};
+
 /// What the members of a cluster know of one of them.
 struct MemberRecord {
     /// Where its peers reach it, as "address:port"; it identifies the host.
@@ -38,13 +47,20 @@
     /// The host that it holds for the leader of the ledger, and the term in which that was elected.
     std::string ledgerLeader;
     uint64_t ledgerTerm { 0 };
+    /// The layout that it knows to be in force.
+    DispatchLayout layout { DispatchLayout::WholeCluster };
+    /// The shard that it dispatches, or would dispatch.
+    std::string dispatchShard;
 
-    CODEC_FIELDS(address, name, failureDomain, incarnation, heartbeat, state, isEntry, dispatchWeight, dispatchEpoch, configurationVersion, replicaIdentity, replicaInitialized, ledgerLeader, ledgerTerm);
+    CODEC_FIELDS(address, name, failureDomain, incarnation, heartbeat, state, isEntry, dispatchWeight, dispatchEpoch, configurationVersion, replicaIdentity, replicaInitialized, ledgerLeader, ledgerTerm, layout, dispatchShard);
     friend auto operator<=>(const MemberRecord&, const MemberRecord&) = default;
 };
 
 /// The members of a cluster that finds itself from a few seeds, by gossip of heartbeat counters (van Renesse, Minsky and
 /// Hayden, "A Gossip-Style Failure Detection Service", 1998). It does no input or output.
+///
+/// The targets are divided into shards, each with one dispatcher: a single shard with an empty name in a small cluster, and
+/// one for each failure domain in a large one. A cluster that has once been large keeps its shards.
 class Cluster {
 public:
     struct Options {
@@ -53,6 +69,8 @@
         Milliseconds largeClusterInterval { 250 };
         /// Members from which on a cluster is large.
         size_t largeCluster { 20 };
+        /// Members from which on each failure domain has a dispatcher of its own.
+        size_t shardedCluster { 20 };
         /// A member whose heartbeat has not risen for this many intervals counts as lost.
         int failureIntervals { 7 };
         /// A lost member is forgotten after this long.
@@ -61,6 +79,10 @@
         Milliseconds claimDelay { 300 };
         /// The same for a host that has heard of nobody: the others may still be starting.
         Milliseconds lonelyClaimDelay { 1500 };
+        /// A member takes the place of a dispatcher that has less than its own weight divided by this.
+        uint32_t takeOverFactor { 3 };
+        /// How long a member has to run before it takes such a place.
+        Milliseconds takeOverDelay { 3000 };
         /// Members to which each gossip message goes.
         size_t fanout { 3 };
     };
@@ -69,6 +91,8 @@
 
     /// How long after one gossip message the next is due. It grows with the cluster, whose records each message carries.
     [[nodiscard]] Milliseconds gossipInterval() const { return this->interval(); }
+    /// Raises the own heartbeat, so that others take in the own record as it is now.
+    void beat() { ++this->own.heartbeat; }
     /// The addresses to which the next gossip message goes. Raises the own heartbeat.
     [[nodiscard]] std::vector<std::string> nextRecipients(Instant now);
     /// Own record and those of all members that are not lost.
@@ -94,8 +118,21 @@
     /// Whether all members that take no jobs have been alive for some time, as far as is known here. While that holds, none
     /// of what they tell every member has been missed.
     [[nodiscard]] bool isSettled(Milliseconds, Instant now) const;
-    /// The live, serving member with the claim of the highest epoch; null for none.
-    [[nodiscard]] const MemberRecord* dispatcher(Instant now) const;
+    /// A member that others have reason to take for lost, since it leaves their messages unanswered. It counts as lost until
+    /// it is heard from, or for as long as its loss would take to be noticed.
+    void suspect(const std::string& address, Instant now);
+    /// A message has come from the member itself.
+    void clearSuspicion(const std::string& address);
+
+    [[nodiscard]] DispatchLayout layout() const { return this->own.layout; }
+    /// The shard to which the targets of a failure domain belong. A domain without any member that dispatches shares the
+    /// shard of another one.
+    [[nodiscard]] std::string shardFor(const std::string& failureDomain) const;
+    [[nodiscard]] std::string ownShard() const { return this->shardFor(this->own.failureDomain); }
+    /// The live, serving member with the claim of the highest epoch to a shard; null for none.
+    [[nodiscard]] const MemberRecord* dispatcher(const std::string& shard, Instant now) const;
+    /// The dispatchers of all shards that have one.
+    [[nodiscard]] std::vector<const MemberRecord*> dispatchers(Instant now) const;
 
 private:
     struct Peer {
@@ -103,11 +140,14 @@
         Instant lastRise;
         /// Since when it has been alive without a break.
         Instant aliveSince;
+        Instant suspectedUntil {};
     };
 
     [[nodiscard]] Milliseconds interval() const;
     [[nodiscard]] Milliseconds failureTimeout() const { return this->interval() * this->options.failureIntervals; }
     [[nodiscard]] bool isBestCandidate(Instant now) const;
+    [[nodiscard]] bool outweighs(const MemberRecord& dispatcher, Instant now) const;
+    void adoptLayout(DispatchLayout);
     void observeOne(const MemberRecord&, Instant now);
     void observeSelf(const MemberRecord&);
 
@@ -117,6 +157,8 @@
     Random random;
     std::map<std::string, Peer> peers;
     uint64_t highestEpoch { 0 };
+    /// The shards that have had a dispatcher, as far as is known here.
+    std::set<std::string> claimedShards;
     std::optional<Instant> candidateSince;
     Instant startedAt;
 };
--- a/Tests/LibMembership/TestCluster.cpp
+++ b/Tests/LibMembership/TestCluster.cpp
@@ -50,7 +50,8 @@
 
     std::string dispatcherAt(const std::string& address)
     {
-        const auto* dispatcher = this->members.at(address)->dispatcher(this->now);
+        const auto& member = *this->members.at(address);
+        const auto* dispatcher = member.dispatcher(member.ownShard(), this->now);
         return dispatcher ? dispatcher->address : "";
     }
 
@@ -183,3 +184,119 @@
         BOOST_TEST(network.dispatcherAt(first) == network.dispatcherAt(second));
     }
 }
+
+namespace {
+
+// Three failure domains, each with two heavy and six light entries, and a seed.
+struct LargeCluster : Network {
+    std::vector<std::string> domains { "east", "north", "west" };
+    std::vector<std::string> seeds { "seed-east", "seed-north", "seed-west" };
+
+    LargeCluster()
+    {
+        for (const auto& domain : this->domains) {
+            this->add("seed-" + domain, this->seeds, 0, false, domain);
+            for (int i = 0; i < 8; ++i)
+                this->add(domain + "-" + std::to_string(i), this->seeds, i < 2 ? 300 : 90, true, domain);
+        }
+    }
+
+    std::vector<std::string> dispatchersAt(const std::string& address)
+    {
+        std::vector<std::string> addresses;
+        for (const auto* member : this->members.at(address)->dispatchers(this->now))
+            addresses.push_back(member->address);
+        return addresses;
+    }
+
+    void cutOff(const std::string& domain)
+    {
+        this->isCut = [this, domain](const std::string& from, const std::string& to) { return this->isIn(domain, from) != this->isIn(domain, to); };
+    }
+
+    [[nodiscard]] bool isIn(const std::string& domain, const std::string& address) const { return address.find(domain) != std::string::npos; }
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(a_large_cluster_has_a_dispatcher_in_each_failure_domain, LargeCluster)
+{
+    this->run(4s);
+    std::vector<std::string> expected { "east-1", "north-1", "west-1" };
+    for (const auto& [address, member] : this->members) {
+        auto found = this->dispatchersAt(address);
+        BOOST_TEST(found == expected, boost::test_tools::per_element());
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_failure_domain_that_is_cut_off_keeps_its_dispatcher_and_the_others_keep_theirs, LargeCluster)
+{
+    this->run(4s);
+    auto epoch = this->members.at("west-1")->self().dispatchEpoch;
+    this->cutOff("west");
+    this->run(4s);
+    BOOST_TEST(this->dispatchersAt("west-5") == std::vector<std::string> { "west-1" }, boost::test_tools::per_element());
+    std::vector<std::string> others { "east-1", "north-1" };
+    BOOST_TEST(this->dispatchersAt("east-5") == others, boost::test_tools::per_element());
+    this->isCut = [](const auto&, const auto&) { return false; };
+    this->run(4s);
+    BOOST_TEST(this->dispatchersAt("east-5").size() == 3U);
+    BOOST_TEST(this->members.at("west-1")->self().dispatchEpoch == epoch);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_heavy_member_that_returns_takes_the_place_of_a_light_dispatcher, LargeCluster)
+{
+    this->run(4s);
+    this->members.erase("west-0");
+    this->members.erase("west-1");
+    this->run(4s);
+    BOOST_TEST(this->dispatcherAt("west-5") == "west-7");
+    this->add("west-0", this->seeds, 300, true, "west");
+    this->run(8s);
+    BOOST_TEST(this->dispatcherAt("west-5") == "west-0");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_failure_domain_without_a_dispatching_member_belongs_to_another_shard, LargeCluster)
+{
+    this->add("south-0", this->seeds, 0, false, "south");
+    this->run(4s);
+    BOOST_TEST(this->members.at("east-3")->shardFor("south") == "west");
+    BOOST_TEST(this->members.at("west-3")->shardFor("south") == "west");
+    BOOST_TEST(this->members.at("west-3")->shardFor("north") == "north");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_dispatcher_that_is_suspected_is_followed_before_its_heartbeat_is_missed, LargeCluster)
+{
+    this->run(4s);
+    this->members.erase("west-1");
+    this->run(700ms);
+    BOOST_TEST(this->dispatcherAt("west-0") == "west-1");
+    for (auto& [address, member] : this->members)
+        member->suspect("west-1", this->now);
+    this->run(600ms);
+    BOOST_TEST(this->dispatcherAt("west-5") == "west-0");
+    // Heartbeats that come by way of others do not clear the suspicion; a message of its own does.
+    BOOST_TEST(!this->members.at("west-5")->isAlive("west-1", this->now));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_suspicion_ends_with_a_message_of_the_member_itself, LargeCluster)
+{
+    this->run(4s);
+    auto& member = *this->members.at("west-5");
+    member.suspect("west-1", this->now);
+    BOOST_TEST(!member.isAlive("west-1", this->now));
+    member.clearSuspicion("west-1");
+    BOOST_TEST(member.isAlive("west-1", this->now));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_member_that_starts_anew_takes_the_layout_from_the_others, LargeCluster)
+{
+    this->run(4s);
+    this->cutOff("west");
+    this->members.erase("west-5");
+    this->run(2s);
+    this->add("west-5", this->seeds, 90, true, "west");
+    this->members.at("west-5")->setSeeds({ "seed-west" });
+    this->run(1s);
+    BOOST_TEST(this->dispatcherAt("west-5") == "west-1");
+}
