LibScheduler: Hand jobs to the dispatchers of several shards

Change: JobOwner (what an entry decides of its jobs: moved out of the HTTP code), DispatcherDirectory (which dispatcher gets a job: the own shard while it needs hardly longer, else random by backlog), TransitTimes (a message that was held up has no effect), TaskScheduler takes the targets of its shard and tells what they have to do. A job whose dispatcher falls silent goes to another shard once the runs there have ended. Leases on targets are 600 ms, so that the sum holds also for a dispatcher that freezes right after it has held its targets. Found by the new random schedules: a dispatcher that had stood still took its entries for just heard, and started their jobs again while these ran elsewhere. An entry that had stood still handed its jobs over again though their callers may have sent them elsewhere; it now answers that they may have run.

--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -12,8 +12,8 @@
 
 /// The times of the leases on targets.
 struct LeaseOptions {
-    /// The longest lease that a target grants.
-    Milliseconds maximumLease { 1000 };
+    /// The longest lease that is asked of a target.
+    Milliseconds maximumLease { 600 };
     /// How long a target may wait with the answer to a hold.
     Milliseconds holdWait { 250 };
     /// How long an answer may take beyond that.
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -16,17 +16,20 @@
 {
 }
 
-void TaskScheduler::activate(uint64_t token, Instant now)
+void TaskScheduler::activate(uint64_t token, Instant now, TargetSelector chosen)
 {
     bool wasActive = this->isActive();
     this->fence = token;
+    this->selector = std::move(chosen);
     if (wasActive) {
         for (auto& [identity, target] : this->targets)
             target.session.reclaim(token, now);
         return;
     }
-    for (const auto& [identity, report] : this->reports)
-        this->targets.emplace(identity, Target { TargetSession(report, token, this->options.leases, now), {} });
+    for (const auto& [identity, report] : this->reports) {
+        if (this->isSelected(report))
+            this->targets.emplace(identity, Target { TargetSession(report, token, this->options.leases, now), {} });
+    }
 }
 
 void TaskScheduler::deactivate()
@@ -63,6 +66,8 @@
         this->drainEvents(position->second, now);
         this->targets.erase(position);
     }
+    if (!this->isSelected(report))
+        return;
     this->targets.emplace(report.identity, Target { TargetSession(report, this->fence, this->options.leases, now), {} });
 }
 
@@ -115,6 +120,7 @@
     job.arrivedAt = now;
     job.deadline = now + Milliseconds(submission.untilDeadline);
     job.notBefore = now + Milliseconds(submission.untilEarlierRunsEnd);
+    job.elsewhereUntil = now + Milliseconds(submission.untilRunsElsewhereEnd);
     job.expected = this->speeds.expectedAtBest(submission.queue, Milliseconds(submission.estimateMilliseconds));
     job.rank = Rank { false, submission.priority, now + Milliseconds(submission.untilObjective), this->arrivals++ };
     job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, firstRun, {}, 0 });
@@ -170,12 +176,13 @@
     this->placingDue = true;
 }
 
-std::vector<std::string> TaskScheduler::renew(const std::string& entry, const std::vector<std::string>& names, Instant now)
+std::vector<std::string> TaskScheduler::renew(const std::string& entry, const std::vector<std::string>& names, Instant now, Renewal renewal)
 {
     std::vector<std::string> unknown;
     if (!this->isActive())
         return unknown;
-    this->entryHeard[entry] = now;
+    if (renewal == Renewal::Extends)
+        this->entryHeard[entry] = now;
     std::set<std::string_view> named(names.begin(), names.end());
     std::vector<std::string> dropped;
     for (const auto& [name, job] : this->jobs) {
@@ -378,19 +385,26 @@
     }
     for (const auto& name : lost)
         this->dropJob(name, "its entry fell silent or its deadline has passed", now);
+    this->releaseUnselected();
     this->observeStragglers(now);
     this->demoteLate(now);
     this->refuseHopeless(now);
     this->forgetFinished(now);
 }
 
+// A target that has come to belong to another shard is left once nothing runs there any more.
+void TaskScheduler::releaseUnselected()
+{
+    for (auto& [identity, target] : this->targets)
+        target.isSelected = this->isSelected(target.session.target());
+    std::erase_if(this->targets, [](const auto& entry) { return !entry.second.isSelected && entry.second.session.runs().empty(); });
+}
+
 void TaskScheduler::onPause(Instant now)
 {
     if (!this->isActive())
         return;
-    // The entries have to name their jobs again before anything of them is started.
-    for (auto& [entry, heard] : this->entryHeard)
-        heard = now - this->options.entryLease / 2;
+    // The leases of entries that were not heard meanwhile have ended: whatever they own may run elsewhere by now.
     for (auto& [identity, target] : this->targets)
         target.session.reclaim(this->fence, now);
 }
@@ -413,7 +427,7 @@
 
 bool TaskScheduler::hasFencedTargets() const
 {
-    return std::any_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.session.isFenced(); });
+    return std::any_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.isSelected && entry.second.session.isFenced(); });
 }
 
 size_t TaskScheduler::waitingTasks() const
@@ -432,9 +446,4 @@
     return count;
 }
 
-size_t TaskScheduler::pendingJobs(const std::string& queue) const
-{
-    return static_cast<size_t>(std::count_if(this->jobs.begin(), this->jobs.end(), [&](const auto& entry) { return entry.second.submission.queue == queue && entry.second.starts == 0; }));
-}
-
 }
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -4,6 +4,7 @@
 #include <LibScheduler/SpeedEstimator.h>
 #include <LibScheduler/TargetSession.h>
 #include <LibScheduler/TargetSpeed.h>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -39,8 +40,11 @@
 
     explicit TaskScheduler(Options);
 
-    /// Begins to dispatch under a fencing token, or goes on under a higher one.
-    void activate(uint64_t fence, Instant now);
+    /// Says whether a target belongs to the shard of this dispatcher.
+    using TargetSelector = std::function<bool(const Membership::TargetReport&)>;
+
+    /// Begins to dispatch the selected targets under a fencing token, or goes on under a higher one.
+    void activate(uint64_t fence, Instant now, TargetSelector = {});
     /// Ends dispatching: what runs is left to the next dispatcher.
     void deactivate();
     [[nodiscard]] bool isActive() const { return this->fence != 0; }
@@ -50,8 +54,16 @@
 
     void submit(const std::string& entry, const Submission&, Instant now);
     void cancel(const std::string& entry, const std::string& job, Instant now);
+    /// Whether an entry's message keeps its jobs alive.
+    enum class Renewal {
+        Extends,
+        /// It has not heard this dispatcher for some time, and may hand its jobs to another.
+        Asks,
+    };
     /// An entry names all its open jobs. Returns those that are not known here, to be submitted again.
-    [[nodiscard]] std::vector<std::string> renew(const std::string& entry, const std::vector<std::string>& jobs, Instant now);
+    [[nodiscard]] std::vector<std::string> renew(const std::string& entry, const std::vector<std::string>& jobs, Instant now, Renewal = Renewal::Extends);
+    /// What the targets of each pool have to do.
+    [[nodiscard]] std::vector<PoolLoad> loads() const;
 
     void onHoldAnswer(const TargetPlace&, uint64_t number, const HoldAnswer&, Instant now);
     void onStartAnswer(const TargetPlace&, const RunName&, const OrderAnswer&, Instant now);
@@ -79,8 +91,6 @@
     [[nodiscard]] size_t openJobs() const { return this->jobs.size(); }
     [[nodiscard]] size_t waitingTasks() const;
     [[nodiscard]] size_t openRuns() const;
-    /// The jobs of a queue of which nothing has started.
-    [[nodiscard]] size_t pendingJobs(const std::string& queue) const;
 
 private:
     enum class TaskState {
@@ -115,6 +125,8 @@
         Instant arrivedAt {};
         Instant deadline {};
         Instant notBefore {};
+        /// When the last run on a target of another shard has ended at the latest.
+        Instant elsewhereUntil {};
         /// The usual duration of one of its tasks.
         Milliseconds expected { 0 };
         std::vector<Task> tasks;
@@ -127,6 +139,8 @@
     struct Target {
         TargetSession session;
         TargetSpeed speed;
+        /// Whether it still belongs to the shard.
+        bool isSelected { true };
     };
 
     /// The usual duration of a job's tasks on each kind of target, looked up once for all targets.
@@ -160,6 +174,8 @@
     void refuseHopeless(Instant now);
     void observeStragglers(Instant now);
     [[nodiscard]] double workRate() const;
+    [[nodiscard]] bool isSelected(const Membership::TargetReport& report) const { return !this->selector || this->selector(report); }
+    void releaseUnselected();
     void forgetFinished(Instant now);
     [[nodiscard]] bool allTargetsClaimed() const;
     [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&, Instant now) const;
@@ -169,6 +185,7 @@
 
     Options options;
     uint64_t fence { 0 };
+    TargetSelector selector;
     std::map<std::string, Target> targets;
     /// The latest report of each target; kept while not dispatching, so that dispatching can begin at once.
     std::map<std::string, Membership::TargetReport> reports;
--- a/Libraries/LibScheduler/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerAdmission.cpp
@@ -31,6 +31,29 @@
     return capacity * usableShare;
 }
 
+// What runs is taken to be half done.
+std::vector<PoolLoad> TaskScheduler::loads() const
+{
+    static constexpr double remainingShareOfRuns = 0.5;
+    std::map<std::string, double> capacity;
+    for (const auto& [identity, target] : this->targets) {
+        const auto& report = target.session.target();
+        if (report.state == TargetState::Serving && !target.session.isFenced())
+            capacity[report.pool] += static_cast<double>(report.capacity.milliCores) * usableShare;
+    }
+    std::map<std::string, double> open;
+    for (const auto& [name, job] : this->jobs) {
+        auto placed = static_cast<double>(job.tasks.size() - job.waiting - job.done);
+        open[job.submission.pool] += (static_cast<double>(job.waiting) + placed * remainingShareOfRuns) * static_cast<double>(job.submission.needs.milliCores) * toMilliseconds(job.expected);
+    }
+    std::vector<PoolLoad> loads;
+    for (const auto& [pool, usable] : capacity) {
+        if (usable > 0)
+            loads.push_back(PoolLoad { pool, static_cast<int64_t>(usable), static_cast<Milliseconds::rep>(open[pool] / usable) });
+    }
+    return loads;
+}
+
 Milliseconds TaskScheduler::expectedWait(const Submission& submission) const
 {
     double queued = 0;
--- a/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
@@ -16,7 +16,7 @@
 bool TaskScheduler::mayStart(const Job& job, Instant now) const
 {
     auto heard = this->entryHeard.find(job.entry);
-    return (now >= job.notBefore || this->allTargetsClaimed()) && now < job.deadline && heard != this->entryHeard.end() && now - heard->second < this->options.entryLease;
+    return now >= job.elsewhereUntil && (now >= job.notBefore || this->allTargetsClaimed()) && now < job.deadline && heard != this->entryHeard.end() && now - heard->second < this->options.entryLease;
 }
 
 class TaskScheduler::ExpectedByKind {
@@ -53,7 +53,7 @@
     for (auto& [identity, target] : this->targets) {
         auto& session = target.session;
         const auto& report = session.target();
-        if (!submission.needs.fitInto(session.freeRoom()) || report.pool != submission.pool || !session.mayStart(now))
+        if (!submission.needs.fitInto(session.freeRoom()) || report.pool != submission.pool || !session.mayStart(now) || !target.isSelected)
             continue;
         if (!submission.requiredLabel.empty() && std::find(report.labels.begin(), report.labels.end(), submission.requiredLabel) == report.labels.end())
             continue;
--- /dev/null
+++ b/Libraries/LibScheduler/TransitTimes.cpp
@@ -0,0 +1,27 @@
+#include <LibScheduler/TransitTimes.h>
+#include <algorithm>
+
+namespace Sassafrasshift::Scheduler {
+
+// Clocks that differ in speed by 2 % drift apart by 200 ms in this time.
+static constexpr Milliseconds windowLength { 10'000 };
+
+Milliseconds TransitTimes::excess(const std::string& name, uint64_t incarnation, Milliseconds sentAt, Instant now)
+{
+    auto difference = std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()) - sentAt;
+    auto [position, isNew] = this->senders.try_emplace(name);
+    auto& sender = position->second;
+    if (isNew || sender.incarnation != incarnation) {
+        sender = Sender { incarnation, now, difference, difference };
+        return Milliseconds(0);
+    }
+    if (now - sender.windowBegin > windowLength) {
+        sender.formerLeast = sender.least;
+        sender.least = difference;
+        sender.windowBegin = now;
+    }
+    sender.least = std::min(sender.least, difference);
+    return difference - std::min(sender.least, sender.formerLeast);
+}
+
+}
--- a/Libraries/LibScheduler/Types.h
+++ b/Libraries/LibScheduler/Types.h
@@ -52,12 +52,18 @@
     uint32_t maximumFailures { 1 };
     Milliseconds::rep untilDeadline { 0 };
     Milliseconds::rep untilObjective { 0 };
-    /// How long runs that an unreachable dispatcher started may still go on: nothing is started before.
+    /// How long runs that an unreachable dispatcher of the same shard started may still go on: nothing is started before,
+    /// unless all targets of the shard have been asked.
     Milliseconds::rep untilEarlierRunsEnd { 0 };
     /// Above the numbers of all runs that an earlier dispatcher may have started.
     uint64_t firstRun { 1 };
+    /// The same for runs on targets of other shards: nothing is started before in any case.
+    Milliseconds::rep untilRunsElsewhereEnd { 0 };
+    /// When it was sent, by the entry's clock, and the incarnation of the entry.
+    Milliseconds::rep sentAt { 0 };
+    uint64_t entryIncarnation { 0 };
 
-    CODEC_FIELDS(job, queue, pool, priority, taskCount, needs, estimateMilliseconds, payload, preferredRack, requiredLabel, maximumPerTarget, maximumFailures, untilDeadline, untilObjective, untilEarlierRunsEnd, firstRun);
+    CODEC_FIELDS(job, queue, pool, priority, taskCount, needs, estimateMilliseconds, payload, preferredRack, requiredLabel, maximumPerTarget, maximumFailures, untilDeadline, untilObjective, untilEarlierRunsEnd, firstRun, untilRunsElsewhereEnd, sentAt, entryIncarnation);
     friend auto operator<=>(const Submission&, const Submission&) = default;
 };
 
@@ -112,6 +118,18 @@
     friend auto operator<=>(const JobOutcome&, const JobOutcome&) = default;
 };
 
+/// How much a dispatcher has to do on the targets of one pool.
+struct PoolLoad {
+    std::string pool;
+    /// Thousandths of a core that its targets can put to use.
+    int64_t capacity { 0 };
+    /// How long the targets would need for all that is open.
+    Milliseconds::rep backlogMilliseconds { 0 };
+
+    CODEC_FIELDS(pool, capacity, backlogMilliseconds);
+    friend auto operator<=>(const PoolLoad&, const PoolLoad&) = default;
+};
+
 /// How a run ended.
 enum class RunEnd {
     Done,
--- /dev/null
+++ b/Tests/LibScheduler/TestDispatcherDirectory.cpp
@@ -0,0 +1,86 @@
+#include <LibScheduler/DispatcherDirectory.h>
+#include <boost/test/unit_test.hpp>
+
+using namespace Sassafrasshift;
+using namespace Sassafrasshift::Scheduler;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+    Instant now { std::chrono::hours(1) };
+    DispatcherDirectory directory { {}, Random(1) };
+
+    Fixture()
+    {
+        (void)this->directory.follow({ { "east", "a" }, { "north", "b" }, { "west", "c" } }, "north", this->now);
+    }
+
+    void report(const std::string& address, int64_t capacity, Milliseconds backlog)
+    {
+        this->directory.onAnswer(address, this->now);
+        this->directory.onLoads(address, { PoolLoad { "pool", capacity, backlog.count() } });
+    }
+
+    std::map<std::string, int> choices(int count)
+    {
+        std::map<std::string, int> chosen;
+        for (int i = 0; i < count; ++i)
+            ++chosen[this->directory.choose("pool", {}, this->now)->shard];
+        return chosen;
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(the_own_shard_is_preferred_while_it_needs_hardly_longer, Fixture)
+{
+    this->report("a", 1000, 0ms);
+    this->report("b", 1000, 30ms);
+    this->report("c", 1000, 0ms);
+    BOOST_TEST(this->choices(100)["north"] == 100);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_shard_with_more_to_do_gets_fewer_jobs_and_none_gets_all, Fixture)
+{
+    this->report("a", 1000, 0ms);
+    this->report("b", 1000, 200ms);
+    this->report("c", 1000, 50ms);
+    auto chosen = this->choices(1000);
+    BOOST_TEST(chosen["east"] > 600);
+    BOOST_TEST(chosen["west"] > 150);
+    BOOST_TEST(chosen["north"] < 50);
+}
+
+BOOST_FIXTURE_TEST_CASE(only_shards_with_targets_for_the_pool_are_chosen, Fixture)
+{
+    this->report("b", 1000, 0ms);
+    this->directory.onAnswer("a", this->now);
+    this->directory.onLoads("a", { PoolLoad { "other", 1000, 0 } });
+    BOOST_TEST(this->directory.choose("other", {}, this->now)->shard == "east");
+    BOOST_TEST(this->choices(20)["north"] == 20);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_silent_dispatcher_gets_nothing_while_another_is_heard, Fixture)
+{
+    this->report("a", 1000, 100ms);
+    this->report("b", 1000, 0ms);
+    this->now += 400ms;
+    this->report("a", 1000, 100ms);
+    BOOST_TEST(this->choices(20)["east"] == 20);
+}
+
+BOOST_FIXTURE_TEST_CASE(without_any_report_the_dispatcher_heard_last_is_chosen, Fixture)
+{
+    BOOST_TEST(this->directory.choose("pool", {}, this->now)->shard == "north");
+    this->now += 100ms;
+    this->directory.onAnswer("c", this->now);
+    BOOST_TEST(this->directory.choose("pool", {}, this->now)->shard == "west");
+}
+
+BOOST_FIXTURE_TEST_CASE(changed_and_lost_dispatchers_are_told, Fixture)
+{
+    auto changed = this->directory.follow({ { "east", "a" }, { "north", "d" } }, "north", this->now);
+    std::vector<std::string> expected { "north", "west" };
+    BOOST_TEST(changed == expected, boost::test_tools::per_element());
+}
--- /dev/null
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -0,0 +1,170 @@
+#include "SimulatedShards.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace Sassafrasshift;
+using namespace Sassafrasshift::Scheduler;
+using namespace std::chrono_literals;
+
+using Kind = JobOwner::Answer::Kind;
+
+static Submission makeUrgentJob(const std::string& name, uint32_t tasks, int64_t cores)
+{
+    auto job = makeJob(name, tasks, cores);
+    job.untilDeadline = 5000;
+    return job;
+}
+
+BOOST_AUTO_TEST_CASE(a_job_runs_in_the_own_shard_where_that_has_time)
+{
+    SimulatedShards shards(2, 4, 1);
+    shards.run(600ms);
+    for (int i = 0; i < 4; ++i)
+        shards.submit(makeUrgentJob("job-" + std::to_string(i), 1, 30));
+    shards.run(400ms);
+    for (int i = 0; i < 4; ++i) {
+        const auto* answer = shards.answer("job-" + std::to_string(i));
+        BOOST_REQUIRE(answer);
+        BOOST_TEST((answer->kind == Kind::Completed));
+    }
+    BOOST_TEST(shards.startsOn(0) == 4U);
+    BOOST_TEST(shards.startsOn(1) == 0U);
+}
+
+// A burst that one failure domain cannot do alone.
+BOOST_AUTO_TEST_CASE(a_burst_spreads_over_the_shards)
+{
+    SimulatedShards shards(2, 2, 1);
+    shards.run(600ms);
+    shards.work = 200ms;
+    for (int i = 0; i < 40; ++i) {
+        shards.submit(makeUrgentJob("job-" + std::to_string(i), 2, 30));
+        shards.run(50ms);
+    }
+    shards.run(3s);
+    BOOST_TEST(shards.startsOn(1) >= 25U);
+    for (int i = 0; i < 40; ++i)
+        BOOST_TEST((shards.answer("job-" + std::to_string(i))->kind == Kind::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(jobs_of_a_dispatcher_that_falls_silent_run_in_another_shard)
+{
+    SimulatedShards shards(2, 4, 1);
+    shards.run(600ms);
+    shards.work = 1s;
+    shards.submit(makeUrgentJob("job", 2, 30));
+    shards.run(100ms);
+    BOOST_TEST(shards.startsOn(0) == 2U);
+    shards.cut(SimulatedShards::entry, shards.dispatcherOf(0));
+    shards.cut(shards.dispatcherOf(0), SimulatedShards::entry);
+    shards.run(4s);
+    BOOST_REQUIRE(shards.answer("job"));
+    BOOST_TEST((shards.answer("job")->kind == Kind::Completed));
+    BOOST_TEST(shards.startsOn(1) == 2U);
+    BOOST_TEST(shards.mostCopies() <= 1U);
+}
+
+// The dispatcher hears the entry and is not heard: its leases end all the same.
+BOOST_AUTO_TEST_CASE(jobs_beyond_a_link_that_is_cut_one_way_do_not_run_twice)
+{
+    SimulatedShards shards(2, 4, 1);
+    shards.run(600ms);
+    shards.work = 4s;
+    shards.submit(makeUrgentJob("job", 2, 30));
+    shards.run(100ms);
+    shards.cut(shards.dispatcherOf(0), SimulatedShards::entry);
+    shards.run(4s);
+    BOOST_TEST(shards.startsOn(1) == 2U);
+    BOOST_TEST(shards.mostCopies() <= 1U);
+}
+
+// Its last hold was answered just before, so that the leases of the runs go on longest; and it heard the entry for some time
+// without being heard.
+BOOST_AUTO_TEST_CASE(jobs_of_a_dispatcher_that_freezes_beyond_a_partition_do_not_run_twice)
+{
+    for (int delay = 0; delay < 1200; delay += 20) {
+        for (int heard = 0; heard <= 300; heard += 100) {
+            SimulatedShards shards(2, 4, 1);
+            shards.run(600ms);
+            shards.work = 4s;
+            shards.submit(makeUrgentJob("job", 2, 30));
+            shards.run(100ms);
+            shards.cut(shards.dispatcherOf(0), SimulatedShards::entry);
+            shards.run(Milliseconds(heard));
+            shards.cut(SimulatedShards::entry, shards.dispatcherOf(0));
+            shards.run(Milliseconds(delay));
+            shards.freeze(shards.dispatcherOf(0), 2s);
+            shards.run(4s);
+            BOOST_TEST(shards.startsOn(1) == 2U, "heard for " << heard << " ms, frozen after " << delay << " ms");
+            BOOST_TEST(shards.mostCopies() <= 1U, "heard for " << heard << " ms, frozen after " << delay << " ms");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_job_of_an_entry_that_stood_still_is_not_started_again_by_it)
+{
+    SimulatedShards shards(1, 4, 1);
+    shards.run(600ms);
+    shards.work = 3s;
+    shards.submit(makeUrgentJob("job", 2, 30));
+    shards.run(100ms);
+    shards.freeze(SimulatedShards::entry, 1500ms);
+    shards.run(4s);
+    BOOST_REQUIRE(shards.answer("job"));
+    BOOST_TEST((shards.answer("job")->kind == Kind::Unknown));
+    BOOST_TEST(shards.startsOn(0) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(random_schedules_over_shards_never_double_a_run)
+{
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        SimulatedShards shards(3, 2, seed);
+        std::mt19937 random(seed);
+        shards.run(600ms);
+        std::vector<std::string> jobs;
+        for (unsigned turn = 0; turn < 50; ++turn) {
+            shards.work = Milliseconds(50 + random() % 900);
+            jobs.push_back("job-" + std::to_string(turn));
+            shards.submit(makeUrgentJob(jobs.back(), 1 + random() % 4, 20 + static_cast<int64_t>(random() % 20)));
+            shards.run(Milliseconds(20 + random() % 180));
+            auto shard = random() % 3;
+            auto dispatcher = shards.dispatcherOf(shard);
+            auto target = "shard-" + std::to_string(shard) + "-target-" + std::to_string(random() % 2);
+            switch (random() % 24) {
+            case 0:
+                shards.cut(dispatcher, SimulatedShards::entry);
+                break;
+            case 1:
+                shards.cut(SimulatedShards::entry, dispatcher);
+                break;
+            case 2:
+                shards.cut(dispatcher, target);
+                break;
+            case 3:
+                shards.cut(target, dispatcher);
+                break;
+            case 4:
+                shards.freeze(dispatcher, Milliseconds(100 + random() % 2000));
+                break;
+            case 5:
+                shards.freeze(SimulatedShards::entry, Milliseconds(100 + random() % 2000));
+                break;
+            case 6:
+                shards.replaceDispatcher(shard, Milliseconds(100 + random() % 1000));
+                break;
+            case 7:
+            case 8:
+            case 9:
+                shards.healAll();
+                break;
+            default:
+                break;
+            }
+        }
+        shards.healAll();
+        shards.run(8s);
+        BOOST_TEST(shards.mostCopies() <= 1U, "seed " << seed);
+        BOOST_TEST(!shards.anyOverfilled(), "seed " << seed);
+        for (const auto& job : jobs)
+            BOOST_TEST(shards.answer(job) != nullptr, "seed " << seed << ", " << job);
+    }
+}
