sassafrasshiftd: Run a dispatcher for each failure domain of a large cluster

JobEntry maps exchanges to jobs; JobOwner decides. Dispatchers are suspected by the entries of their own domain, and a new claim is told to all members at once. A pause is noticed before the first message that follows it is handled.

--- a/Services/sassafrasshiftd/Cluster/ClusterContext.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterContext.h
@@ -24,10 +24,10 @@
 
     [[nodiscard]] Instant now() const { return this->loop.now(); }
     [[nodiscard]] const std::string& ownAddress() const { return this->settings.peerAddress; }
-    /// The address of the dispatcher; empty while none is known.
-    [[nodiscard]] std::string dispatcherAddress() const
+    /// The address of the dispatcher for the targets of a failure domain; empty while none is known.
+    [[nodiscard]] std::string dispatcherFor(const std::string& failureDomain) const
     {
-        const auto* dispatcher = this->cluster.dispatcher(this->now());
+        const auto* dispatcher = this->cluster.dispatcher(this->cluster.shardFor(failureDomain), this->now());
         return dispatcher ? dispatcher->address : std::string();
     }
 };
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -15,7 +15,7 @@
 
 static constexpr Milliseconds tickInterval { 20 };
 static constexpr Milliseconds settingsCheckInterval { 1000 };
-// A tick that comes this much later than the one before says that the process stood still.
+// Doing nothing at all for this long, ticks included, says that the process stood still.
 static constexpr Milliseconds pauseThreshold { 350 };
 // The balancer needs this long to take a host that is not ready out of its rotation.
 static constexpr Milliseconds balancerDelay { 2200 };
@@ -51,7 +51,7 @@
     self.incarnation = static_cast<uint64_t>(unixMilliseconds(this->loop->wallNow()));
     self.isEntry = !this->settings.jobsAddress.empty();
     self.dispatchWeight = static_cast<uint32_t>(this->settings.dispatchWeight);
-    this->lastTick = this->loop->now();
+    this->lastActive = this->loop->now();
     this->cluster = std::make_unique<Membership::Cluster>(self, this->settings.seeds, Membership::Cluster::Options {}, Random(this->random()), this->loop->now());
     this->context = std::unique_ptr<ClusterContext>(new ClusterContext { this->settings, *this->loop, this->metrics, *this->cluster, this->random,
         [this](const std::string& address, const ClusterMessage& message) { this->send(address, message); } });
@@ -106,6 +106,8 @@
     auto messages = Transport::decodeMessages<ClusterMessage>(batch);
     if (!messages)
         return false;
+    this->noticePause(this->loop->now());
+    this->cluster->clearSuspicion(from);
     for (const auto& message : *messages)
         this->deliver(from, message);
     return true;
@@ -157,24 +159,35 @@
     if (now < this->nextGossip && !changed)
         return;
     this->nextGossip = now + this->cluster->gossipInterval();
+    auto recipients = this->cluster->nextRecipients(now);
+    if (self.dispatchEpoch != this->gossipedEpoch)
+        this->tellAll(Gossip { { self } }, now);
     this->gossipedEpoch = self.dispatchEpoch;
     this->gossipedVersion = self.configurationVersion;
-    auto recipients = this->cluster->nextRecipients(now);
     Gossip message { this->cluster->gossip(now) };
     for (const auto& address : recipients)
         this->send(address, message);
 }
 
+void ClusterDaemon::tellAll(const Gossip& message, Instant now)
+{
+    for (const auto* member : this->cluster->alive(now)) {
+        if (member != &this->cluster->self())
+            this->send(member->address, message);
+    }
+}
+
 // After a pause, what was known before is out of date; silence during it is no fault of the others.
 void ClusterDaemon::noticePause(Instant now)
 {
-    auto elapsed = now - this->lastTick;
-    this->lastTick = now;
+    auto elapsed = now - this->lastActive;
+    this->lastActive = now;
     if (elapsed < pauseThreshold)
         return;
     Telemetry::log(LogLevel::Warning, "process-paused", "the process stood still", { { "milliseconds", std::to_string(std::chrono::duration_cast<Milliseconds>(elapsed).count()) } });
     this->cluster->excuseSilence(now);
     this->dispatch->onPause(now);
+    this->entry->onPause(now);
 }
 
 // Seconds: above the epochs of earlier claims also where all members have forgotten them.
@@ -237,12 +250,8 @@
     this->cluster->self().state = HostState::Leaving;
     this->cluster->self().dispatchEpoch = 0;
     // All learn at once that this member is not to be counted on.
-    this->cluster->nextRecipients(now);
-    Gossip message { this->cluster->gossip(now) };
-    for (const auto* member : this->cluster->alive(now)) {
-        if (member != &this->cluster->self())
-            this->send(member->address, message);
-    }
+    this->cluster->beat();
+    this->tellAll(Gossip { { this->cluster->self() } }, now);
     Telemetry::log(LogLevel::Information, "shutdown-started", "the member finishes what it has", { { "openJobs", std::to_string(this->entry->openJobs()) } });
 }
 
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -42,6 +42,7 @@
     void tick();
     [[nodiscard]] uint64_t epochFloor() const;
     void gossip(Instant now);
+    void tellAll(const Gossip&, Instant now);
     void noticePause(Instant now);
     void reloadSettings(bool told);
     void startLeaving(Instant now);
@@ -69,7 +70,7 @@
     std::unique_ptr<Transport::HttpServer> metricsServer;
     std::unique_ptr<Transport::Timer> tickTimer;
     std::function<Signals()> pollSignals;
-    Instant lastTick {};
+    Instant lastActive {};
     Instant nextGossip {};
     Instant nextSettingsCheck {};
     uint64_t gossipedEpoch { 0 };
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -5,6 +5,7 @@
 #include <LibLedger/Types.h>
 #include <LibMembership/Cluster.h>
 #include <LibMembership/TargetReport.h>
+#include <LibScheduler/TaskScheduler.h>
 #include <LibScheduler/Types.h>
 #include <variant>
 #include <vector>
@@ -28,15 +29,20 @@
 /// An entry names all its open jobs; it keeps them alive at the dispatcher.
 struct RenewSubmissions {
     std::vector<std::string> jobs;
+    Scheduler::TaskScheduler::Renewal kind { Scheduler::TaskScheduler::Renewal::Extends };
+    /// By the entry's clock, and the incarnation of the entry.
+    Milliseconds::rep sentAt { 0 };
+    uint64_t entryIncarnation { 0 };
 
-    CODEC_FIELDS(jobs);
+    CODEC_FIELDS(jobs, kind, sentAt, entryIncarnation);
 };
 
-/// The dispatcher's answer, with the jobs that it does not know.
+/// The dispatcher's answer, with the jobs that it does not know, and what its targets have to do.
 struct RenewAnswer {
     std::vector<std::string> unknownJobs;
+    std::vector<Scheduler::PoolLoad> loads;
 
-    CODEC_FIELDS(unknownJobs);
+    CODEC_FIELDS(unknownJobs, loads);
 };
 
 /// A target's report, as it reached a host that takes reports.
--- a/Services/sassafrasshiftd/Cluster/ControlApi.cpp
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.cpp
@@ -102,7 +102,7 @@
     known = KnownTarget { *report, now };
     if (!isSame)
         this->spread(*report);
-    auto dispatcher = this->context.dispatcherAddress();
+    auto dispatcher = this->context.dispatcherFor(report->failureDomain);
     if (!leaves) {
         // Told again with each report, since a message between hosts may be lost.
         if (isSame && !dispatcher.empty())
@@ -133,11 +133,17 @@
     answer(exchange, 200);
 }
 
-// All members that may become the dispatcher know the targets, so that one of them can begin at once.
+// All members that may become the dispatcher of a target know it, so that one of them can begin at once.
+bool ControlApi::mayDispatch(const Membership::MemberRecord& member, const TargetReport& report) const
+{
+    const auto& cluster = this->context.cluster;
+    return member.dispatchWeight > 0 && cluster.shardFor(member.failureDomain) == cluster.shardFor(report.failureDomain);
+}
+
 void ControlApi::spread(const TargetReport& report)
 {
     for (const auto* member : this->context.cluster.alive(this->context.now())) {
-        if (member->dispatchWeight > 0)
+        if (this->mayDispatch(*member, report))
             this->context.send(member->address, ReportNotice { report, 0 });
     }
 }
@@ -149,8 +155,10 @@
         if (member->dispatchWeight == 0 || incarnation == member->incarnation)
             continue;
         incarnation = member->incarnation;
-        for (const auto& [identity, target] : this->targets)
-            this->context.send(member->address, ReportNotice { target.report, 0 });
+        for (const auto& [identity, target] : this->targets) {
+            if (this->mayDispatch(*member, target.report))
+                this->context.send(member->address, ReportNotice { target.report, 0 });
+        }
     }
     std::erase_if(this->greeted, [&](const auto& entry) { return !this->context.cluster.isAlive(entry.first, now); });
 }
--- a/Services/sassafrasshiftd/Cluster/ControlApi.h
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.h
@@ -39,6 +39,7 @@
     void read(const std::shared_ptr<Transport::HttpExchange>&);
     void takeReport(const std::shared_ptr<Transport::HttpExchange>&, const std::string& identity);
     void removeTarget(const std::shared_ptr<Transport::HttpExchange>&, const std::string& identity);
+    [[nodiscard]] bool mayDispatch(const Membership::MemberRecord&, const Membership::TargetReport&) const;
     void spread(const Membership::TargetReport&);
     void greetNewMembers(Instant now);
     void forgetSilentTargets(Instant now);
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -1,4 +1,5 @@
 #include "Cluster/DispatchService.h"
+#include <LibScheduler/JobOwner.h>
 #include <LibTelemetry/Log.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -14,6 +15,7 @@
 static constexpr Milliseconds settlingTime { 3500 };
 static constexpr Milliseconds descriptionInterval { 1000 };
 static constexpr unsigned linesPerInterval = 300;
+static constexpr Scheduler::JobOwner::Options entryOptions {};
 static constexpr Milliseconds raiseInterval { 200 };
 // The longest pause between two raises, in intervals: two dispatchers that reach the same targets must not chase each other.
 static constexpr uint64_t longestRaisePause = 16;
@@ -21,8 +23,8 @@
 static Scheduler::TaskScheduler::Options makeOptions(const Settings::ClusterSettings& settings)
 {
     Scheduler::TaskScheduler::Options options;
-    options.leases.maximumLease = settings.maximumLease;
-    options.leases.holdWait = settings.maximumLease / 4;
+    options.leases.maximumLease = std::min(settings.maximumLease, options.leases.maximumLease);
+    options.leases.holdWait = std::min(options.leases.holdWait, options.leases.maximumLease / 2);
     options.leases.answerTimeout = Platform::TargetClient::holdTimeout;
     return options;
 }
@@ -42,8 +44,19 @@
     return (this->activeEpoch << claimantBits) | claimant;
 }
 
+// An entry counts on it that a message which was held up has no effect.
+bool DispatchService::isHeldUp(const std::string& from, uint64_t incarnation, Milliseconds::rep sentAt)
+{
+    if (this->transitTimes.excess(from, incarnation, Milliseconds(sentAt), this->context.now()) <= entryOptions.maximumTransit)
+        return false;
+    this->context.metrics.count("held_up_messages_total");
+    return true;
+}
+
 void DispatchService::onMessage(const std::string& from, const Scheduler::Submission& submission)
 {
+    if (this->isHeldUp(from, submission.entryIncarnation, submission.sentAt))
+        return;
     this->scheduler.submit(from, submission, this->context.now());
     this->scheduleCarryOut();
 }
@@ -56,10 +69,10 @@
 
 void DispatchService::onMessage(const std::string& from, const RenewSubmissions& renewal)
 {
-    if (!this->scheduler.isActive())
+    if (!this->scheduler.isActive() || this->isHeldUp(from, renewal.entryIncarnation, renewal.sentAt))
         return;
-    auto unknown = this->scheduler.renew(from, renewal.jobs, this->context.now());
-    this->context.send(from, RenewAnswer { std::move(unknown) });
+    auto unknown = this->scheduler.renew(from, renewal.jobs, this->context.now(), renewal.kind);
+    this->context.send(from, RenewAnswer { std::move(unknown), this->scheduler.loads() });
     this->scheduleCarryOut();
 }
 
@@ -79,19 +92,23 @@
 
 void DispatchService::followClaim(Instant now)
 {
-    const auto* dispatcher = this->context.cluster.dispatcher(now);
-    const auto& self = this->context.cluster.self();
-    uint64_t claimed = dispatcher == &self ? self.dispatchEpoch : 0;
-    if (claimed == this->activeEpoch)
+    auto& cluster = this->context.cluster;
+    auto shard = cluster.ownShard();
+    const auto* dispatcher = cluster.dispatcher(shard, now);
+    uint64_t claimed = dispatcher == &cluster.self() ? cluster.self().dispatchEpoch : 0;
+    if (claimed == this->activeEpoch && shard == this->activeShard)
         return;
-    this->activeEpoch = claimed;
-    if (claimed == 0) {
-        Telemetry::log(LogLevel::Information, "dispatch-ended", "another member dispatches", { { "dispatcher", dispatcher ? dispatcher->name : "" }, { "openJobs", std::to_string(this->scheduler.openJobs()) } });
+    // What was started for another shard is left to its dispatchers.
+    if (this->activeEpoch != 0 && (claimed == 0 || shard != this->activeShard)) {
+        Telemetry::log(LogLevel::Information, "dispatch-ended", "another member dispatches", { { "shard", this->activeShard }, { "dispatcher", dispatcher ? dispatcher->name : "" }, { "openJobs", std::to_string(this->scheduler.openJobs()) } });
         this->scheduler.deactivate();
-        return;
     }
-    Telemetry::log(LogLevel::Information, "dispatch-begun", "this member dispatches", { { "epoch", std::to_string(claimed) } });
-    this->scheduler.activate(this->fencingToken(), now);
+    this->activeEpoch = claimed;
+    this->activeShard = shard;
+    if (claimed == 0)
+        return;
+    Telemetry::log(LogLevel::Information, "dispatch-begun", "this member dispatches", { { "epoch", std::to_string(claimed) }, { "shard", shard } });
+    this->scheduler.activate(this->fencingToken(), now, [&cluster, shard](const auto& report) { return cluster.shardFor(report.failureDomain) == shard; });
 }
 
 void DispatchService::tick(Instant now)
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -2,11 +2,12 @@
 
 #include "Cluster/ClusterContext.h"
 #include <LibScheduler/TaskScheduler.h>
+#include <LibScheduler/TransitTimes.h>
 #include <platform/TargetClient.h>
 
 namespace Sassafrasshift::Daemon {
 
-/// Runs the scheduler while this member is the dispatcher of the cluster.
+/// Runs the scheduler while this member is the dispatcher of a shard.
 class DispatchService {
 public:
     DispatchService(ClusterContext&, Transport::HttpClient&);
@@ -24,6 +25,7 @@
 
 private:
     void followClaim(Instant now);
+    [[nodiscard]] bool isHeldUp(const std::string& from, uint64_t incarnation, Milliseconds::rep sentAt);
     void raiseFenceIfDue(Instant now);
     void carryOut();
     void describe(Instant now);
@@ -34,7 +36,9 @@
     ClusterContext& context;
     Platform::TargetClient targets;
     Scheduler::TaskScheduler scheduler;
+    Scheduler::TransitTimes transitTimes;
     uint64_t activeEpoch { 0 };
+    std::string activeShard;
     Instant nextRaise {};
     Instant nextDescription {};
     unsigned linesLeft { 100 };
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -1,5 +1,4 @@
 #include "Cluster/JobEntry.h"
-#include <LibScheduler/TaskScheduler.h>
 #include <LibTelemetry/Log.h>
 #include <algorithm>
 #include <charconv>
@@ -15,25 +14,12 @@
 using Transport::HttpExchange;
 using Transport::HttpResponse;
 
+using Answer = Scheduler::JobOwner::Answer;
 using Exchange = std::shared_ptr<HttpExchange>;
 
-static constexpr Milliseconds renewalInterval { 250 };
 // What an answer needs to reach its caller before the caller gives up.
 static constexpr Milliseconds answerMargin { 25 };
 static constexpr Milliseconds longestDeadline { 60'000 };
-// How long after its last answer the runs of an unreachable dispatcher may go on. It may have heard this entry once more
-// without being heard, keeps the runs for the entry's lease, may be followed by another one beyond the same partition that
-// waits for their entry, and orders to stop take time.
-static constexpr Milliseconds stopTime { 250 };
-static constexpr Scheduler::TaskScheduler::Options schedulerOptions {};
-static constexpr Milliseconds earlierRunsEnd = renewalInterval + schedulerOptions.entryLease + schedulerOptions.leases.adoptionWait + stopTime;
-// The runs of an entry that is lost have to end before a caller whose connection broke may send its job again.
-static constexpr Milliseconds callerRetransmission { 1300 };
-static_assert(schedulerOptions.entryLease + stopTime < callerRetransmission);
-// Each further dispatcher numbers its runs above those of the ones before.
-static constexpr uint64_t runsPerDispatcher = 1000;
-// How long a job waits for a dispatcher to be found.
-static constexpr Milliseconds dispatcherWait { 1500 };
 static constexpr size_t maximumOpenJobs = 10'000;
 
 static void answer(const Exchange& exchange, int status, std::string body, Milliseconds retryAfter = Milliseconds(0))
@@ -62,12 +48,13 @@
 JobEntry::JobEntry(ClusterContext& context, RouteKeeper& routes)
     : context(context)
     , routes(routes)
+    , owner({}, Random(context.random()))
 {
 }
 
 bool JobEntry::isReady() const
 {
-    return !this->leaving && this->routes.routes() != nullptr && !this->dispatcher.empty();
+    return !this->leaving && this->routes.routes() != nullptr && this->owner.hasDispatcher();
 }
 
 void JobEntry::handle(const Exchange& exchange)
@@ -107,25 +94,20 @@
 void JobEntry::submit(const Exchange& exchange, const ParsedRequest& parsed)
 {
     auto now = this->context.now();
-    auto known = this->jobs.find(parsed.job);
-    if (known != this->jobs.end())
-        return this->join(known->second, exchange);
+    if (this->owner.contains(parsed.job))
+        return this->join(parsed.job, exchange);
     auto description = Platform::decodeJob(exchange->request().body);
     if (!description)
         return refuse(exchange, 400, description.error().detail);
     if (auto need = unservedNeed(*description); !need.empty())
         return refuse(exchange, 503, need);
-    if (this->jobs.size() >= maximumOpenJobs)
+    if (this->owner.openJobs() >= maximumOpenJobs)
         return refuse(exchange, 503, "too many jobs are open", Milliseconds(1000));
     const auto& step = description->steps.front();
     const auto& route = *parsed.route;
-    Job job;
-    job.arrivedAt = now;
-    job.deadline = now + readDeadline(exchange->request(), route) - answerMargin;
+    auto deadline = now + readDeadline(exchange->request(), route) - answerMargin;
     auto allowed = Milliseconds(static_cast<int64_t>(route.stretch * static_cast<double>(step.estimate.count())) + route.targetLatencyMilliseconds);
-    job.objective = now + allowed;
-    job.routesVersion = this->routes.document().version;
-    auto& submission = job.submission;
+    Scheduler::Submission submission;
     submission.job = parsed.job;
     submission.queue = route.name;
     submission.pool = route.pool;
@@ -138,176 +120,154 @@
     submission.requiredLabel = step.requiredLabel;
     submission.maximumPerTarget = step.maximumPerTarget;
     submission.maximumFailures = static_cast<uint32_t>(std::max<int64_t>(route.maximumAttempts, 1));
-    auto& kept = this->jobs.emplace(parsed.job, std::move(job)).first->second;
-    this->join(kept, exchange);
-    if (!this->dispatcher.empty())
-        this->handOver(kept, now);
+    this->callers.emplace(parsed.job, Callers { {}, route.name, now, this->routes.document().version });
+    this->owner.add(std::move(submission), deadline, now + allowed, now);
+    this->join(parsed.job, exchange);
+    this->carryOut();
 }
 
-void JobEntry::join(Job& job, const Exchange& exchange)
+void JobEntry::join(const std::string& job, const Exchange& exchange)
 {
-    job.callers.push_back(exchange);
-    exchange->whenAbandoned([this, name = job.submission.job] { this->onAbandoned(name); });
+    this->callers[job].exchanges.push_back(exchange);
+    exchange->whenAbandoned([this, job] { this->onAbandoned(job); });
 }
 
 // A job that nobody waits for any more is withdrawn.
 void JobEntry::onAbandoned(const std::string& name)
 {
-    auto position = this->jobs.find(name);
-    if (position == this->jobs.end())
+    auto position = this->callers.find(name);
+    if (position == this->callers.end())
         return;
-    auto& callers = position->second.callers;
-    if (!std::all_of(callers.begin(), callers.end(), [](const auto& exchange) { return exchange->isClosed(); }))
+    const auto& exchanges = position->second.exchanges;
+    if (!std::all_of(exchanges.begin(), exchanges.end(), [](const auto& exchange) { return exchange->isClosed(); }))
         return;
-    Telemetry::log(LogLevel::Information, "job-abandoned", "the caller has gone", { { "job", name }, { "queue", position->second.submission.queue } });
-    this->withdraw(position->second);
-    this->jobs.erase(position);
+    Telemetry::log(LogLevel::Information, "job-abandoned", "the caller has gone", { { "job", name }, { "queue", position->second.queue } });
+    this->owner.withdraw(name);
+    this->callers.erase(position);
+    this->carryOut();
 }
 
 void JobEntry::describe(const Exchange& exchange, const ParsedRequest& parsed)
 {
-    if (parsed.job.empty()) {
-        auto count = std::count_if(this->jobs.begin(), this->jobs.end(), [&](const auto& entry) { return entry.second.submission.queue == parsed.route->name; });
-        return answer(exchange, 200, Platform::encodePending(static_cast<size_t>(count)));
-    }
-    if (this->jobs.contains(parsed.job))
+    if (parsed.job.empty())
+        return answer(exchange, 200, Platform::encodePending(this->owner.openJobsOf(parsed.route->name)));
+    if (this->owner.contains(parsed.job))
         return answer(exchange, 200, Platform::encodeRunningState());
     refuse(exchange, 410, "no such job is known");
 }
 
 void JobEntry::cancel(const Exchange& exchange, const ParsedRequest& parsed)
 {
-    auto position = this->jobs.find(parsed.job);
-    if (position == this->jobs.end())
+    if (!this->owner.contains(parsed.job))
         return refuse(exchange, 410, "no such job is known");
-    this->withdraw(position->second);
-    this->answerAll(position->second, 410, Platform::encodeError("the job was cancelled"), Milliseconds(0), "cancelled", "cancelled");
-    this->jobs.erase(position);
+    this->owner.withdraw(parsed.job);
+    Answer cancelled { parsed.job, Answer::Kind::Refused, "cancelled", Milliseconds(0), {}, 0 };
+    this->answerAll(cancelled, 410, Platform::encodeError("the job was cancelled"), "cancelled");
+    this->carryOut();
     answer(exchange, 200, "{}");
 }
 
-void JobEntry::withdraw(const Job& job)
+void JobEntry::followDispatchers(Instant now)
 {
-    if (!job.dispatcher.empty())
-        this->context.send(job.dispatcher, CancelSubmission { job.submission.job });
+    std::vector<Scheduler::ShardDispatcher> present;
+    for (const auto* member : this->context.cluster.dispatchers(now))
+        present.push_back(Scheduler::ShardDispatcher { member->dispatchShard, member->address });
+    if (present != this->dispatchers) {
+        std::string described;
+        for (const auto& dispatcher : present)
+            described += (described.empty() ? "" : " ") + dispatcher.shard + "=" + dispatcher.address;
+        Telemetry::log(LogLevel::Information, "dispatchers-changed", "jobs go to these dispatchers", { { "dispatchers", described }, { "openJobs", std::to_string(this->owner.openJobs()) } });
+        this->dispatchers = present;
+    }
+    this->owner.follow(present, this->context.cluster.ownShard(), now);
 }
 
-void JobEntry::handOver(Job& job, Instant now)
+void JobEntry::onMessage(const std::string& from, const RenewAnswer& renewed)
 {
-    auto& submission = job.submission;
-    auto remaining = [&](Instant until) { return std::chrono::duration_cast<Milliseconds>(until - now).count(); };
-    submission.untilDeadline = remaining(job.deadline);
-    submission.untilObjective = remaining(job.objective);
-    submission.untilEarlierRunsEnd = 0;
-    if (job.submissions > 0)
-        submission.untilEarlierRunsEnd = std::max<Milliseconds::rep>(remaining(this->formerHeard + earlierRunsEnd), 0);
-    submission.firstRun = job.submissions * runsPerDispatcher + 1;
-    ++job.submissions;
-    job.dispatcher = this->dispatcher;
-    this->context.send(this->dispatcher, submission);
+    this->owner.onRenewed(from, renewed.unknownJobs, renewed.loads, this->context.now());
+    this->carryOut();
 }
 
-void JobEntry::followDispatcher(Instant now)
+void JobEntry::onMessage(const std::string& from, const JobOutcome& outcome)
 {
-    auto present = this->context.dispatcherAddress();
-    if (present == this->dispatcher)
-        return;
-    Telemetry::log(LogLevel::Information, "dispatcher-changed", "jobs go to another dispatcher", { { "from", this->dispatcher }, { "to", present }, { "openJobs", std::to_string(this->jobs.size()) } });
-    if (!this->dispatcher.empty())
-        this->formerHeard = this->dispatcherHeard;
-    this->dispatcher = present;
-    this->dispatcherHeard = now;
-    if (present.empty())
-        return;
-    for (auto& [name, job] : this->jobs)
-        this->handOver(job, now);
-    this->renew(now);
+    this->owner.onOutcome(from, outcome, this->context.now());
+    this->carryOut();
 }
 
-void JobEntry::renew(Instant now)
+void JobEntry::onPause(Instant now)
 {
-    if (this->dispatcher.empty())
-        return;
-    this->nextRenewal = now + renewalInterval;
-    RenewSubmissions renewal;
-    renewal.jobs.reserve(this->jobs.size());
-    for (const auto& [name, job] : this->jobs)
-        renewal.jobs.push_back(name);
-    this->context.send(this->dispatcher, renewal);
+    this->owner.onPause(now);
 }
 
-void JobEntry::onMessage(const std::string& from, const RenewAnswer& renewed)
+// In a failure domain with a dispatcher of its own, one that leaves messages unanswered is lost; one of another domain may
+// just be beyond a partition.
+void JobEntry::suspect(const std::string& dispatcher)
 {
-    if (from != this->dispatcher)
+    auto& cluster = this->context.cluster;
+    const auto* member = cluster.find(dispatcher);
+    if (!member || cluster.layout() == Membership::DispatchLayout::WholeCluster || member->failureDomain != cluster.self().failureDomain)
         return;
-    auto now = this->context.now();
-    bool wasSilent = now - this->dispatcherHeard > Milliseconds(600);
-    if (!wasSilent)
-        this->formerHeard = this->dispatcherHeard;
-    this->dispatcherHeard = now;
-    for (const auto& name : renewed.unknownJobs) {
-        auto position = this->jobs.find(name);
-        // One that has just been handed over may still be on its way.
-        if (position != this->jobs.end() && now - position->second.arrivedAt > renewalInterval)
-            this->handOver(position->second, now);
-    }
+    Telemetry::log(LogLevel::Warning, "dispatcher-suspected", "the dispatcher leaves messages unanswered", { { "dispatcher", dispatcher } });
+    cluster.suspect(dispatcher, this->context.now());
 }
 
-void JobEntry::answerAll(Job& job, int status, const std::string& body, Milliseconds retryAfter, std::string_view outcome, std::string_view reason)
+void JobEntry::carryOut()
 {
-    auto now = this->context.now();
-    auto took = std::chrono::duration_cast<Milliseconds>(now - job.arrivedAt);
-    for (const auto& caller : job.callers)
-        answer(caller, status, body, retryAfter);
-    this->context.metrics.count("jobs_total{outcome=\"" + std::string(outcome) + "\"}");
-    this->context.metrics.observeMilliseconds("job_milliseconds", static_cast<double>(took.count()));
-    Telemetry::log(LogLevel::Information, "job-answered", "a job was answered",
-        { { "job", job.submission.job }, { "queue", job.submission.queue }, { "status", std::to_string(status) }, { "outcome", std::string(outcome) }, { "reason", std::string(reason) }, { "tookMs", std::to_string(took.count()) },
-            { "routesVersion", std::to_string(job.routesVersion) }, { "dispatcher", job.dispatcher }, { "submissions", std::to_string(job.submissions) } });
+    auto effects = this->owner.takeEffects();
+    auto sentAt = std::chrono::duration_cast<Milliseconds>(this->context.now().time_since_epoch()).count();
+    auto incarnation = this->context.cluster.self().incarnation;
+    for (auto& handover : effects.handovers) {
+        handover.submission.sentAt = sentAt;
+        handover.submission.entryIncarnation = incarnation;
+        this->context.send(handover.dispatcher, handover.submission);
+    }
+    for (const auto& withdrawal : effects.withdrawals)
+        this->context.send(withdrawal.dispatcher, CancelSubmission { withdrawal.job });
+    for (auto& renewal : effects.renewals)
+        this->context.send(renewal.dispatcher, RenewSubmissions { std::move(renewal.jobs), renewal.kind, sentAt, incarnation });
+    for (const auto& answered : effects.answers)
+        this->answerAll(answered);
+    for (const auto& dispatcher : effects.suspects)
+        this->suspect(dispatcher);
 }
 
-void JobEntry::onMessage(const std::string& from, const JobOutcome& outcome)
+void JobEntry::answerAll(const Answer& answered)
 {
-    auto position = this->jobs.find(outcome.job);
-    if (position == this->jobs.end() || position->second.dispatcher != from)
-        return;
-    auto& job = position->second;
-    if (outcome.end != JobEnd::Refused)
-        this->answerAll(job, 200, Platform::encodeJobState(outcome.end), Milliseconds(0), outcome.end == JobEnd::Completed ? "completed" : "failed", outcome.reason);
-    else if (job.submissions > 1)
-        // An earlier dispatcher may have started something of it.
-        this->answerAll(job, 504, Platform::encodeError("the job may have run in part"), Milliseconds(0), "unknown", outcome.reason);
-    else
-        this->answerAll(job, outcome.reason == "overloaded" ? 429 : 503, Platform::encodeError(outcome.reason), Milliseconds(outcome.retryAfterMilliseconds), "refused", outcome.reason);
-    this->jobs.erase(position);
+    using Kind = Answer::Kind;
+    switch (answered.kind) {
+    case Kind::Completed:
+        return this->answerAll(answered, 200, Platform::encodeJobState(JobEnd::Completed), "completed");
+    case Kind::Failed:
+        return this->answerAll(answered, 200, Platform::encodeJobState(JobEnd::Failed), "failed");
+    case Kind::Refused:
+        return this->answerAll(answered, answered.reason == "overloaded" ? 429 : 503, Platform::encodeError(answered.reason), "refused");
+    case Kind::Unknown:
+        return this->answerAll(answered, 504, Platform::encodeError("the job may have run in part: " + answered.reason), "unknown");
+    }
 }
 
-void JobEntry::expire(Instant now)
+void JobEntry::answerAll(const Answer& answered, int status, const std::string& body, std::string_view outcome)
 {
-    std::vector<std::string> ended;
-    for (auto& [name, job] : this->jobs) {
-        if (now >= job.deadline) {
-            this->withdraw(job);
-            if (job.submissions == 0)
-                this->answerAll(job, 503, Platform::encodeError("no dispatcher was found in time"), Milliseconds(1000), "refused", "no-dispatcher");
-            else
-                this->answerAll(job, 504, Platform::encodeError("the job did not end in time"), Milliseconds(0), "unknown", "deadline");
-            ended.push_back(name);
-        } else if (job.submissions == 0 && now - job.arrivedAt >= dispatcherWait) {
-            this->answerAll(job, 503, Platform::encodeError("no dispatcher is reachable"), Milliseconds(1000), "refused", "no-dispatcher");
-            ended.push_back(name);
-        }
-    }
-    for (const auto& name : ended)
-        this->jobs.erase(name);
+    auto position = this->callers.find(answered.job);
+    if (position == this->callers.end())
+        return;
+    auto waiting = std::move(position->second);
+    this->callers.erase(position);
+    for (const auto& exchange : waiting.exchanges)
+        answer(exchange, status, body, answered.retryAfter);
+    auto took = std::chrono::duration_cast<Milliseconds>(this->context.now() - waiting.arrivedAt);
+    this->context.metrics.count("jobs_total{outcome=\"" + std::string(outcome) + "\"}");
+    this->context.metrics.observeMilliseconds("job_milliseconds", static_cast<double>(took.count()));
+    Telemetry::log(LogLevel::Information, "job-answered", "a job was answered",
+        { { "job", answered.job }, { "queue", waiting.queue }, { "status", std::to_string(status) }, { "outcome", std::string(outcome) }, { "reason", answered.reason }, { "tookMs", std::to_string(took.count()) },
+            { "routesVersion", std::to_string(waiting.routesVersion) }, { "dispatcher", answered.dispatcher }, { "submissions", std::to_string(answered.submissions) } });
 }
 
 void JobEntry::tick(Instant now)
 {
-    this->followDispatcher(now);
-    if (now >= this->nextRenewal)
-        this->renew(now);
-    this->expire(now);
+    this->followDispatchers(now);
+    this->owner.tick(now);
+    this->carryOut();
 }
 
 }
--- a/Services/sassafrasshiftd/Cluster/JobEntry.h
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.h
@@ -2,18 +2,16 @@
 
 #include "Cluster/ClusterContext.h"
 #include "Cluster/RouteKeeper.h"
-#include <LibScheduler/Types.h>
+#include <LibScheduler/JobOwner.h>
 #include <LibTransport/HttpServer.h>
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace Sassafrasshift::Daemon {
 
-/// Takes jobs from callers, has the dispatcher run them, and answers the callers.
+/// Takes jobs from callers, has dispatchers run them, and answers the callers.
 class JobEntry {
 public:
     JobEntry(ClusterContext&, RouteKeeper&);
@@ -22,24 +20,21 @@
     void onMessage(const std::string& from, const Scheduler::JobOutcome&);
     void onMessage(const std::string& from, const RenewAnswer&);
     void tick(Instant now);
+    /// This process stood still for some time.
+    void onPause(Instant now);
 
     /// Whether new callers may be sent here.
     [[nodiscard]] bool isReady() const;
     void startLeaving() { this->leaving = true; }
-    [[nodiscard]] size_t openJobs() const { return this->jobs.size(); }
+    [[nodiscard]] size_t openJobs() const { return this->owner.openJobs(); }
 
 private:
-    struct Job {
-        Scheduler::Submission submission;
-        std::vector<std::shared_ptr<Transport::HttpExchange>> callers;
+    /// Those who wait for a job's answer, and what the log says of it.
+    struct Callers {
+        std::vector<std::shared_ptr<Transport::HttpExchange>> exchanges;
+        std::string queue;
         Instant arrivedAt {};
-        Instant deadline {};
-        Instant objective {};
         uint64_t routesVersion { 0 };
-        /// The dispatcher that the job was handed to last; empty for none.
-        std::string dispatcher;
-        /// How often it was handed to a dispatcher.
-        uint32_t submissions { 0 };
     };
 
     struct ParsedRequest {
@@ -50,23 +45,19 @@
     void submit(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
     void describe(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
     void cancel(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
-    void join(Job&, const std::shared_ptr<Transport::HttpExchange>&);
+    void join(const std::string& job, const std::shared_ptr<Transport::HttpExchange>&);
     void onAbandoned(const std::string& job);
-    void handOver(Job&, Instant now);
-    void followDispatcher(Instant now);
-    void renew(Instant now);
-    void expire(Instant now);
-    void answerAll(Job&, int status, const std::string& body, Milliseconds retryAfter, std::string_view outcome, std::string_view reason);
-    void withdraw(const Job&);
+    void followDispatchers(Instant now);
+    void carryOut();
+    void suspect(const std::string& dispatcher);
+    void answerAll(const Scheduler::JobOwner::Answer&);
+    void answerAll(const Scheduler::JobOwner::Answer&, int status, const std::string& body, std::string_view outcome);
 
     ClusterContext& context;
     RouteKeeper& routes;
-    std::unordered_map<std::string, Job> jobs;
-    std::string dispatcher;
-    /// When the present and the former dispatcher were last heard.
-    Instant dispatcherHeard {};
-    Instant formerHeard {};
-    Instant nextRenewal {};
+    Scheduler::JobOwner owner;
+    std::unordered_map<std::string, Callers> callers;
+    std::vector<Scheduler::ShardDispatcher> dispatchers;
     bool leaving { false };
 };
 
