--- a/Libraries/LibCatalog/RouteTable.h
+++ b/Libraries/LibCatalog/RouteTable.h
@@ -39,9 +39,15 @@
     friend auto operator<=>(const RoutedPool&, const RoutedPool&) = default;
 };
 
-/// What the servers accept from callers.
+/// What the servers accept from callers; zero or less stands for no limit.
 struct RequestLimits {
     int64_t maximumBodyBytes { 256 * 1024 };
+    /// Of the request line and all header fields.
+    int64_t maximumHeaderBytes { 64 * 1024 };
+    /// How long a caller may take for the head of a request.
+    int64_t headerTimeoutMilliseconds { 10'000 };
+    /// How long a connection may stay open without a request.
+    int64_t idleTimeoutMilliseconds { 60'000 };
 
     friend auto operator<=>(const RequestLimits&, const RequestLimits&) = default;
 };
--- a/Libraries/LibTransport/HttpMessage.cpp
+++ b/Libraries/LibTransport/HttpMessage.cpp
@@ -33,6 +33,17 @@
     return std::string_view(this->target).substr(0, this->target.find('?'));
 }
 
+size_t HttpRequest::headBytes() const
+{
+    static constexpr std::string_view lineEnd = "\r\n";
+    static constexpr std::string_view version = "  HTTP/1.1";
+    static constexpr std::string_view separator = ": ";
+    size_t bytes = this->method.size() + this->target.size() + version.size() + 2 * lineEnd.size();
+    for (const auto& header : this->headers)
+        bytes += header.name.size() + separator.size() + header.value.size() + lineEnd.size();
+    return bytes;
+}
+
 std::string_view HttpRequest::queryParameter(std::string_view name) const
 {
     auto start = this->target.find('?');
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -3,7 +3,9 @@
 #include <LibTransport/HttpServer.h>
 #include <cstring>
 #include <fcntl.h>
+#include <map>
 #include <netinet/tcp.h>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <strings.h>
@@ -18,6 +20,7 @@
 // HTTP/1.1 connections are not read while a request is handled, so that a caller's hang-up has to be looked for.
 static constexpr Milliseconds hangUpCheckInterval { 100 };
 static constexpr size_t exchangesCheckedPerTick = 512;
+static constexpr Milliseconds timeoutCheckInterval { 250 };
 
 struct HandlerWithServer {
     h2o_handler_t super;
@@ -26,6 +29,14 @@
 
 class ExchangeImplementation;
 
+// What was last seen of a connection on which no request is in progress.
+struct ConnectionProgress {
+    size_t bytes { 0 };
+    Instant changedAt {};
+    /// Since when the head of a request has been incomplete.
+    std::optional<Instant> headSince;
+};
+
 struct HttpServer::Implementation {
     EventLoop* loop { nullptr };
     Handler handler;
@@ -34,7 +45,9 @@
     h2o_accept_ctx_t acceptContext {};
     h2o_socket_t* listener { nullptr };
     std::vector<std::weak_ptr<ExchangeImplementation>> open;
-    std::set<h2o_socket_t*> connections;
+    std::map<h2o_socket_t*, ConnectionProgress> connections;
+    Timeouts timeouts;
+    Instant nextTimeoutCheck {};
     std::unique_ptr<Timer> hangUpTimer;
     size_t openCount { 0 };
     bool closing { false };
@@ -42,6 +55,9 @@
 
     void checkHangUps();
     void closeIdleConnections();
+    void closeOverdueConnections();
+    [[nodiscard]] std::vector<h2o_socket_t*> connectionsWithoutRequest() const;
+    [[nodiscard]] bool isOverdue(const h2o_socket_t*, ConnectionProgress&, Instant now) const;
 };
 
 class ExchangeImplementation final : public HttpExchange {
@@ -216,7 +232,7 @@
         auto* socket = h2o_evloop_socket_accept(listener);
         if (!socket)
             return;
-        server->connections.insert(socket);
+        server->connections.emplace(socket, ConnectionProgress { 0, server->loop->now(), {} });
         struct Accepted {
             HttpServer::Implementation* server;
             h2o_socket_t* socket;
@@ -246,21 +262,65 @@
     }
     if (this->checkPosition >= this->open.size())
         this->checkPosition = 0;
+    this->closeOverdueConnections();
     this->hangUpTimer = this->loop->after(hangUpCheckInterval, [this] { this->checkHangUps(); });
 }
 
-// The library sees the end of the connection when it reads next, and lets go of it.
-void HttpServer::Implementation::closeIdleConnections()
+std::vector<h2o_socket_t*> HttpServer::Implementation::connectionsWithoutRequest() const
 {
-    std::set<h2o_socket_t*> idle = this->connections;
+    std::set<h2o_socket_t*> busy;
     for (const auto& weak : this->open) {
         if (auto exchange = weak.lock())
-            idle.erase(exchange->connection());
+            busy.insert(exchange->connection());
     }
-    for (auto* socket : idle) {
+    std::vector<h2o_socket_t*> idle;
+    for (const auto& [socket, progress] : this->connections) {
         // An answer that is still being written comes first.
-        if (!h2o_socket_is_writing(socket))
-            shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+        if (!busy.contains(socket) && !h2o_socket_is_writing(socket))
+            idle.push_back(socket);
+    }
+    return idle;
+}
+
+// The library sees the end of the connection when it reads next, and lets go of it.
+static void endConnection(h2o_socket_t* socket)
+{
+    shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+}
+
+void HttpServer::Implementation::closeIdleConnections()
+{
+    for (auto* socket : this->connectionsWithoutRequest())
+        endConnection(socket);
+}
+
+bool HttpServer::Implementation::isOverdue(const h2o_socket_t* socket, ConnectionProgress& progress, Instant now) const
+{
+    auto bytes = socket->bytes_read + socket->bytes_written;
+    if (bytes != progress.bytes) {
+        progress.bytes = bytes;
+        progress.changedAt = now;
+    }
+    std::string_view received(socket->input->bytes, socket->input->size);
+    bool isHeadIncomplete = !received.empty() && received.find("\r\n\r\n") == std::string_view::npos;
+    if (!isHeadIncomplete)
+        progress.headSince.reset();
+    else if (!progress.headSince)
+        progress.headSince = now;
+    if (progress.headSince && now - *progress.headSince >= this->timeouts.head)
+        return true;
+    return received.empty() && now - progress.changedAt >= this->timeouts.idle;
+}
+
+void HttpServer::Implementation::closeOverdueConnections()
+{
+    auto now = this->loop->now();
+    if (now < this->nextTimeoutCheck)
+        return;
+    this->nextTimeoutCheck = now + timeoutCheckInterval;
+    for (auto* socket : this->connectionsWithoutRequest()) {
+        if (this->isOverdue(socket, this->connections.at(socket), now))
+            endConnection(socket);
     }
 }
 
@@ -340,6 +400,11 @@
     this->implementation->closeIdleConnections();
 }
 
+void HttpServer::setTimeouts(Timeouts timeouts)
+{
+    this->implementation->timeouts = timeouts;
+}
+
 size_t HttpServer::openExchanges() const
 {
     return this->implementation->openCount;
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -38,6 +38,16 @@
         size_t maximumBody { 16 * 1024 * 1024 };
     };
 
+    /// How long a connection may be without a request in progress before it is closed.
+    struct Timeouts {
+        /// From the first byte of a request's head to the last.
+        Milliseconds head { 60'000 };
+        /// Without any bytes.
+        Milliseconds idle { 60'000 };
+
+        friend auto operator<=>(const Timeouts&, const Timeouts&) = default;
+    };
+
     [[nodiscard]] static ErrorOr<std::unique_ptr<HttpServer>> create(EventLoop&, const Endpoint&, Limits, Handler);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
@@ -52,6 +62,8 @@
     /// Closes the connections on which no request is in progress.
     void closeIdleConnections();
 
+    void setTimeouts(Timeouts);
+
     /// The number of requests that were received and not yet answered.
     [[nodiscard]] size_t openExchanges() const;
 
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -214,11 +214,25 @@
     this->ledger->tick(now);
     this->control->tick(now);
     this->routes->follow(now);
+    this->followLimits();
     this->gossip(now);
     if (this->leaving)
         this->continueLeaving(now);
 }
 
+void ClusterDaemon::followLimits()
+{
+    const auto* table = this->routes->routes();
+    if (!table || !this->jobsServer)
+        return;
+    HttpServer::Timeouts timeouts;
+    if (auto head = table->limits().headerTimeoutMilliseconds; head > 0)
+        timeouts.head = Milliseconds(head);
+    if (auto idle = table->limits().idleTimeoutMilliseconds; idle > 0)
+        timeouts.idle = Milliseconds(idle);
+    this->jobsServer->setTimeouts(timeouts);
+}
+
 // Only the seeds change while a process runs; everything else holds from the next start.
 void ClusterDaemon::reloadSettings(bool told)
 {
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -42,6 +42,8 @@
     void tick();
     [[nodiscard]] uint64_t epochFloor() const;
     void gossip(Instant now);
+    /// Has the timeouts of the configuration in force hold for callers' connections.
+    void followLimits();
     void tellAll(const Gossip&, Instant now);
     void noticePause(Instant now);
     void reloadSettings(bool told);
--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -323,3 +323,44 @@
     BOOST_TEST(answer.bytes.starts_with("HTTP/1.1 200"));
     BOOST_TEST(answer.ended);
 }
+
+BOOST_FIXTURE_TEST_CASE(a_connection_without_a_request_is_closed_after_its_idle_timeout, Fixture)
+{
+    this->serve([&](const auto& exchange) { exchange->respond(HttpResponse { 200, {}, {} }); });
+    this->server->setTimeouts({ 10s, 300ms });
+    auto begin = this->loop->now();
+    auto answer = exchangeRaw(*this->loop, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(answer.bytes.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answer.ended);
+    BOOST_TEST((this->loop->now() - begin >= 300ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_whose_head_does_not_come_whole_is_given_up, Fixture)
+{
+    size_t served = 0;
+    this->serve([&](const auto& exchange) {
+        ++served;
+        exchange->respond(HttpResponse { 200, {}, {} });
+    });
+    this->server->setTimeouts({ 300ms, 10s });
+    auto answer = exchangeRaw(*this->loop, "GET / HTTP/1.1\r\nHost: a\r\n");
+    BOOST_TEST(answer.ended);
+    BOOST_TEST(served == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_in_progress_outlives_the_timeouts, Fixture)
+{
+    std::unique_ptr<Timer> timer;
+    this->serve([&](const auto& exchange) {
+        timer = this->loop->after(900ms, [exchange] { exchange->respond(HttpResponse { 200, {}, {} }); });
+    });
+    this->server->setTimeouts({ 100ms, 100ms });
+    auto answer = exchangeRaw(*this->loop, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(answer.bytes.starts_with("HTTP/1.1 200"));
+}
+
+BOOST_AUTO_TEST_CASE(the_head_of_a_request_is_measured_as_it_is_written)
+{
+    HttpRequest request { "GET", "/a", { { "host", "b" }, { "x", "yz" } }, "body" };
+    BOOST_TEST(request.headBytes() == std::string("GET /a HTTP/1.1\r\nhost: b\r\nx: yz\r\n\r\n").size());
+}
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -36,12 +36,15 @@
 
 BOOST_AUTO_TEST_CASE(a_configuration_is_read_and_faulty_ones_are_refused)
 {
-    const std::string good = R"({"version":7,"routes":[{"name":"r","host":"a.example","path_prefix":"/p/","timeout_ms":1500,"priority":2,"service":"s","max_attempts":4,"stretch":1.6,"target_latency_ms":60}],"services":[{"name":"s"}],"limits":{"max_body_bytes":100}})";
+    const std::string good = R"({"version":7,"routes":[{"name":"r","host":"a.example","path_prefix":"/p/","timeout_ms":1500,"priority":2,"service":"s","max_attempts":4,"stretch":1.6,"target_latency_ms":60}],"services":[{"name":"s"}],"limits":{"max_body_bytes":100,"max_header_bytes":200,"header_timeout_ms":300,"idle_timeout_ms":400}})";
     auto table = Platform::decodeConfiguration(good);
     BOOST_REQUIRE(table.has_value());
     BOOST_TEST(table->version() == 7U);
     BOOST_TEST(table->match("a.example", "/p/x")->maximumAttempts == 4);
     BOOST_TEST(table->limits().maximumBodyBytes == 100);
+    BOOST_TEST(table->limits().maximumHeaderBytes == 200);
+    BOOST_TEST(table->limits().headerTimeoutMilliseconds == 300);
+    BOOST_TEST(table->limits().idleTimeoutMilliseconds == 400);
     BOOST_TEST(!Platform::decodeConfiguration(good.substr(0, good.size() / 2)).has_value());
     for (const auto* body : { R"({"version":"7","routes":[],"services":[]})", R"({"version":7,"routes":{},"services":[]})", R"({"routes":[],"services":[]})", R"({"version":7,"routes":[{"host":"a","path_prefix":"/","timeout_ms":0,"service":"s"}],"services":[{"name":"s"}]})", R"({"version":7,"routes":[{"host":"a","path_prefix":"/","timeout_ms":1,"service":"t"}],"services":[{"name":"s"}]})" })
         BOOST_TEST(!Platform::decodeConfiguration(body).has_value(), body);
