sassafrasshiftd: Ask all hosts that take reports for the targets when dispatching begins

All targets that it knew were claimed, so it started tasks again that ran on one that it did not know. Ruled out: leases and adoption (the runs ended done, 0.3 to 2 s later, under the former dispatcher's token). Change: a dispatcher that begins asks every live host that takes reports, again until each has answered, and takes its knowledge for whole only then.

--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -67,6 +67,20 @@
     CODEC_FIELDS(identity);
 };
 
+/// A dispatcher asks a host that takes reports for the targets of its shard.
+struct TargetListRequest {
+    uint64_t number { 0 };
+
+    CODEC_FIELDS(number);
+};
+
+struct TargetListAnswer {
+    uint64_t number { 0 };
+    std::vector<Membership::TargetReport> reports;
+
+    CODEC_FIELDS(number, reports);
+};
+
 /// Asks a member for its published document, where it is newer.
 struct DocumentRequest {
     uint64_t knownVersion { 0 };
@@ -82,6 +96,6 @@
 
 /// Everything that one process of a cluster sends to another. New alternatives are added at the end.
 using ClusterMessage = std::variant<Gossip, Scheduler::Submission, CancelSubmission, RenewSubmissions, RenewAnswer, Scheduler::JobOutcome, ReportNotice, ReportTaken,
-    TargetGone, Ledger::Message, JoinRequest, ProposeRequest, ProposeResponse, DocumentRequest, DocumentTransfer>;
+    TargetGone, Ledger::Message, JoinRequest, ProposeRequest, ProposeResponse, DocumentRequest, DocumentTransfer, TargetListRequest, TargetListAnswer>;
 
 }
--- a/Services/sassafrasshiftd/Cluster/ControlApi.cpp
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.cpp
@@ -125,6 +125,20 @@
     this->waitingReports.erase(position);
 }
 
+void ControlApi::onMessage(const std::string& from, const TargetListRequest& request)
+{
+    // One that is not known here yet asks again.
+    const auto* member = this->context.cluster.find(from);
+    if (!member)
+        return;
+    TargetListAnswer answer { request.number, {} };
+    for (const auto& [identity, target] : this->targets) {
+        if (this->mayDispatch(*member, target.report))
+            answer.reports.push_back(target.report);
+    }
+    this->context.send(from, answer);
+}
+
 void ControlApi::removeTarget(const Exchange& exchange, const std::string& identity)
 {
     this->targets.erase(identity);
--- a/Services/sassafrasshiftd/Cluster/ControlApi.h
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.h
@@ -16,6 +16,7 @@
 
     void handle(const std::shared_ptr<Transport::HttpExchange>&);
     void onMessage(const std::string& from, const ReportTaken&);
+    void onMessage(const std::string& from, const TargetListRequest&);
     void tick(Instant now);
 
 private:
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -90,6 +90,34 @@
     this->scheduleCarryOut();
 }
 
+void DispatchService::onMessage(const std::string& from, const TargetListAnswer& answer)
+{
+    for (const auto& report : answer.reports)
+        this->scheduler.onReport(report, this->context.now());
+    this->survey.onAnswer(from, answer.number);
+    this->scheduleCarryOut();
+}
+
+std::vector<std::string> DispatchService::reportHosts(Instant now) const
+{
+    std::vector<std::string> hosts;
+    for (const auto* member : this->context.cluster.alive(now)) {
+        if (!member->isEntry)
+            hosts.push_back(member->address);
+    }
+    return hosts;
+}
+
+void DispatchService::continueSurvey(Instant now)
+{
+    if (!this->scheduler.isActive())
+        return;
+    for (const auto& host : this->survey.takeDue(now))
+        this->context.send(host, TargetListRequest { this->survey.number() });
+    // Where some hosts have not been alive for long, targets may have reported to nobody yet.
+    this->scheduler.setKnowsAllTargets(this->context.cluster.isSettled(settlingTime, now) && this->survey.isComplete(this->reportHosts(now)));
+}
+
 void DispatchService::followClaim(Instant now)
 {
     auto& cluster = this->context.cluster;
@@ -109,12 +137,14 @@
         return;
     Telemetry::log(LogLevel::Information, "dispatch-begun", "this member dispatches", { { "epoch", std::to_string(claimed) }, { "shard", shard } });
     this->scheduler.activate(this->fencingToken(), now, [&cluster, shard](const auto& report) { return cluster.shardFor(report.failureDomain) == shard; });
+    this->survey.begin(this->reportHosts(now));
+    this->continueSurvey(now);
 }
 
 void DispatchService::tick(Instant now)
 {
     this->followClaim(now);
-    this->scheduler.setKnowsAllTargets(this->context.cluster.isSettled(settlingTime, now));
+    this->continueSurvey(now);
     this->scheduler.tick(now);
     this->raiseFenceIfDue(now);
     this->carryOut();
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cluster/ClusterContext.h"
+#include <LibScheduler/TargetSurvey.h>
 #include <LibScheduler/TaskScheduler.h>
 #include <LibScheduler/TransitTimes.h>
 #include <platform/TargetClient.h>
@@ -17,6 +18,7 @@
     void onMessage(const std::string& from, const RenewSubmissions&);
     void onMessage(const std::string& from, const ReportNotice&);
     void onMessage(const std::string& from, const TargetGone&);
+    void onMessage(const std::string& from, const TargetListAnswer&);
     void tick(Instant now);
     /// This process stood still for some time.
     void onPause(Instant now);
@@ -27,6 +29,9 @@
     void followClaim(Instant now);
     [[nodiscard]] bool isHeldUp(const std::string& from, uint64_t incarnation, Milliseconds::rep sentAt);
     void raiseFenceIfDue(Instant now);
+    /// The live hosts that take reports.
+    [[nodiscard]] std::vector<std::string> reportHosts(Instant now) const;
+    void continueSurvey(Instant now);
     void carryOut();
     void describe(Instant now);
     void logDecision(const Scheduler::Decision&);
@@ -37,6 +42,7 @@
     Platform::TargetClient targets;
     Scheduler::TaskScheduler scheduler;
     Scheduler::TransitTimes transitTimes;
+    Scheduler::TargetSurvey survey;
     uint64_t activeEpoch { 0 };
     std::string activeShard;
     Instant nextRaise {};
