Tests: Run a cluster of real processes through the loss, standstill and end of its dispatcher

Three replicas, three entries and stand-in executors that keep fences and leases to the letter: kill -9, SIGSTOP and SIGTERM of the dispatcher under load, a replica killed while a configuration is published. Checked: no task runs twice at a time, no executor is overfilled, a refused job has not run, a complete one has, a graceful shutdown cuts nothing off.

--- /dev/null
+++ b/Tests/Cluster/run.py
@@ -0,0 +1,212 @@
+#!/usr/bin/env python3
+"""Runs a cluster of real processes that find each other, with stand-in executors, through the loss, the standstill and the
+end of its dispatcher, and checks what callers and executors saw."""
+
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+from executors import CUT_OFF, TASK_CPU, Executor, Ledger, call
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+PROGRAM = os.path.join(ROOT, "build", "bin", "sassafrasshiftd")
+CORES = [f"127.0.31.{i}" for i in (1, 2, 3)]
+ENTRIES = [f"127.0.32.{i}" for i in (1, 2, 3)]
+CONTROLS = [f"{address}:7503" for address in CORES]
+WIDTH = 2
+LIMIT = 30
+
+
+def wait_until(condition, what):
+    end = time.monotonic() + LIMIT
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError(f"gave up after {LIMIT} s waiting until {what}")
+
+
+def document(version):
+    return {"version": version, "services": [{"name": "pool"}], "limits": {"max_body_bytes": 100000},
+            "routes": [{"name": "queue", "host": "rota.example", "path_prefix": "/q/", "timeout_ms": 1500, "service": "pool", "priority": 0, "max_attempts": 3, "stretch": 2, "target_latency_ms": 60}]}
+
+
+class Member:
+    def __init__(self, folder, address, is_core):
+        self.address, self.is_core = address, is_core
+        self.name = ("core-" if is_core else "entry-") + address.rsplit(".", 1)[1]
+        self.log_path = os.path.join(folder, self.name + ".log")
+        self.settings_path = os.path.join(folder, self.name + ".yaml")
+        self.data = os.path.join(folder, self.name)
+        self.process = None
+
+    def write_settings(self, first_start):
+        lines = [f"host: {self.name}", "failureDomain: north", f'peerAddress: "{self.address}:7501"', f"firstStart: {str(first_start).lower()}", "maximumLease: 1s", "shutdownTimeout: 10s", "seeds:"]
+        lines += [f'  - "{address}:7501"' for address in CORES]
+        if self.is_core:
+            os.makedirs(self.data, exist_ok=True)
+            lines += [f'controlAddress: "{self.address}:7503"', f'dataFolder: "{self.data}"']
+        else:
+            lines += [f'jobsAddress: "{self.address}:7502"', f'readinessAddress: "{self.address}:7504"', "dispatchCores: 0.5"]
+        with open(self.settings_path, "w") as file:
+            file.write("\n".join(lines) + "\n")
+
+    def start(self, first_start=False):
+        self.write_settings(first_start)
+        with open(self.log_path, "a") as log:
+            self.process = subprocess.Popen([PROGRAM, "--cluster", self.settings_path], stdout=log, stderr=log)
+
+    def is_ready(self):
+        return call(f"{self.address}:7504", "GET", "/api/ready", timeout=1)[0] == 200
+
+    def last_begun(self):
+        """When this member last began to dispatch; none where it does not dispatch."""
+        begun = None
+        with open(self.log_path) as log:
+            for number, line in enumerate(log):
+                if "dispatch-begun" in line:
+                    begun = line[line.index("timestamp"):][:45]
+                elif "dispatch-ended" in line or "host-started" in line:
+                    begun = None
+        return begun
+
+
+class Load:
+    """Callers that hand in one job after another, at entries drawn by lot."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.lock = threading.Lock()
+        self.statuses = {}
+        self.stopping = False
+        self.threads = [threading.Thread(target=self.run, args=(self.random.random(),)) for _ in range(6)]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, seed):
+        own = random.Random(seed)
+        while not self.stopping:
+            job = f"{own.getrandbits(64):016x}"
+            body = {"spec": "text", "best_effort": True, "steps": [{"count": WIDTH, "cpu": TASK_CPU, "estimate_ms": 50}]}
+            status, _ = call(f"{own.choice(ENTRIES)}:7502", "POST", f"/q/{job}", body, {"host": "rota.example", "deadline-ms": "3000"})
+            with self.lock:
+                self.statuses[job] = status
+            if status != 200:
+                time.sleep(0.05)
+
+    def served(self):
+        with self.lock:
+            return sum(1 for status in self.statuses.values() if status == 200)
+
+    def cut_off(self):
+        with self.lock:
+            return sum(1 for status in self.statuses.values() if status == CUT_OFF)
+
+    def wait_for_more(self, count, after):
+        target = self.served() + count
+        wait_until(lambda: self.served() >= target, f"{count} more jobs are served after {after}")
+
+    def stop(self):
+        self.stopping = True
+        for thread in self.threads:
+            thread.join()
+
+
+def dispatcher(members):
+    begun = [(member.last_begun(), member) for member in members if not member.is_core and member.process.poll() is None]
+    found = [entry for entry in begun if entry[0]]
+    return max(found, key=lambda entry: entry[0])[1] if found else None
+
+
+def current_dispatcher(members):
+    wait_until(lambda: dispatcher(members), "there is a dispatcher")
+    return dispatcher(members)
+
+
+def check(ledger, load):
+    faults = list(ledger.faults)
+    for job, status in load.statuses.items():
+        if status in (429, 503) and ledger.started.get(job):
+            faults.append(f"{job} was refused and has run")
+        if status == 200 and any(not ledger.done.get(f"{job}.0.0.{i}") for i in range(WIDTH)):
+            faults.append(f"{job} was answered as complete, and a task has not ended well")
+    return faults
+
+
+def play(folder):
+    members = [Member(folder, address, True) for address in CORES] + [Member(folder, address, False) for address in ENTRIES]
+    ledger = Ledger()
+    load, executors = None, []
+    try:
+        for member in members:
+            member.start(first_start=True)
+        wait_until(lambda: call(CONTROLS[0], "PUT", "/api/config", document(1), timeout=2)[0] == 200, "a configuration is accepted")
+        executors = [Executor(ledger, f"i-{i}", f"127.0.33.{i + 1}:7600", CONTROLS) for i in range(4)]
+        entries = [member for member in members if not member.is_core]
+        wait_until(lambda: all(member.is_ready() for member in entries), "all entries are ready")
+        load = Load(seed=1)
+        load.wait_for_more(50, "the start")
+
+        victim = current_dispatcher(members)
+        victim.process.kill()
+        victim.process.wait()
+        load.wait_for_more(50, "the dispatcher was killed")
+        victim.start()
+        wait_until(victim.is_ready, "the killed entry is ready again")
+
+        victim = current_dispatcher(members)
+        victim.process.send_signal(signal.SIGSTOP)
+        time.sleep(1.5)  # The standstill itself is what is played here.
+        victim.process.send_signal(signal.SIGCONT)
+        load.wait_for_more(50, "the dispatcher stood still")
+
+        cut_off = load.cut_off()
+        victim = current_dispatcher(members)
+        victim.process.send_signal(signal.SIGTERM)
+        assert victim.process.wait(LIMIT) == 0, "the entry that was told to stop failed"
+        load.wait_for_more(50, "the dispatcher was told to stop")
+        if load.cut_off() > cut_off:
+            ledger.faults.append("a graceful shutdown cut off requests")
+
+        members[0].process.kill()
+        members[0].process.wait()
+        wait_until(lambda: call(CONTROLS[1], "PUT", "/api/config", document(2), timeout=2)[0] == 200, "a configuration is accepted without a replica")
+        wait_until(lambda: '"version":2' in call(CONTROLS[2], "GET", "/api/config", timeout=2)[1].replace(" ", ""), "the configuration is read back")
+        members[0].start()
+        load.wait_for_more(50, "a replica was killed")
+        load.stop()
+        return check(ledger, load), load
+    finally:
+        if load:
+            load.stop()
+        for executor in executors:
+            executor.close()
+        for member in members:
+            if member.process and member.process.poll() is None:
+                member.process.kill()
+                member.process.wait()
+
+
+def main():
+    folder = tempfile.mkdtemp(prefix="sassafrasshift-cluster-")
+    faults, load = play(folder)
+    counts = {}
+    for status in load.statuses.values():
+        counts[status] = counts.get(status, 0) + 1
+    print(json.dumps({"jobs": len(load.statuses), "answers": {str(status): count for status, count in sorted(counts.items())}, "faults": faults}))
+    if faults:
+        print(f"the logs are in {folder}", file=sys.stderr)
+        return 1
+    shutil.rmtree(folder)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
