LibLedger: Make one queue of the commands that a host has proposed

DocumentLedger and LedgerService each kept proposals, sent them again and completed them; the copies differed in what they did with a failed command (repeat it, or report it), which is an option now. The two branches for lapsed leases in TargetSession are one.

--- /dev/null
+++ b/Libraries/LibLedger/ProposalQueue.cpp
@@ -0,0 +1,80 @@
+#include <LibLedger/ProposalQueue.h>
+#include <utility>
+
+namespace Sassafrasshift::Ledger {
+
+// How long a command waits after it reached a host that does not lead.
+static constexpr Milliseconds resendAfterFailure { 50 };
+static constexpr Milliseconds retryAfterOverload { 200 };
+static constexpr Milliseconds retryAfterExpiry { 1000 };
+
+ProposalQueue::ProposalQueue(Options options)
+    : options(options)
+{
+}
+
+void ProposalQueue::add(std::string command, Milliseconds timeout, Completion completion, Instant now)
+{
+    if (this->proposals.size() >= this->options.maximumProposals) {
+        completion(tl::unexpected(Error::notRun(Reason::Overloaded, "too many commands wait for the ledger").withRetryAfter(retryAfterOverload)));
+        return;
+    }
+    this->proposals.emplace(this->nextNumber++, Proposal { std::move(command), std::move(completion), now + timeout, now, {} });
+}
+
+std::vector<ProposalQueue::Sending> ProposalQueue::takeDue(const std::string& leader, Instant now)
+{
+    std::vector<Sending> due;
+    if (leader.empty())
+        return due;
+    for (auto& [number, proposal] : this->proposals) {
+        if (now < proposal.nextSending && leader == proposal.sentTo)
+            continue;
+        due.push_back(Sending { leader, number, proposal.command, !proposal.sentTo.empty() });
+        proposal.sentTo = leader;
+        proposal.nextSending = now + this->options.resendAfter;
+    }
+    return due;
+}
+
+void ProposalQueue::complete(uint64_t number, ErrorOr<std::string> result)
+{
+    auto position = this->proposals.find(number);
+    if (position == this->proposals.end())
+        return;
+    auto completion = std::move(position->second.completion);
+    this->proposals.erase(position);
+    completion(std::move(result));
+}
+
+void ProposalQueue::onResult(uint64_t number, std::string result)
+{
+    this->complete(number, std::move(result));
+}
+
+void ProposalQueue::onFailure(const std::string& from, uint64_t number, Error error, Instant now)
+{
+    auto position = this->proposals.find(number);
+    if (position == this->proposals.end())
+        return;
+    if (error.reason != Reason::NotLeader && !this->options.repeatsFailed)
+        return this->complete(number, tl::unexpected(std::move(error)));
+    if (position->second.sentTo == from)
+        position->second.nextSending = now + resendAfterFailure;
+}
+
+void ProposalQueue::expire(Instant now)
+{
+    std::vector<uint64_t> expired;
+    for (const auto& [number, proposal] : this->proposals) {
+        if (now >= proposal.deadline)
+            expired.push_back(number);
+    }
+    for (auto number : expired) {
+        bool wasSent = !this->proposals.at(number).sentTo.empty();
+        auto error = wasSent ? Error::mayHaveRun(Reason::NoQuorum, "the ledger did not confirm the command in time") : Error::notRun(Reason::NoQuorum, "no leader of the ledger is reachable");
+        this->complete(number, tl::unexpected(error.withRetryAfter(retryAfterExpiry)));
+    }
+}
+
+}
--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -390,11 +390,10 @@
         if (open && now >= open->sentAt + latest)
             this->onHoldAnswer(open->number, Unanswered {}, now);
     }
-    if (this->leasesLapsed(now) && !this->knownRuns.empty() && this->phase != Phase::Claimed)
+    if (this->leasesLapsed(now) && !this->knownRuns.empty()) {
         this->finishAll(RunEnd::Lapsed, now);
-    else if (this->leasesLapsed(now) && !this->knownRuns.empty()) {
-        this->finishAll(RunEnd::Lapsed, now);
-        this->reclaim(this->fence, now);
+        if (this->phase == Phase::Claimed)
+            this->reclaim(this->fence, now);
     }
     if (this->phase == Phase::Fenced)
         return;
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -26,6 +26,7 @@
     : context(context)
     , routes(routes)
     , state(jobKeyRetention, DurableState::DurableState::Observer { {}, {}, [this](const auto& document) { this->routes.offer(document); } })
+    , proposals({ proposalResend, maximumProposals, true })
 {
 }
 
@@ -135,32 +136,23 @@
 
 void DocumentLedger::propose(const DurableState::Command& command, Milliseconds timeout, Completion completion)
 {
-    if (this->proposals.size() >= maximumProposals) {
-        completion(tl::unexpected(Error::notRun(Reason::Overloaded, "too many commands wait for the ledger")));
-        return;
-    }
     auto now = this->context.now();
-    auto number = this->nextNumber++;
-    auto& proposal = this->proposals.emplace(number, Proposal { Transport::encodeValue(command), std::move(completion), now + timeout, {}, {} }).first->second;
-    this->sendProposal(number, proposal, now);
-}
-
-void DocumentLedger::sendProposal(uint64_t number, Proposal& proposal, Instant now)
-{
-    proposal.sentAt = now;
-    proposal.sentTo = this->leaderAddress(now);
-    if (!proposal.sentTo.empty())
-        this->context.send(proposal.sentTo, ProposeRequest { number, proposal.command });
+    auto decode = [completion = std::move(completion)](ErrorOr<std::string> encoded) {
+        if (!encoded)
+            return completion(tl::unexpected(encoded.error()));
+        auto result = Transport::decodeValue<DurableState::DocumentResult>(*encoded);
+        if (!result)
+            return completion(tl::unexpected(result.error()));
+        completion(result->version);
+    };
+    this->proposals.add(Transport::encodeValue(command), timeout, std::move(decode), now);
+    this->sendProposals(now);
 }
 
-void DocumentLedger::complete(uint64_t number, ErrorOr<uint64_t> result)
+void DocumentLedger::sendProposals(Instant now)
 {
-    auto position = this->proposals.find(number);
-    if (position == this->proposals.end())
-        return;
-    auto completion = std::move(position->second.completion);
-    this->proposals.erase(position);
-    completion(std::move(result));
+    for (auto& sending : this->proposals.takeDue(this->leaderAddress(now), now))
+        this->context.send(sending.leader, ProposeRequest { sending.number, std::move(sending.command) });
 }
 
 void DocumentLedger::onMessage(const std::string& from, const ProposeRequest& request)
@@ -175,21 +167,12 @@
     this->node->propose(request.command, respond);
 }
 
-void DocumentLedger::onMessage(const std::string&, const ProposeResponse& response)
+void DocumentLedger::onMessage(const std::string& from, const ProposeResponse& response)
 {
-    auto position = this->proposals.find(response.number);
-    if (position == this->proposals.end())
-        return;
-    if (!response.succeeded) {
-        // Another leader may take it; it is sent again soon.
-        position->second.sentAt = this->context.now() - proposalResend + Milliseconds(50);
-        return;
-    }
-    auto result = Transport::decodeValue<DurableState::DocumentResult>(response.result);
-    if (result)
-        this->complete(response.number, result->version);
+    if (response.succeeded)
+        this->proposals.onResult(response.number, response.result);
     else
-        this->complete(response.number, tl::unexpected(result.error()));
+        this->proposals.onFailure(from, response.number, Error { response.reason, response.verdict, response.detail }, this->context.now());
 }
 
 void DocumentLedger::onMessage(const std::string&, const Ledger::Message& message)
@@ -204,20 +187,6 @@
         this->node->requestJoin(request.host, request.identity);
 }
 
-void DocumentLedger::retryProposals(Instant now)
-{
-    std::vector<uint64_t> expired;
-    auto leader = this->leaderAddress(now);
-    for (auto& [number, proposal] : this->proposals) {
-        if (now >= proposal.deadline)
-            expired.push_back(number);
-        else if (now >= proposal.sentAt + proposalResend || (!leader.empty() && leader != proposal.sentTo))
-            this->sendProposal(number, proposal, now);
-    }
-    for (auto number : expired)
-        this->complete(number, tl::unexpected(Error::mayHaveRun(Reason::NoQuorum, "the ledger did not confirm the command in time")));
-}
-
 void DocumentLedger::askToJoin(Instant now)
 {
     if (!this->node || now < this->nextJoin)
@@ -251,7 +220,8 @@
         this->node->tick();
     this->askToJoin(now);
     this->announce();
-    this->retryProposals(now);
+    this->proposals.expire(now);
+    this->sendProposals(now);
 }
 
 }
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.h
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.h
@@ -4,6 +4,7 @@
 #include "Cluster/RouteKeeper.h"
 #include <LibDurableState/DurableState.h>
 #include <LibLedger/Node.h>
+#include <LibLedger/ProposalQueue.h>
 #include <functional>
 #include <map>
 #include <memory>
@@ -37,19 +38,9 @@
     /// The leader of the latest term of which another member tells.
     [[nodiscard]] std::string gossipedLeader(Instant now) const;
 
-    struct Proposal {
-        std::string command;
-        Completion completion;
-        Instant deadline {};
-        Instant sentAt {};
-        std::string sentTo;
-    };
-
     void formLedgerIfDue(Instant now);
     void startNode(const Ledger::StoredState* first);
-    void sendProposal(uint64_t number, Proposal&, Instant now);
-    void complete(uint64_t number, ErrorOr<uint64_t>);
-    void retryProposals(Instant now);
+    void sendProposals(Instant now);
     void askToJoin(Instant now);
     void announce();
     void endProcess(const Error&);
@@ -60,8 +51,7 @@
     std::unique_ptr<Ledger::DiskStore> waitingStore;
     std::string identity;
     std::unique_ptr<Ledger::Node> node;
-    std::map<uint64_t, Proposal> proposals;
-    uint64_t nextNumber { 1 };
+    Ledger::ProposalQueue proposals;
     Instant nextJoin {};
     bool initialized { false };
 };
--- a/Services/sassafrasshiftd/LedgerService.cpp
+++ b/Services/sassafrasshiftd/LedgerService.cpp
@@ -24,6 +24,7 @@
     : context(context)
     , configuration(configuration)
     , durableState(context.settings.jobKeyRetention, DurableState::DurableState::Observer { [this](const auto& published) { this->configuration.offer(published); }, [this](const auto& job) { this->onJobChanged(job); } })
+    , proposals({ proposalResend, maximumProposals, false })
 {
 }
 
@@ -140,34 +141,17 @@
 
 void LedgerService::propose(const DurableState::Command& command, Milliseconds timeout, Completion completion)
 {
-    if (this->proposals.size() >= maximumProposals) {
-        completion(tl::unexpected(Error::notRun(Reason::Overloaded, "too many commands wait for the ledger").withRetryAfter(Milliseconds(200))));
-        return;
-    }
-    auto number = this->nextNumber++;
-    auto& proposal = this->proposals.emplace(number, Proposal { Transport::encodeValue(command), std::move(completion), this->context.now() + timeout, {}, {} }).first->second;
-    this->sendProposal(number, proposal);
-}
-
-void LedgerService::sendProposal(uint64_t number, Proposal& proposal)
-{
-    auto leader = this->leaderHost();
-    proposal.sentAt = this->context.now();
-    proposal.sentTo = leader;
-    if (leader.empty())
-        return;
-    proposal.everSent = true;
-    this->context.send(leader, ProposeRequest { number, proposal.command });
+    this->proposals.add(Transport::encodeValue(command), timeout, std::move(completion), this->context.now());
+    this->sendProposals();
 }
 
-void LedgerService::completeProposal(uint64_t number, ErrorOr<std::string> result)
+void LedgerService::sendProposals()
 {
-    auto position = this->proposals.find(number);
-    if (position == this->proposals.end())
-        return;
-    auto completion = std::move(position->second.completion);
-    this->proposals.erase(position);
-    completion(std::move(result));
+    for (auto& sending : this->proposals.takeDue(this->leaderHost(), this->context.now())) {
+        if (sending.isRepeated)
+            this->context.metrics.count("messages_wasted_total{cause=\"proposal-repeated\"}");
+        this->context.send(sending.leader, ProposeRequest { sending.number, std::move(sending.command) });
+    }
 }
 
 void LedgerService::onMessage(const std::string& from, const ProposeRequest& request)
@@ -184,45 +168,10 @@
 
 void LedgerService::onMessage(const std::string& from, const ProposeResponse& response)
 {
-    auto position = this->proposals.find(response.number);
-    if (position == this->proposals.end())
-        return;
-    if (response.succeeded) {
-        this->completeProposal(response.number, response.result);
-        return;
-    }
-    // Another leader may take it; it is sent again by the next tick.
-    if (response.reason == Reason::NotLeader) {
-        if (position->second.sentTo == from)
-            position->second.sentAt = this->context.now() - proposalResend + Milliseconds(50);
-        return;
-    }
-    Error error { response.reason, response.verdict, response.detail };
-    this->completeProposal(response.number, tl::unexpected(std::move(error)));
-}
-
-void LedgerService::retryProposals()
-{
-    auto now = this->context.now();
-    auto leader = this->leaderHost();
-    std::vector<uint64_t> expired;
-    for (auto& [number, proposal] : this->proposals) {
-        if (now >= proposal.deadline) {
-            expired.push_back(number);
-            continue;
-        }
-        bool leaderChanged = !leader.empty() && leader != proposal.sentTo;
-        if (leaderChanged || now >= proposal.sentAt + proposalResend) {
-            if (proposal.everSent)
-                this->context.metrics.count("messages_wasted_total{cause=\"proposal-repeated\"}");
-            this->sendProposal(number, proposal);
-        }
-    }
-    for (auto number : expired) {
-        bool everSent = this->proposals.at(number).everSent;
-        auto error = everSent ? Error::mayHaveRun(Reason::NoQuorum, "the ledger did not confirm the command in time") : Error::notRun(Reason::NoQuorum, "no leader of the ledger is reachable");
-        this->completeProposal(number, tl::unexpected(error.withRetryAfter(Milliseconds(1000))));
-    }
+    if (response.succeeded)
+        this->proposals.onResult(response.number, response.result);
+    else
+        this->proposals.onFailure(from, response.number, Error { response.reason, response.verdict, response.detail }, this->context.now());
 }
 
 void LedgerService::onMessage(const std::string&, const Ledger::Message& message)
@@ -396,7 +345,8 @@
                 this->context.send(leader, JoinRequest { this->context.settings.host, this->identity });
         }
     }
-    this->retryProposals();
+    this->proposals.expire(this->context.now());
+    this->sendProposals();
     this->superviseJobs();
     auto now = this->context.now();
     for (auto& [key, question] : this->questions) {
--- a/Services/sassafrasshiftd/LedgerService.h
+++ b/Services/sassafrasshiftd/LedgerService.h
@@ -4,6 +4,7 @@
 #include "Context.h"
 #include <LibDurableState/DurableState.h>
 #include <LibLedger/Node.h>
+#include <LibLedger/ProposalQueue.h>
 #include <map>
 #include <memory>
 #include <set>
@@ -54,15 +55,6 @@
     [[nodiscard]] const std::string& damage() const { return this->damageDetail; }
 
 private:
-    struct Proposal {
-        std::string command;
-        Completion completion;
-        Instant deadline;
-        Instant sentAt;
-        std::string sentTo;
-        bool everSent { false };
-    };
-
     struct Question {
         uint64_t number;
         QueryMode mode;
@@ -78,10 +70,7 @@
 
     void initializeIfDue();
     void startNode(const Ledger::StoredState* first);
-    void sendProposal(uint64_t number, Proposal&);
-    void completeProposal(uint64_t number, ErrorOr<std::string>);
-    void onProposalResult(uint64_t number, const std::string& from, ErrorOr<std::string>);
-    void retryProposals();
+    void sendProposals();
     void superviseJobs();
     void superviseJob(const DurableState::JobRecord&, Instant now);
     [[nodiscard]] std::string chooseOwner(const DurableState::JobRecord&) const;
@@ -99,7 +88,7 @@
     std::string identity;
     bool initialized { false };
     std::string damageDetail;
-    std::unordered_map<uint64_t, Proposal> proposals;
+    Ledger::ProposalQueue proposals;
     uint64_t nextNumber { 1 };
     std::map<std::string, Question> questions;
     std::map<std::string, std::set<Watcher>> watchers;
