--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -213,15 +213,6 @@
     });
 }
 
-void SimulatedShards::countCopies()
-{
-    std::map<TaskName, size_t> counts;
-    for (const auto& [identity, target] : this->targets) {
-        for (const auto& [name, endsAt] : target.running())
-            this->copies = std::max(this->copies, ++counts[name.task]);
-    }
-}
-
 void SimulatedShards::step()
 {
     this->now += stepLength;
@@ -247,7 +238,7 @@
             this->tickShard(shard);
     }
     this->whenAwake(entry, [this] { this->carryOutEntry(); });
-    this->countCopies();
+    this->copies = std::max(this->copies, countCopies(this->targets));
 }
 
 void SimulatedShards::run(Milliseconds duration)
@@ -263,11 +254,6 @@
     return position == this->answers.end() ? nullptr : &position->second;
 }
 
-bool SimulatedShards::anyOverfilled() const
-{
-    return std::any_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.overfilled; });
-}
-
 uint64_t SimulatedShards::startsOn(size_t number) const
 {
     uint64_t starts = 0;
--- a/Tests/LibScheduler/SimulatedShards.h
+++ b/Tests/LibScheduler/SimulatedShards.h
@@ -31,13 +31,13 @@
     [[nodiscard]] std::string dispatcherOf(size_t shard) const { return this->shards[shard].address; }
     [[nodiscard]] const JobOwner::Answer* answer(const std::string& job) const;
     [[nodiscard]] size_t mostCopies() const { return this->copies; }
-    [[nodiscard]] bool anyOverfilled() const;
+    [[nodiscard]] bool anyOverfilled() const { return Scheduler::anyOverfilled(this->targets); }
     /// How many runs have begun on the targets of a shard.
     [[nodiscard]] uint64_t startsOn(size_t shard) const;
 
     Instant now { std::chrono::hours(1) };
     JobOwner owner;
-    std::map<std::string, SimulatedTarget> targets;
+    SimulatedTargets targets;
     Milliseconds work { 100 };
 
     static constexpr const char* entry = "entry";
@@ -69,7 +69,6 @@
     void carryOut(Shard&);
     void tickShard(Shard&);
     void step();
-    void countCopies();
 
     std::mt19937 random;
     std::vector<Shard> shards;
--- a/Tests/LibScheduler/SimulatedTargets.cpp
+++ b/Tests/LibScheduler/SimulatedTargets.cpp
@@ -213,13 +213,20 @@
         this->outcomes.insert_or_assign(notice.outcome.job, notice.outcome);
 }
 
-void SimulatedFleet::countCopies()
+size_t countCopies(const SimulatedTargets& targets)
 {
+    size_t most = 0;
     std::map<TaskName, size_t> counts;
-    for (const auto& [identity, target] : this->targets) {
+    for (const auto& [identity, target] : targets) {
         for (const auto& [name, endsAt] : target.running())
-            this->copies = std::max(this->copies, ++counts[name.task]);
+            most = std::max(most, ++counts[name.task]);
     }
+    return most;
+}
+
+bool anyOverfilled(const SimulatedTargets& targets)
+{
+    return std::any_of(targets.begin(), targets.end(), [](const auto& entry) { return entry.second.overfilled; });
 }
 
 void SimulatedFleet::step()
@@ -247,7 +254,7 @@
         this->dispatchers[i]->tick(this->now);
         this->carryOut(i);
     }
-    this->countCopies();
+    this->copies = std::max(this->copies, countCopies(this->targets));
 }
 
 void SimulatedFleet::run(Milliseconds duration)
@@ -271,11 +278,6 @@
     return position == this->outcomes.end() ? nullptr : &position->second;
 }
 
-bool SimulatedFleet::anyOverfilled() const
-{
-    return std::any_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.overfilled; });
-}
-
 Submission makeJob(std::string name, uint32_t tasks, int64_t cores)
 {
     Submission submission;
--- a/Tests/LibScheduler/SimulatedTargets.h
+++ b/Tests/LibScheduler/SimulatedTargets.h
@@ -51,6 +51,12 @@
     Instant latest {};
 };
 
+using SimulatedTargets = std::map<std::string, SimulatedTarget>;
+
+/// The largest number of runs of one task at this moment.
+[[nodiscard]] size_t countCopies(const SimulatedTargets&);
+[[nodiscard]] bool anyOverfilled(const SimulatedTargets&);
+
 /// Dispatchers and targets under one simulated clock. Orders and answers take a time that tests choose.
 class SimulatedFleet {
 public:
@@ -74,11 +80,11 @@
     [[nodiscard]] const JobOutcome* outcome(const std::string& job) const;
     /// The largest number of runs of one task that were seen at the same time.
     [[nodiscard]] size_t mostCopies() const { return this->copies; }
-    [[nodiscard]] bool anyOverfilled() const;
+    [[nodiscard]] bool anyOverfilled() const { return Scheduler::anyOverfilled(this->targets); }
 
     Instant now { std::chrono::hours(1) };
     std::vector<std::unique_ptr<TaskScheduler>> dispatchers;
-    std::map<std::string, SimulatedTarget> targets;
+    SimulatedTargets targets;
     std::function<Fate(size_t dispatcher, const TargetPlace&, bool isStart)> decideFate;
     std::map<std::string, Submission> submissions;
     /// The dispatcher to which each job was handed last.
@@ -96,7 +102,6 @@
     void after(Milliseconds, std::function<void()>);
     void carryOut(size_t dispatcher);
     void step();
-    void countCopies();
     [[nodiscard]] Fate fateOf(size_t dispatcher, const TargetPlace&, bool isStart) const;
 
     std::multimap<Instant, std::function<void()>> events;
