LibScheduler, sassafrasshiftd: Log on what proof a run is taken as ended

The lines of the dispatcher could not tell the hypotheses of docs/incidents/task-run-twice.md apart: run-lost did not say whether a run was listed as ended, absent from a list, lapsed, refused or on a target that was taken as gone, and a run of a task that is placed elsewhere left no line at all.

run-lost, run-failed and the new run-stopped carry the proof, the target's incarnation, the fencing token, the number of stop orders, the time since the first, and the time to the end of the latest lease. run-unexpected names a run of a task that is done or runs elsewhere. target-removed, job-handed-over (from the second handover on) and submission-ignored show the other ends.

--- a/Libraries/LibScheduler/Decision.h
+++ b/Libraries/LibScheduler/Decision.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <LibScheduler/RunEvidence.h>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Sassafrasshift::Scheduler {
@@ -18,6 +20,10 @@
         /// A run ended without completing: its lease expired, or its target was lost.
         RunLost,
         RunAdopted,
+        /// A target reported a run of a task that is done or has another run.
+        RunUnexpected,
+        /// A run to which a stop order was sent has ended.
+        RunStopped,
         JobRefused,
         JobFailed,
         /// The entry host cancelled the job, no longer listed it in a renewal or became silent, or the deadline of the job passed.
@@ -32,6 +38,8 @@
     uint64_t run { 0 };
     /// A short explanation of the decision.
     std::string cause;
+    /// For ended runs.
+    std::optional<RunEvidence> evidence;
 
     friend auto operator<=>(const Decision&, const Decision&) = default;
 };
--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -132,6 +132,8 @@
 void TargetSession::sendStop(const RunId& id, Run& run, Instant now)
 {
     run.stopSentAt = now;
+    if (run.stopOrders++ == 0)
+        run.firstStopSentAt = now;
     this->orders.stops.push_back(StopOrder { this->instance(), this->fence, id });
 }
 
@@ -161,7 +163,17 @@
     this->used = this->used.plus(needs);
 }
 
-void TargetSession::finish(std::map<RunId, Run>::iterator position, std::optional<RunEnd> end, Instant now, bool staleNumber)
+RunEvidence TargetSession::evidence(const Run& run, RunEndProof proof, Instant now) const
+{
+    RunEvidence evidence { proof, this->report.incarnation, this->fence, run.stopOrders, Milliseconds(0), Milliseconds(0) };
+    if (run.firstStopSentAt)
+        evidence.sinceFirstStop = std::chrono::duration_cast<Milliseconds>(now - *run.firstStopSentAt);
+    if (this->clock && this->latestLeaseEnd > 0)
+        evidence.untilLeaseEnd = Milliseconds(this->latestLeaseEnd - *this->clock) - std::chrono::duration_cast<Milliseconds>(now - this->clockReadAt);
+    return evidence;
+}
+
+void TargetSession::finish(std::map<RunId, Run>::iterator position, std::optional<RunEnd> end, RunEndProof proof, Instant now, bool staleNumber)
 {
     const auto& run = position->second;
     if (!run.needsKnown)
@@ -170,26 +182,26 @@
     // If the preceding hold orders were not answered, the run may have ended long before now.
     bool isKnown = run.startedAt != Instant {} && this->unansweredHolds == 0;
     auto duration = isKnown ? std::chrono::duration_cast<Milliseconds>(now - run.startedAt) : Milliseconds(0);
-    this->events.push_back(Event { Event::Kind::Ended, position->first, end, staleNumber, duration });
+    this->events.push_back(Event { Event::Kind::Ended, position->first, end, staleNumber, duration, this->evidence(run, proof, now) });
     this->knownRuns.erase(position);
 }
 
 void TargetSession::addEvent(Event::Kind kind, const RunId& run)
 {
-    this->events.push_back(Event { kind, run, {}, false, {} });
+    this->events.push_back(Event { kind, run, {}, false, {}, {} });
 }
 
-void TargetSession::finishAll(std::optional<RunEnd> end, Instant now)
+void TargetSession::finishAll(std::optional<RunEnd> end, RunEndProof proof, Instant now)
 {
     while (!this->knownRuns.empty())
-        this->finish(this->knownRuns.begin(), end, now);
+        this->finish(this->knownRuns.begin(), end, proof, now);
 }
 
-void TargetSession::markGone()
+void TargetSession::markGone(Instant now)
 {
     this->phase = Phase::Gone;
     this->openHold.reset();
-    this->finishAll({}, {});
+    this->finishAll({}, RunEndProof::TargetGone, now);
     this->addEvent(Event::Kind::Gone);
 }
 
@@ -218,7 +230,7 @@
         }
         return;
     case OrderRefusal::OtherIncarnation:
-        this->markGone();
+        this->markGone(now);
         return;
     case OrderRefusal::Unhealthy:
         this->countFailure(now);
@@ -305,7 +317,7 @@
             this->countFailure(now);
         else if (ended.end == RunEnd::Done)
             this->consecutiveFailures = 0;
-        this->finish(position, ended.end, now);
+        this->finish(position, ended.end, RunEndProof::Listed, now);
     }
     this->applyRunningRuns(list, sentAt, now);
 }
@@ -337,7 +349,7 @@
             absent.push_back(id);
     }
     for (const auto& id : absent)
-        this->finish(this->knownRuns.find(id), {}, now);
+        this->finish(this->knownRuns.find(id), {}, RunEndProof::Absent, now);
 }
 
 void TargetSession::onStartAnswer(const RunId& id, const OrderAnswer& answer, Instant now)
@@ -354,14 +366,14 @@
         return;
     }
     if (const auto* refused = std::get_if<Refused>(&answer)) {
-        this->finish(position, {}, now, refused->reason == OrderRefusal::StaleRun);
+        this->finish(position, {}, RunEndProof::StartRefused, now, refused->reason == OrderRefusal::StaleRun);
         this->onRefusal(refused->reason, now);
         return;
     }
     this->countFailure(now);
     if (std::get<Unanswered>(answer).verdict == Verdict::NotRun) {
         this->eject(baseEjectionTime, now);
-        this->finish(position, {}, now);
+        this->finish(position, {}, RunEndProof::StartNotSent, now);
         return;
     }
     this->hasUnansweredStart = true;
@@ -401,7 +413,7 @@
             this->onHoldAnswer(open->number, Unanswered {}, now);
     }
     if (this->haveLeasesExpired(now) && !this->knownRuns.empty()) {
-        this->finishAll(RunEnd::Lapsed, now);
+        this->finishAll(RunEnd::Lapsed, RunEndProof::LeaseExpired, now);
         if (this->phase == Phase::Claimed)
             this->reclaim(this->fence, now);
     }
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -2,6 +2,7 @@
 
 #include <LibMembership/TargetReport.h>
 #include <LibScheduler/OrderAnswer.h>
+#include <LibScheduler/RunEvidence.h>
 #include <LibScheduler/Types.h>
 #include <map>
 #include <optional>
@@ -59,6 +60,9 @@
         /// When the target confirmed the stop order: the run cannot start any more, or is being stopped.
         std::optional<Instant> stopConfirmedAt;
         std::optional<Instant> stopSentAt;
+        /// When the first stop order for the run was sent, and how many have been sent.
+        std::optional<Instant> firstStopSentAt;
+        uint32_t stopOrders { 0 };
     };
 
     /// A change in the state of the target or of one of its runs.
@@ -87,6 +91,8 @@
         bool staleNumber { false };
         /// The run time; zero if it is unknown.
         Milliseconds duration { 0 };
+        /// For `Ended`.
+        std::optional<RunEvidence> evidence;
     };
 
     /// The orders to send to the target.
@@ -122,7 +128,7 @@
     void tick(Instant now);
 
     /// Called when the target has ended or another incarnation has replaced it.
-    void markGone();
+    void markGone(Instant now);
 
     [[nodiscard]] std::vector<Event> takeEvents();
     [[nodiscard]] bool hasOrders() const { return !this->orders.holds.empty() || !this->orders.starts.empty() || !this->orders.stops.empty(); }
@@ -166,8 +172,9 @@
     void onRestart(const std::string& incarnation);
     void applyRunList(const RunList&, Instant sentAt, Instant now);
     void applyRunningRuns(const RunList&, Instant sentAt, Instant now);
-    void finish(std::map<RunId, Run>::iterator, std::optional<RunEnd>, Instant now, bool staleNumber = false);
-    void finishAll(std::optional<RunEnd>, Instant now);
+    void finish(std::map<RunId, Run>::iterator, std::optional<RunEnd>, RunEndProof, Instant now, bool staleNumber = false);
+    void finishAll(std::optional<RunEnd>, RunEndProof, Instant now);
+    [[nodiscard]] RunEvidence evidence(const Run&, RunEndProof, Instant now) const;
     void onRefusal(OrderRefusal, Instant now);
     void observeClock(int64_t clock, Instant now);
     void eject(Milliseconds, Instant now);
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -63,7 +63,7 @@
             this->needsPlacement = true;
             return;
         }
-        session.markGone();
+        session.markGone(now);
         this->processEvents(position->second, now);
         this->targets.erase(position);
     }
@@ -78,7 +78,7 @@
     auto position = this->targets.find(identity);
     if (position == this->targets.end())
         return;
-    position->second.session.markGone();
+    position->second.session.markGone(now);
     this->processEvents(position->second, now);
     this->targets.erase(position);
     this->needsPlacement = true;
@@ -155,8 +155,13 @@
     auto& task = job.tasks[id.task.index];
     task.nextRunNumber = std::max(task.nextRunNumber, id.number + 1);
     // If the task is placed on another target or done, the run stays unadopted and is stopped later.
-    if (task.state == TaskState::Waiting)
+    if (task.state == TaskState::Waiting) {
         this->adoptRun(job, task, session, id);
+        return;
+    }
+    bool isSameRun = task.run == id.number && task.target == session.target().identity;
+    if (!isSameRun)
+        this->recordDecision(Decision::Kind::RunUnexpected, session.target().identity, id, "the task is done, or has run " + std::to_string(task.run) + " on " + task.target);
 }
 
 void TaskScheduler::adoptRun(Job& job, Task& task, TargetSession& session, const RunId& id)
@@ -258,6 +263,8 @@
 
 void TaskScheduler::onRunEnded(Target& target, const TargetSession::Event& event, Instant now)
 {
+    if (event.evidence->stopOrders > 0)
+        this->recordDecision(Decision::Kind::RunStopped, target.session.target().identity, event.run, "a run that was ordered to stop has ended", event.evidence);
     auto position = this->jobs.find(event.run.task.job);
     if (position == this->jobs.end() || event.run.task.index >= position->second.tasks.size())
         return;
@@ -278,14 +285,14 @@
     task.state = TaskState::Waiting;
     ++job.waiting;
     bool hasFailed = event.end == RunEnd::Failed;
-    this->recordDecision(hasFailed ? Decision::Kind::RunFailed : Decision::Kind::RunLost, task.target, event.run, "failed attempts of the task: " + std::to_string(task.failures + (hasFailed ? 1 : 0)) + " of " + std::to_string(job.submission.maximumFailures));
+    this->recordDecision(hasFailed ? Decision::Kind::RunFailed : Decision::Kind::RunLost, task.target, event.run, "failed attempts of the task: " + std::to_string(task.failures + (hasFailed ? 1 : 0)) + " of " + std::to_string(job.submission.maximumFailures), event.evidence);
     if (hasFailed && ++task.failures >= job.submission.maximumFailures)
         this->finishJob(event.run.task.job, JobEnd::Failed, "task-failed", now);
 }
 
-void TaskScheduler::recordDecision(Decision::Kind kind, const std::string& target, const RunId& run, std::string cause)
+void TaskScheduler::recordDecision(Decision::Kind kind, const std::string& target, const RunId& run, std::string cause, std::optional<RunEvidence> evidence)
 {
-    this->effects.decisions.push_back(Decision { kind, target, run.task.job, run.task.index, run.number, std::move(cause) });
+    this->effects.decisions.push_back(Decision { kind, target, run.task.job, run.task.index, run.number, std::move(cause), std::move(evidence) });
 }
 
 void TaskScheduler::processEvents(Target& target, Instant now)
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -186,7 +186,7 @@
     void finishJob(const std::string& job, JobEnd, std::string reason, Instant now);
     void dropJob(const std::string& job, std::string cause, Instant now);
     void removeJob(const std::string& job, Instant now);
-    void recordDecision(Decision::Kind, const std::string& target, const RunId&, std::string cause);
+    void recordDecision(Decision::Kind, const std::string& target, const RunId&, std::string cause, std::optional<RunEvidence> = {});
     void stopRuns(const std::string& job, Instant now);
     void runPeriodicChecks(Instant now);
     void demoteLateJobs(Instant now);
--- a/Services/sassafrasshiftd/Cluster/ControlApi.cpp
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.cpp
@@ -142,6 +142,9 @@
 
 void ControlApi::removeTarget(const Exchange& exchange, const std::string& identity)
 {
+    auto known = this->targets.find(identity);
+    auto incarnation = known == this->targets.end() ? std::string {} : known->second.report.incarnation;
+    Telemetry::log(LogLevel::Information, "target-removed", "a target announced that it ends", { { "target", identity }, { "incarnation", incarnation } });
     this->targets.erase(identity);
     for (const auto* member : this->context.cluster.liveMembers(this->context.now()))
         this->context.send(member->address, TargetGone { identity });
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -57,8 +57,10 @@
 
 void DispatchService::onMessage(const std::string& from, const Scheduler::Submission& submission)
 {
-    if (this->isDelayed(from, submission.entryIncarnation, submission.sentAt))
+    if (this->isDelayed(from, submission.entryIncarnation, submission.sentAt)) {
+        Telemetry::log(LogLevel::Warning, "submission-ignored", "the submission was in transit for too long", { { "job", submission.job }, { "entry", from } });
         return;
+    }
     this->scheduler.submit(from, submission, this->context.now());
     this->scheduleEffects();
 }
@@ -178,6 +180,10 @@
         return "run-lost";
     case Kind::RunAdopted:
         return "run-adopted";
+    case Kind::RunUnexpected:
+        return "run-unexpected";
+    case Kind::RunStopped:
+        return "run-stopped";
     case Kind::JobRefused:
         return "job-refused";
     case Kind::JobFailed:
@@ -188,6 +194,16 @@
     return "unknown";
 }
 
+static void addEvidence(std::vector<Telemetry::EventField>& fields, const Scheduler::RunEvidence& evidence)
+{
+    fields.push_back({ "proof", std::string(toText(evidence.proof)) });
+    fields.push_back({ "incarnation", evidence.incarnation });
+    fields.push_back({ "fence", std::to_string(evidence.fence) });
+    fields.push_back({ "stopOrders", std::to_string(evidence.stopOrders) });
+    fields.push_back({ "sinceFirstStopMs", std::to_string(evidence.sinceFirstStop.count()) });
+    fields.push_back({ "untilLeaseEndMs", std::to_string(evidence.untilLeaseEnd.count()) });
+}
+
 // The number of logged decisions per interval is limited; those that are not logged are counted.
 void DispatchService::logDecision(const Scheduler::Decision& decision)
 {
@@ -198,8 +214,10 @@
         return;
     }
     --this->remainingLogLines;
-    Telemetry::log(LogLevel::Information, event, decision.cause,
-        { { "job", decision.job }, { "task", std::to_string(decision.task) }, { "run", std::to_string(decision.run) }, { "target", decision.target }, { "epoch", std::to_string(this->activeEpoch) } });
+    std::vector<Telemetry::EventField> fields { { "job", decision.job }, { "task", std::to_string(decision.task) }, { "run", std::to_string(decision.run) }, { "target", decision.target }, { "epoch", std::to_string(this->activeEpoch) } };
+    if (decision.evidence)
+        addEvidence(fields, *decision.evidence);
+    Telemetry::log(LogLevel::Information, event, decision.cause, fields);
 }
 
 void DispatchService::logStateIfDue(Instant now)
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -215,6 +215,14 @@
     cluster.suspect(dispatcher, this->context.now());
 }
 
+static void logRepeatedHandover(const Scheduler::JobOwner::Handover& handover)
+{
+    const auto& submission = handover.submission;
+    Telemetry::log(LogLevel::Information, "job-handed-over", "the entry host handed a job over to another dispatcher, or again to the same one",
+        { { "job", submission.job }, { "dispatcher", handover.dispatcher }, { "firstRunNumber", std::to_string(submission.firstRunNumber) },
+            { "untilEarlierRunsEndMs", std::to_string(submission.untilEarlierRunsEnd) }, { "untilOtherShardRunsEndMs", std::to_string(submission.untilOtherShardRunsEnd) } });
+}
+
 void JobEntry::executeEffects()
 {
     auto effects = this->owner.takeEffects();
@@ -223,6 +231,9 @@
     for (auto& handover : effects.handovers) {
         handover.submission.sentAt = sentAt;
         handover.submission.entryIncarnation = incarnation;
+        // The first handover of a job is part of its answer's line; later ones show when earlier runs were taken as ended.
+        if (handover.submission.firstRunNumber > 1)
+            logRepeatedHandover(handover);
         this->context.send(handover.dispatcher, handover.submission);
     }
     for (const auto& cancellation : effects.cancellations)
