LibTransport: Serve connections that were opened before a server stops accepting

Cause: 2.2 s after SIGTERM an entry closes its listening socket. The kernel resets connections that are still waiting to be accepted. And right after that, connections without a request in progress are closed, among them those that were accepted a moment before and whose first request had not arrived.

Change: the pending connections are accepted before the listening socket is closed, and a connection that has had no response is spared for 150 ms after it was accepted. On the platform the balancer sends no new connections by then.

Tests: connections_opened_before_the_server_stops_accepting_are_served (100 of 100 connections reset before) and closing_idle_connections_spares_a_connection_whose_first_request_is_in_transit (failed before).

--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -25,6 +25,8 @@
 static constexpr Milliseconds connectionCheckInterval { 100 };
 static constexpr size_t exchangesPerConnectionCheck = 512;
 static constexpr Milliseconds timeoutCheckInterval { 250 };
+// The first request of a new connection is in transit for at most this time after the connection was accepted.
+static constexpr Milliseconds firstRequestTimeout { 150 };
 
 // The handler that h2o allocates and passes to onRequest(), extended by a pointer to the HttpServer::Implementation.
 struct NativeHandler {
@@ -36,9 +38,10 @@
 
 // The state of a connection as of the latest timeout check that covered it. The checks cover only idle connections.
 struct IdleConnectionState {
+    Instant acceptedAt {};
     // The number of bytes that the connection had received and sent.
     size_t bytes { 0 };
-    // When a check last found that bytes had been received or sent; at first the time at which the connection was accepted.
+    // When a check last found that bytes had been received or sent; at first the same as `acceptedAt`.
     Instant lastActivityAt {};
     // When a check first found the current request head incomplete; empty if there is no incomplete head.
     std::optional<Instant> incompleteHeadSince;
@@ -60,6 +63,7 @@
     bool isClosingGracefully { false };
     size_t nextCheckIndex { 0 };
 
+    void closeListener();
     void checkConnections();
     void closeIdleConnections();
     void closeTimedOutConnections();
@@ -233,6 +237,27 @@
     return 0;
 }
 
+// Returns whether a connection was pending.
+static bool acceptConnection(HttpServer::Implementation* server)
+{
+    auto* socket = h2o_evloop_socket_accept(server->listener);
+    if (!socket)
+        return false;
+    auto now = server->loop->now();
+    server->connections.emplace(socket, IdleConnectionState { now, 0, now, {} });
+    struct AcceptedConnection {
+        HttpServer::Implementation* server;
+        h2o_socket_t* socket;
+    };
+    socket->on_close.data = new AcceptedConnection { server, socket };
+    socket->on_close.cb = [](void* data) {
+        std::unique_ptr<AcceptedConnection> accepted(static_cast<AcceptedConnection*>(data));
+        accepted->server->connections.erase(accepted->socket);
+    };
+    h2o_accept(&server->acceptContext, socket);
+    return true;
+}
+
 static void onAccept(h2o_socket_t* listener, const char* error)
 {
     if (error)
@@ -240,20 +265,8 @@
     auto* server = static_cast<HttpServer::Implementation*>(listener->data);
     // Accepts a bounded number of connections at a time, so that a burst of new ones does not hold up the open ones.
     for (int accepted = 0; accepted < 64; ++accepted) {
-        auto* socket = h2o_evloop_socket_accept(listener);
-        if (!socket)
+        if (!acceptConnection(server))
             return;
-        server->connections.emplace(socket, IdleConnectionState { 0, server->loop->now(), {} });
-        struct AcceptedConnection {
-            HttpServer::Implementation* server;
-            h2o_socket_t* socket;
-        };
-        socket->on_close.data = new AcceptedConnection { server, socket };
-        socket->on_close.cb = [](void* data) {
-            std::unique_ptr<AcceptedConnection> accepted(static_cast<AcceptedConnection*>(data));
-            accepted->server->connections.erase(accepted->socket);
-        };
-        h2o_accept(&server->acceptContext, socket);
     }
 }
 
@@ -301,8 +314,12 @@
 
 void HttpServer::Implementation::closeIdleConnections()
 {
-    for (auto* socket : this->idleConnections())
-        shutDownConnection(socket);
+    auto now = this->loop->now();
+    for (auto* socket : this->idleConnections()) {
+        bool isNew = socket->bytes_written == 0 && now - this->connections.at(socket).acceptedAt < firstRequestTimeout;
+        if (!isNew)
+            shutDownConnection(socket);
+    }
 }
 
 // Updates the state of an idle connection, and returns whether one of its timeouts has expired.
@@ -343,7 +360,7 @@
 
 HttpServer::~HttpServer()
 {
-    this->stopAccepting();
+    this->implementation->closeListener();
 }
 
 static ErrorOr<int> openListeningSocket(const Endpoint& endpoint)
@@ -392,13 +409,24 @@
     return server;
 }
 
-void HttpServer::stopAccepting()
+void HttpServer::Implementation::closeListener()
 {
-    if (!this->implementation->listener)
+    if (!this->listener)
         return;
-    h2o_socket_read_stop(this->implementation->listener);
-    h2o_socket_close(this->implementation->listener);
-    this->implementation->listener = nullptr;
+    h2o_socket_read_stop(this->listener);
+    h2o_socket_close(this->listener);
+    this->listener = nullptr;
+}
+
+void HttpServer::stopAccepting()
+{
+    auto& state = *this->implementation;
+    // The kernel resets connections that are still pending when the listening socket is closed.
+    for (int accepted = 0; state.listener && accepted < listenBacklog; ++accepted) {
+        if (!acceptConnection(&state))
+            break;
+    }
+    state.closeListener();
 }
 
 void HttpServer::closeGracefully()
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -56,13 +56,15 @@
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
 
-    /// Closes the listening socket, so that new connections are refused. Open connections stay open.
+    /// Closes the listening socket, so that new connections are refused. Open connections, and those that are waiting to be
+    /// accepted, stay open.
     void stopAccepting();
 
     /// Ends each open connection after its next response.
     void closeGracefully();
 
-    /// Closes the connections that have no request in progress and no response left to write.
+    /// Closes the connections that have no request in progress and no response left to write, except new ones whose first
+    /// request may be in transit.
     void closeIdleConnections();
 
     void setTimeouts(Timeouts);
--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -327,6 +327,60 @@
     BOOST_TEST(response.closedByServer);
 }
 
+namespace {
+
+// Opens a connection that the server has not accepted yet, because its loop does not run.
+int openPendingConnection()
+{
+    int connection = socket(AF_INET, SOCK_STREAM, 0);
+    timeval readTimeout { 5, 0 };
+    setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &readTimeout, sizeof(readTimeout));
+    auto address = serverEndpoint.toSocketAddress();
+    BOOST_REQUIRE(connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    return connection;
+}
+
+// Sends a request, and reads until the server closes the connection. Runs the loop in the meantime.
+std::string finishRequest(EventLoop& loop, int connection)
+{
+    std::string received;
+    std::thread thread([&] {
+        std::string request = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        (void)!send(connection, request.data(), request.size(), MSG_NOSIGNAL);
+        char buffer[4096];
+        ssize_t count = 0;
+        while ((count = read(connection, buffer, sizeof(buffer))) > 0)
+            received.append(buffer, static_cast<size_t>(count));
+        close(connection);
+        loop.post([&] { loop.stop(); });
+    });
+    loop.run();
+    thread.join();
+    return received;
+}
+
+}
+
+BOOST_FIXTURE_TEST_CASE(connections_opened_before_the_server_stops_accepting_are_served, Fixture)
+{
+    this->serve([&](const auto& exchange) { exchange->respond(HttpResponse { 200, {}, {} }); });
+    std::vector<int> connections;
+    for (int i = 0; i < 100; ++i)
+        connections.push_back(openPendingConnection());
+    this->server->stopAccepting();
+    for (int connection : connections)
+        BOOST_TEST(finishRequest(*this->loop, connection).starts_with("HTTP/1.1 200"));
+}
+
+BOOST_FIXTURE_TEST_CASE(closing_idle_connections_spares_a_connection_whose_first_request_is_in_transit, Fixture)
+{
+    this->serve([&](const auto& exchange) { exchange->respond(HttpResponse { 200, {}, {} }); });
+    int connection = openPendingConnection();
+    this->server->stopAccepting();
+    this->server->closeIdleConnections();
+    BOOST_TEST(finishRequest(*this->loop, connection).starts_with("HTTP/1.1 200"));
+}
+
 BOOST_FIXTURE_TEST_CASE(connection_without_a_request_is_closed_after_the_idle_timeout, Fixture)
 {
     this->serve([&](const auto& exchange) { exchange->respond(HttpResponse { 200, {}, {} }); });
