LibScheduler: Extend the entry lease of each job separately

Cause: the dispatcher kept one lease for each entry host and extended it with every submission and renewal of that host. The entry host counts for each job, from the last message that names the job. A job that the entry host had withdrawn, with a lost cancellation, was kept alive by submissions of its other jobs, past the time at which the entry host lets another dispatcher start it.

Ruled out: the renewal that does not list the job drops it only once the job is 350 ms old, and no renewal goes to a dispatcher that has been replaced.

Now each job carries its own time of extension, set by its submission and by the renewals that list it, which is what the entry host counts from.

The new test failed before: the run of the withdrawn job was still there 1,200 ms after the last message that named it.

--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -40,7 +40,6 @@
     this->jobs.clear();
     this->jobsByRank.clear();
     this->finishedJobs.clear();
-    this->entryLastHeardAt.clear();
     this->effects = {};
 }
 
@@ -96,11 +95,11 @@
 {
     if (!this->isActive())
         return;
-    this->entryLastHeardAt[entry] = now;
     auto known = this->jobs.find(submission.job);
     if (known != this->jobs.end()) {
         // The caller submitted the job again through another entry host.
         known->second.entry = entry;
+        known->second.lastExtendedAt = now;
         known->second.deadline = std::max(known->second.deadline, now + Milliseconds(submission.untilDeadline));
         return;
     }
@@ -119,6 +118,7 @@
     job.submission = submission;
     job.entry = entry;
     job.arrivedAt = now;
+    job.lastExtendedAt = now;
     job.deadline = now + Milliseconds(submission.untilDeadline);
     job.earlierRunsEndAt = now + Milliseconds(submission.untilEarlierRunsEnd);
     job.otherShardRunsEndAt = now + Milliseconds(submission.untilOtherShardRunsEnd);
@@ -188,8 +188,6 @@
     std::vector<std::string> unknown;
     if (!this->isActive())
         return unknown;
-    if (renewal == RenewalKind::ExtendLease)
-        this->entryLastHeardAt[entry] = now;
     std::set<std::string_view> listed(names.begin(), names.end());
     std::vector<std::string> dropped;
     for (const auto& [name, job] : this->jobs) {
@@ -200,8 +198,11 @@
     for (const auto& name : dropped)
         this->dropJob(name, "the renewal of the entry host does not list the job", now);
     for (const auto& name : names) {
-        if (this->jobs.contains(name))
+        if (auto open = this->jobs.find(name); open != this->jobs.end()) {
+            if (renewal == RenewalKind::ExtendLease && open->second.entry == entry)
+                open->second.lastExtendedAt = now;
             continue;
+        }
         auto position = this->finishedJobs.find(name);
         if (position != this->finishedJobs.end() && position->second.entry == entry)
             this->effects.notices.push_back(Notice { entry, position->second.outcome });
@@ -388,8 +389,7 @@
 {
     std::vector<std::string> expiredJobs;
     for (const auto& [name, job] : this->jobs) {
-        auto lastHeard = this->entryLastHeardAt.find(job.entry);
-        if (lastHeard == this->entryLastHeardAt.end() || now - lastHeard->second >= this->options.entryLease || now >= job.deadline)
+        if (now - job.lastExtendedAt >= this->options.entryLease || now >= job.deadline)
             expiredJobs.push_back(name);
     }
     for (const auto& name : expiredJobs)
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -20,8 +20,8 @@
 public:
     struct Options {
         LeaseOptions leases;
-        /// The entry lease: if an entry host has neither submitted a job nor extended this lease for that long, all its jobs are
-        /// dropped and their runs are stopped.
+        /// The entry lease of each job: if the entry host has neither submitted the job nor extended this lease for that long, the
+        /// job is dropped and its runs are stopped.
         Milliseconds entryLease { 700 };
         /// How long the outcome of a job is kept, in case the notice to its entry host was lost.
         Milliseconds outcomeRetention { 10'000 };
@@ -60,7 +60,7 @@
     void submit(const std::string& entry, const Submission&, Instant now);
     /// Drops a job, unless it belongs to another entry host.
     void cancel(const std::string& entry, const std::string& job, Instant now);
-    /// Whether a renewal extends the entry lease.
+    /// Whether a renewal extends the entry leases of the jobs that it lists.
     enum class RenewalKind {
         ExtendLease,
         /// The entry host has received no message from this dispatcher for some time and may hand over its jobs to another one.
@@ -135,6 +135,8 @@
         std::string entry;
         Rank rank;
         Instant arrivedAt {};
+        /// When the entry host last submitted the job or extended its entry lease.
+        Instant lastExtendedAt {};
         Instant deadline {};
         /// When all runs that an earlier dispatcher started on targets of this shard have ended at the latest.
         Instant earlierRunsEndAt {};
@@ -213,8 +215,6 @@
     /// The queue: all open jobs in the order in which they are served.
     std::map<Rank, Job*> jobsByRank;
     std::unordered_map<std::string, FinishedJob> finishedJobs;
-    /// When each entry host last submitted a job or extended its entry lease.
-    std::map<std::string, Instant> entryLastHeardAt;
     bool knowsAllTargets { true };
     /// The number of jobs queued so far.
     uint64_t arrivals { 0 };
--- a/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
@@ -15,8 +15,7 @@
 
 bool TaskScheduler::mayStartTasks(const Job& job, Instant now) const
 {
-    auto lastHeard = this->entryLastHeardAt.find(job.entry);
-    return now >= job.otherShardRunsEndAt && (now >= job.earlierRunsEndAt || this->allTargetsClaimed()) && now < job.deadline && lastHeard != this->entryLastHeardAt.end() && now - lastHeard->second < this->options.entryLease;
+    return now >= job.otherShardRunsEndAt && (now >= job.earlierRunsEndAt || this->allTargetsClaimed()) && now < job.deadline && now - job.lastExtendedAt < this->options.entryLease;
 }
 
 class TaskScheduler::ExpectedRunTimes {
--- a/Tests/LibScheduler/TestTaskScheduler.cpp
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -131,6 +131,22 @@
     BOOST_TEST(fleet.runUntil([&] { return fleet.targets.at("target-a").running().empty(); }, 1200ms));
 }
 
+// The entry host has withdrawn the first job, but its cancellation was lost.
+BOOST_AUTO_TEST_CASE(run_of_a_withdrawn_job_is_not_kept_alive_by_other_jobs_of_its_entry_host)
+{
+    auto fleet = makeFleet(1, { 64 });
+    fleet.runTime = 30s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("withdrawn", 1, 27));
+    fleet.run(100ms);
+    fleet.entriesRenew = false;
+    for (int i = 0; i < 6; ++i) {
+        fleet.submit(0, makeJob("job-" + std::to_string(i), 1, 27));
+        fleet.run(200ms);
+    }
+    BOOST_TEST(!fleet.targets.at("target-a").isRunning(TaskId { "withdrawn", 0, 0, 0 }));
+}
+
 BOOST_AUTO_TEST_CASE(job_that_cannot_end_in_time_is_refused_before_its_deadline)
 {
     auto fleet = makeFleet(1, { 32 });
