LibScheduler: Keep a run that is missing only from an older list

Callers could see a task run twice: answers to hold orders on different connections may overtake each other, and two hold orders are open at the same time while a stop is confirmed. A run that one answer had just listed was taken as ended when the other answer, produced before the run was there, did not list it; its task was then free to be started elsewhere.

Cause: for a run that was found in a list (unadopted, or adopted without an answer to its start order), absence from any later received list counted, whatever the time at which that list had been asked for. Runs with a confirmed start were compared with it already.

A run now counts as absent only from a list that was asked for after it was first known to have started, or after its stop was confirmed. A list is produced after it was asked for, and the run was there when it was first known, so that absence then means the end.

list_that_was_asked_for_before_a_run_was_discovered_does_not_end_the_run failed before, for an adopted run and for one that is not (the run ended with the older list).

--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -328,6 +328,8 @@
     for (const auto& id : running) {
         auto [position, isNew] = this->knownRuns.try_emplace(id);
         position->second.lastReportedRunningAt = now;
+        if (!position->second.knownStartedAt)
+            position->second.knownStartedAt = now;
         if (!isNew)
             continue;
         position->second.state = RunState::Unadopted;
@@ -341,11 +343,12 @@
     for (const auto& [id, run] : this->knownRuns) {
         if (running.contains(id))
             continue;
-        // A run that is missing from the answer has ended if the target reported the run earlier, or confirmed its start or stop
-        // order before the hold order was sent. Otherwise the start order may still be in transit.
-        bool wasConfirmed = (run.state == RunState::Running && run.startedAt < sentAt) || run.state == RunState::Unadopted
-            || (run.stopConfirmedAt && *run.stopConfirmedAt <= sentAt);
-        if (wasConfirmed)
+        // A run that is missing from the answer has ended if it was known to have started, or the target had confirmed its stop
+        // order, before the hold order was sent. Otherwise the start order may still be in transit, or this answer may be older
+        // than the one that listed the run.
+        bool hadStarted = run.knownStartedAt && *run.knownStartedAt < sentAt;
+        bool cannotStart = run.stopConfirmedAt && *run.stopConfirmedAt <= sentAt;
+        if (hadStarted || cannotStart)
             absent.push_back(id);
     }
     for (const auto& id : absent)
@@ -361,6 +364,8 @@
     if (const auto* acknowledged = std::get_if<Acknowledged>(&answer)) {
         this->observeClock(acknowledged->clock, now);
         run.startedAt = now;
+        if (!run.knownStartedAt)
+            run.knownStartedAt = now;
         if (run.state == RunState::Starting)
             run.state = RunState::Running;
         return;
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -55,6 +55,8 @@
         Instant discoveredAt {};
         /// When the target confirmed the start order; unset if it has not.
         Instant startedAt {};
+        /// When it was first known that the run had started, from the answer to the start order or from a list.
+        std::optional<Instant> knownStartedAt;
         /// When the target last reported that the run was running.
         Instant lastReportedRunningAt {};
         /// When the target confirmed the stop order: the run cannot start any more, or is being stopped.
