LibScheduler: Count the longest lease after a restart of a target

Callers could see a task run twice after a target had restarted under its identity and address. A start order that was meant for the earlier process, or sent before the dispatcher knew of the new one, is obeyed by the new process.

Cause: when a list named another incarnation, the session set the latest end of any lease to zero, so that all leases counted as ended at the next tick: the run that the new process had just listed, or whose start was on its way, was taken as lapsed and its task started elsewhere. Besides, the new process reads the end of a lease on its own clock, which starts again, and shortens it to the longest lease that targets grant (1,000 ms), not to the 600 ms that were asked for; a stop that the earlier process had confirmed says nothing of the new one; and a late list of the earlier process took the session back to it.

After a restart, leases end no sooner than the longest one that a target grants; so do those of a session with a start that was never confirmed. Confirmations of stops are asked for again, lists of an earlier process are ignored, and the clock is read only from answers of the present process. A clock that goes back in the answer to a start order shows a restart as well: no run is started before a list has named the process.

--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -12,6 +12,9 @@
 // as silent and ejected.
 static constexpr int failureThreshold { 2 };
 static constexpr Milliseconds stopRetryInterval { 120 };
+// A reading of the target's clock that is this much below an earlier one comes from another process. Answers that overtake each
+// other differ by less.
+static constexpr int64_t clockResetThresholdMilliseconds = 1000;
 
 TargetSession::TargetSession(Membership::TargetReport report, uint64_t fence, LeaseOptions options, Instant now)
     : report(std::move(report))
@@ -52,7 +55,7 @@
 // as possible.
 void TargetSession::assumeUnknownLeases(Instant now)
 {
-    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->options.maximumLease * (100 + this->options.clockDriftPercent) / 100);
+    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumLease));
 }
 
 bool TargetSession::canStartRuns(Instant now) const
@@ -78,9 +81,16 @@
     auto elapsed = std::chrono::duration_cast<Milliseconds>(now - this->clockReadAt);
     auto end = *this->clock + elapsed.count() + this->options.maximumLease.count();
     this->latestLeaseEnd = std::max(this->latestLeaseEnd, end);
+    this->lastLeaseOrderAt = now;
     return end;
 }
 
+// Returns whether a start order was sent of which it is not known whether, and by which process, it was obeyed.
+bool TargetSession::hasUnconfirmedStart() const
+{
+    return std::any_of(this->knownRuns.begin(), this->knownRuns.end(), [](const auto& entry) { return !entry.second.knownStartedAt; });
+}
+
 void TargetSession::observeClock(int64_t reading, Instant now)
 {
     this->clock = reading;
@@ -93,6 +103,9 @@
 {
     if (now < this->unknownLeasesEndAt)
         return false;
+    // A process that has replaced the target may have obeyed the start order, and reads the lease on its own clock.
+    if (this->hasUnconfirmedStart() && now < this->lastLeaseOrderAt + this->allowingForDrift(this->options.maximumGrantedLease))
+        return false;
     if (!this->clock)
         return true;
     auto remaining = Milliseconds(this->latestLeaseEnd - *this->clock) * (100 + this->options.clockDriftPercent) / 100;
@@ -124,6 +137,7 @@
     Run run;
     run.needs = needs;
     run.discoveredAt = now;
+    run.restartsBeforeStart = this->restarts;
     this->knownRuns.emplace(id, run);
     this->used = this->used.plus(needs);
     this->orders.starts.push_back(StartOrder { this->instance(), this->fence, id, payload, this->leaseEnd(now) });
@@ -271,8 +285,11 @@
 
 void TargetSession::applyHoldAnswer(const OpenHold& hold, const RunList& list, Instant now)
 {
+    if (this->isFromEarlierProcess(list))
+        return;
     if (!list.incarnation.empty() && list.incarnation != this->report.incarnation)
-        this->onRestart(list.incarnation);
+        this->onRestart(list.incarnation, now);
+    this->isIncarnationConfirmed = this->isIncarnationConfirmed || !list.incarnation.empty();
     this->observeClock(list.clock, now);
     // Another dispatcher may have renewed the leases of runs on this target until it answered.
     if (this->phase != Phase::Claimed)
@@ -295,15 +312,34 @@
         this->eject(this->options.claimRetryInterval, now);
 }
 
-// Called when another process answers under the same identity. It does not know the earlier runs, and its sequence numbers start
-// again.
-void TargetSession::onRestart(const std::string& incarnation)
+bool TargetSession::isFromEarlierProcess(const RunList& list) const
+{
+    return this->isIncarnationConfirmed && !list.incarnation.empty() && list.incarnation < this->report.incarnation;
+}
+
+// Called when another process answers under the same identity and address. The runs of the earlier process have ended with it. The
+// sequence numbers and the clock of the new one start again, and it may obey orders that were meant for the earlier one: it grants
+// them its longest lease, and it does not know the stop orders that the earlier one confirmed.
+void TargetSession::onRestart(const std::string& incarnation, Instant now)
 {
+    ++this->restarts;
     this->report.incarnation = incarnation;
     this->report.sequence = 0;
     this->lastEndSeen = 0;
     this->lastEndAcknowledged = 0;
     this->latestLeaseEnd = 0;
+    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumGrantedLease));
+    for (auto& [id, run] : this->knownRuns)
+        run.stopConfirmedAt.reset();
+}
+
+// Called when an answer shows that another process may have replaced the target. No run is started before a list has named it.
+void TargetSession::onUnknownProcess(Instant now)
+{
+    this->clock.reset();
+    this->latestLeaseEnd = 0;
+    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumGrantedLease));
+    this->reclaim(this->fence, now);
 }
 
 void TargetSession::applyRunList(const RunList& list, Instant sentAt, Instant now)
@@ -362,12 +398,15 @@
         return;
     auto& run = position->second;
     if (const auto* acknowledged = std::get_if<Acknowledged>(&answer)) {
-        this->observeClock(acknowledged->clock, now);
         run.startedAt = now;
         if (!run.knownStartedAt)
             run.knownStartedAt = now;
         if (run.state == RunState::Starting)
             run.state = RunState::Running;
+        if (this->clock && acknowledged->clock < *this->clock - clockResetThresholdMilliseconds)
+            this->onUnknownProcess(now);
+        else if (run.restartsBeforeStart == this->restarts)
+            this->observeClock(acknowledged->clock, now);
         return;
     }
     if (const auto* refused = std::get_if<Refused>(&answer)) {
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -15,6 +15,9 @@
 struct LeaseOptions {
     /// The longest lease requested from a target.
     Milliseconds maximumLease { 600 };
+    /// The longest lease that a target grants. A process that has replaced the one that an order was meant for reads the end of
+    /// the lease on another clock, and may grant this much.
+    Milliseconds maximumGrantedLease { 1000 };
     /// How long a target may delay its answer to a hold order while no run ends.
     Milliseconds holdWait { 250 };
     /// How long the answer to a hold order may take in addition to `holdWait`.
@@ -65,6 +68,8 @@
         /// When the first stop order for the run was sent, and how many have been sent.
         std::optional<Instant> firstStopSentAt;
         uint32_t stopOrders { 0 };
+        /// How many restarts of the target were known when the start order was sent.
+        uint32_t restartsBeforeStart { 0 };
     };
 
     /// A change in the state of the target or of one of its runs.
@@ -161,6 +166,8 @@
     [[nodiscard]] TargetInstance instance() const;
     [[nodiscard]] int64_t leaseEnd(Instant now);
     void assumeUnknownLeases(Instant now);
+    [[nodiscard]] Milliseconds allowingForDrift(Milliseconds duration) const { return duration * (100 + this->options.clockDriftPercent) / 100; }
+    [[nodiscard]] bool hasUnconfirmedStart() const;
     [[nodiscard]] bool needsHold() const;
     [[nodiscard]] bool haveLeasesExpired(Instant now) const;
     void sendHold(Instant now);
@@ -171,7 +178,9 @@
     void setNeeds(Run&, const Catalog::Resources&);
     void sendStop(const RunId&, Run&, Instant now);
     void addEvent(Event::Kind, const RunId& = {});
-    void onRestart(const std::string& incarnation);
+    [[nodiscard]] bool isFromEarlierProcess(const RunList&) const;
+    void onRestart(const std::string& incarnation, Instant now);
+    void onUnknownProcess(Instant now);
     void applyRunList(const RunList&, Instant sentAt, Instant now);
     void applyRunningRuns(const RunList&, Instant sentAt, Instant now);
     void finish(std::map<RunId, Run>::iterator, std::optional<RunEnd>, RunEndProof, Instant now, bool staleNumber = false);
@@ -206,8 +215,13 @@
     Instant clockReadAt {};
     /// The latest end of any lease that the target may have granted to this session, on the target's clock in milliseconds.
     int64_t latestLeaseEnd { 0 };
-    /// When the leases that the target may have granted to other dispatchers have expired at the latest.
+    /// When the leases that the target may have granted to other dispatchers, or by another clock, have expired at the latest.
     Instant unknownLeasesEndAt {};
+    /// When the last order was sent that asked for a lease.
+    Instant lastLeaseOrderAt {};
+    /// Whether a list of the target has named its incarnation, and how often the target has restarted since.
+    bool isIncarnationConfirmed { false };
+    uint32_t restarts { 0 };
 
     /// Whether a start order was not answered, and the target has not answered a hold order since.
     bool hasUnansweredStart { false };
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -26,6 +26,7 @@
 {
     Scheduler::TaskScheduler::Options options;
     options.leases.maximumLease = std::min(settings.maximumLease, options.leases.maximumLease);
+    options.leases.maximumGrantedLease = settings.maximumLease;
     options.leases.holdWait = std::min(options.leases.holdWait, options.leases.maximumLease / 2);
     options.leases.answerTimeout = Platform::TargetClient::holdTimeout;
     return options;
--- a/Tests/LibScheduler/SimulatedTargets.cpp
+++ b/Tests/LibScheduler/SimulatedTargets.cpp
@@ -10,6 +10,7 @@
 
 SimulatedTarget::SimulatedTarget(std::string identity, Catalog::Resources capacity)
     : identity(std::move(identity))
+    , address("127.0.0.1:" + std::to_string(1000 + std::hash<std::string> {}(this->identity) % 60'000))
     , capacity(capacity)
 {
 }
@@ -20,7 +21,7 @@
     report.identity = this->identity;
     report.incarnation = this->incarnation;
     report.pool = "pool";
-    report.address = "127.0.0.1:" + std::to_string(1000 + std::hash<std::string> {}(this->identity) % 60'000);
+    report.address = this->address;
     report.capacity = this->capacity;
     report.state = this->state;
     report.sequence = this->sequence;
@@ -154,6 +155,19 @@
     }
 }
 
+void SimulatedFleet::report(const Membership::TargetReport& report)
+{
+    for (auto& dispatcher : this->dispatchers)
+        dispatcher->onReport(report, this->now);
+}
+
+void SimulatedFleet::announceEnd(const std::string& identity, const std::string& incarnation)
+{
+    for (auto& dispatcher : this->dispatchers)
+        dispatcher->onTargetGone(identity, this->now);
+    (void)incarnation;
+}
+
 void SimulatedFleet::submit(size_t dispatcher, const Submission& submission)
 {
     this->submissions.insert_or_assign(submission.job, submission);
@@ -183,14 +197,16 @@
         if (!fault.orderLost) {
             this->schedule(fault.delay + pause, [this, order, execute, handleAnswer, fault] {
                 auto position = this->targets.find(order.instance.identity);
-                if (position == this->targets.end())
+                if (position == this->targets.end() || position->second.address != order.instance.address) {
+                    this->schedule(answerTimeout, [handleAnswer] { handleAnswer(Answer { Unanswered {} }); });
                     return;
+                }
                 auto answer = execute(position->second, this->now);
-                if (!fault.answerLost && fault.delay < answerTimeout)
-                    this->schedule(Milliseconds(1), [handleAnswer, answer] { handleAnswer(answer); });
+                if (!fault.answerLost && fault.delay + fault.answerDelay < answerTimeout)
+                    this->schedule(fault.answerDelay, [handleAnswer, answer] { handleAnswer(answer); });
             });
         }
-        if (fault.orderLost || fault.answerLost || fault.delay >= answerTimeout)
+        if (fault.orderLost || fault.answerLost || fault.delay + fault.answerDelay >= answerTimeout)
             this->schedule(answerTimeout + pause, [handleAnswer] { handleAnswer(Answer { Unanswered {} }); });
     };
     for (const auto& order : effects.orders.starts) {
--- a/Tests/LibScheduler/SimulatedTargets.h
+++ b/Tests/LibScheduler/SimulatedTargets.h
@@ -20,13 +20,14 @@
     [[nodiscard]] OrderAnswer start(const StartOrder&, const Catalog::Resources&, Milliseconds runTime, bool fails, Instant now);
     [[nodiscard]] OrderAnswer stop(const StopOrder&, Instant now);
     void advance(Instant now);
-    /// Starts a new incarnation, without the runs and state of the previous one.
+    /// Starts a new incarnation at the same address, without the runs and state of the previous one.
     void restart();
 
     [[nodiscard]] const std::map<RunId, Instant>& running() const { return this->runs; }
     [[nodiscard]] bool isRunning(const TaskId&) const;
 
     std::string identity;
+    std::string address;
     Catalog::Resources capacity;
     std::string incarnation { "1" };
     Membership::TargetState state { Membership::TargetState::Serving };
@@ -63,11 +64,12 @@
 /// Simulates dispatchers and targets with one simulated clock. Tests choose the delay and loss of orders and answers.
 class SimulatedFleet {
 public:
-    /// The delay of one order, and whether the order or its answer is lost.
+    /// The delay of one order, whether the order or its answer is lost, and the delay of the answer.
     struct OrderFault {
         Milliseconds delay { 1 };
         bool answerLost { false };
         bool orderLost { false };
+        Milliseconds answerDelay { 1 };
     };
 
     explicit SimulatedFleet(size_t dispatchers, TaskScheduler::Options = {});
@@ -75,6 +77,10 @@
     SimulatedTarget& addTarget(std::string identity, int64_t cores);
     /// Sends a report of each target to each dispatcher.
     void report();
+    /// Sends one report to each dispatcher.
+    void report(const Membership::TargetReport&);
+    /// Tells each dispatcher that a target has announced its end.
+    void announceEnd(const std::string& identity, const std::string& incarnation);
     void submit(size_t dispatcher, const Submission&);
     /// Advances the simulated clock in small steps. The entry host renews its jobs while `entriesRenew` is set.
     void run(Milliseconds);
--- a/Tests/LibScheduler/TestTargetSession.cpp
+++ b/Tests/LibScheduler/TestTargetSession.cpp
@@ -91,3 +91,32 @@
         BOOST_TEST(session.hasEnded(otherRun), "adopted: " << isAdopted);
     }
 }
+
+// A late start order may still reach the new process, which has not seen the stop order.
+BOOST_AUTO_TEST_CASE(stop_confirmed_by_an_earlier_process_does_not_prove_that_the_run_cannot_start)
+{
+    Session session;
+    session.session.start(ownRun, {}, {}, session.now);
+    session.advance(1ms);
+    session.session.onStartAnswer(ownRun, Unanswered {}, session.now);
+    session.session.onStopAnswer(ownRun, Acknowledged { clockAtStart }, session.now);
+    session.advance(1ms);
+    session.answer(session.holds.size() - 1, {}, "2", 10);
+    BOOST_TEST(!session.hasEnded(ownRun));
+    session.advance(1ms);
+    session.session.onStopAnswer(ownRun, Acknowledged { 11 }, session.now);
+    session.advance(1ms);
+    session.answer(session.holds.size() - 1, {}, "2", 12);
+    BOOST_TEST(session.hasEnded(ownRun));
+}
+
+BOOST_AUTO_TEST_CASE(late_list_of_an_earlier_incarnation_is_ignored)
+{
+    Session session;
+    session.openHoldAndProbe();
+    session.answer(2, { otherRun }, "2", 10);
+    session.now += 1ms;
+    session.answer(1, {}, "1");
+    BOOST_TEST(session.session.target().incarnation == "2");
+    BOOST_TEST(!session.hasEnded(otherRun));
+}
