--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -12,6 +12,9 @@
 // as silent and ejected.
 static constexpr int failureThreshold { 2 };
 static constexpr Milliseconds stopRetryInterval { 120 };
+// A reading of the target's clock that is this much below an earlier one comes from another process. Answers that overtake each
+// other differ by less.
+static constexpr int64_t clockResetThresholdMilliseconds = 1000;
 
 TargetSession::TargetSession(Membership::TargetReport report, uint64_t fence, LeaseOptions options, Instant now)
     : report(std::move(report))
@@ -52,7 +55,7 @@
 // as possible.
 void TargetSession::assumeUnknownLeases(Instant now)
 {
-    this->unleasesExpireAt = std::max(this->unleasesExpireAt, now + this->options.maximumLease * (100 + this->options.clockDriftPercent) / 100);
+    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumLease));
 }
 
 bool TargetSession::canStartRuns(Instant now) const
@@ -100,9 +103,16 @@
     if (end <= this->latestLeaseEnd)
         return 0;
     this->latestLeaseEnd = end;
+    this->lastLeaseOrderAt = now;
     return end;
 }
 
+// Returns whether a start order was sent of which it is not known whether, and by which process, it was obeyed.
+bool TargetSession::hasUnconfirmedStart() const
+{
+    return std::any_of(this->knownRuns.begin(), this->knownRuns.end(), [](const auto& entry) { return !entry.second.knownStartedAt; });
+}
+
 void TargetSession::observeClock(int64_t reading, Instant now)
 {
     this->clock = reading;
@@ -114,13 +124,16 @@
 Instant TargetSession::leasesExpireAt() const
 {
     if (!this->clock)
-        return this->unleasesExpireAt;
-    auto remaining = Milliseconds(this->latestLeaseEnd - *this->clock) * (100 + this->options.clockDriftPercent) / 100;
-    return std::max(this->unleasesExpireAt, this->clockReadAt + remaining + Milliseconds(1));
+        return this->unknownLeasesEndAt;
+    auto remaining = this->allowingForDrift(Milliseconds(this->latestLeaseEnd - *this->clock));
+    return std::max(this->unknownLeasesEndAt, this->clockReadAt + remaining + Milliseconds(1));
 }
 
 bool TargetSession::haveLeasesExpired(Instant now) const
 {
+    // A process that has replaced the target may have obeyed the start order, and reads the lease on its own clock.
+    if (this->hasUnconfirmedStart() && now < this->lastLeaseOrderAt + this->allowingForDrift(this->options.maximumGrantedLease))
+        return false;
     return now >= this->leasesExpireAt();
 }
 
@@ -168,9 +181,11 @@
     run.needs = needs;
     run.jobLease = std::move(jobLease);
     run.discoveredAt = now;
+    run.restartsBeforeStart = this->restarts;
     this->knownRuns.emplace(id, run);
     this->used = this->used.plus(needs);
     (void)this->grantLease(now);
+    this->lastLeaseOrderAt = now;
     this->orders.starts.push_back(StartOrder { this->instance(), this->fence, id, payload, this->latestLeaseEnd });
 }
 
@@ -318,8 +333,11 @@
 
 void TargetSession::applyHoldAnswer(const OpenHold& hold, const RunList& list, Instant now)
 {
+    if (this->isFromEarlierProcess(list))
+        return;
     if (!list.incarnation.empty() && list.incarnation != this->report.incarnation)
-        this->onRestart(list.incarnation);
+        this->onRestart(list.incarnation, now);
+    this->isIncarnationConfirmed = this->isIncarnationConfirmed || !list.incarnation.empty();
     this->observeClock(list.clock, now);
     // Another dispatcher may have renewed the leases of runs on this target until it answered.
     if (this->phase != Phase::Claimed)
@@ -342,15 +360,34 @@
         this->eject(this->options.claimRetryInterval, now);
 }
 
-// Called when another process answers under the same identity. It does not know the earlier runs, and its sequence numbers start
-// again.
-void TargetSession::onRestart(const std::string& incarnation)
+bool TargetSession::isFromEarlierProcess(const RunList& list) const
 {
+    return this->isIncarnationConfirmed && !list.incarnation.empty() && list.incarnation < this->report.incarnation;
+}
+
+// Called when another process answers under the same identity and address. The runs of the earlier process have ended with it. The
+// sequence numbers and the clock of the new one start again, and it may obey orders that were meant for the earlier one: it grants
+// them its longest lease, and it does not know the stop orders that the earlier one confirmed.
+void TargetSession::onRestart(const std::string& incarnation, Instant now)
+{
+    ++this->restarts;
     this->report.incarnation = incarnation;
     this->report.sequence = 0;
     this->lastEndSeen = 0;
     this->lastEndAcknowledged = 0;
     this->latestLeaseEnd = 0;
+    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumGrantedLease));
+    for (auto& [id, run] : this->knownRuns)
+        run.stopConfirmedAt.reset();
+}
+
+// Called when an answer shows that another process may have replaced the target. No run is started before a list has named it.
+void TargetSession::onUnknownProcess(Instant now)
+{
+    this->clock.reset();
+    this->latestLeaseEnd = 0;
+    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumGrantedLease));
+    this->reclaim(this->fence, now);
 }
 
 void TargetSession::applyRunList(const RunList& list, Instant sentAt, Instant now)
@@ -375,6 +412,8 @@
     for (const auto& id : running) {
         auto [position, isNew] = this->knownRuns.try_emplace(id);
         position->second.lastReportedRunningAt = now;
+        if (!position->second.knownStartedAt)
+            position->second.knownStartedAt = now;
         if (!isNew)
             continue;
         position->second.state = RunState::Unadopted;
@@ -388,11 +427,12 @@
     for (const auto& [id, run] : this->knownRuns) {
         if (running.contains(id))
             continue;
-        // A run that is missing from the answer has ended if the target reported the run earlier, or confirmed its start or stop
-        // order before the hold order was sent. Otherwise the start order may still be in transit.
-        bool wasConfirmed = (run.state == RunState::Running && run.startedAt < sentAt) || run.state == RunState::Unadopted
-            || (run.stopConfirmedAt && *run.stopConfirmedAt <= sentAt);
-        if (wasConfirmed)
+        // A run that is missing from the answer has ended if it was known to have started, or the target had confirmed its stop
+        // order, before the hold order was sent. Otherwise the start order may still be in transit, or this answer may be older
+        // than the one that listed the run.
+        bool hadStarted = run.knownStartedAt && *run.knownStartedAt < sentAt;
+        bool cannotStart = run.stopConfirmedAt && *run.stopConfirmedAt <= sentAt;
+        if (hadStarted || cannotStart)
             absent.push_back(id);
     }
     for (const auto& id : absent)
@@ -406,10 +446,15 @@
         return;
     auto& run = position->second;
     if (const auto* acknowledged = std::get_if<Acknowledged>(&answer)) {
-        this->observeClock(acknowledged->clock, now);
         run.startedAt = now;
+        if (!run.knownStartedAt)
+            run.knownStartedAt = now;
         if (run.state == RunState::Starting)
             run.state = RunState::Running;
+        if (this->clock && acknowledged->clock < *this->clock - clockResetThresholdMilliseconds)
+            this->onUnknownProcess(now);
+        else if (run.restartsBeforeStart == this->restarts)
+            this->observeClock(acknowledged->clock, now);
         return;
     }
     if (const auto* refused = std::get_if<Refused>(&answer)) {
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -20,6 +20,9 @@
     /// How long a run may continue after the entry lease of its job was last extended. No lease on a target ends later, so that
     /// the run ends in time even if it cannot be stopped.
     Milliseconds maximumRunTimeAfterExtension { 1000 };
+    /// The longest lease that a target grants. A process that has replaced the one that an order was meant for reads the end of
+    /// the lease on another clock, and may grant this much.
+    Milliseconds maximumGrantedLease { 1000 };
     /// How long a target may delay its answer to a hold order while no run ends.
     Milliseconds holdWait { 250 };
     /// How long the answer to a hold order may take in addition to `holdWait`.
@@ -65,6 +68,8 @@
         Instant discoveredAt {};
         /// When the target confirmed the start order; unset if it has not.
         Instant startedAt {};
+        /// When it was first known that the run had started, from the answer to the start order or from a list.
+        std::optional<Instant> knownStartedAt;
         /// When the target last reported that the run was running.
         Instant lastReportedRunningAt {};
         /// When the target confirmed the stop order: the run cannot start any more, or is being stopped.
@@ -73,6 +78,8 @@
         /// When the first stop order for the run was sent, and how many have been sent.
         std::optional<Instant> firstStopSentAt;
         uint32_t stopOrders { 0 };
+        /// How many restarts of the target were known when the start order was sent.
+        uint32_t restartsBeforeStart { 0 };
     };
 
     /// A change in the state of the target or of one of its runs.
@@ -175,6 +182,8 @@
     [[nodiscard]] Instant leasesExpireAt() const;
     [[nodiscard]] int64_t grantLease(Instant now);
     void assumeUnknownLeases(Instant now);
+    [[nodiscard]] Milliseconds allowingForDrift(Milliseconds duration) const { return duration * (100 + this->options.clockDriftPercent) / 100; }
+    [[nodiscard]] bool hasUnconfirmedStart() const;
     [[nodiscard]] bool needsHold() const;
     [[nodiscard]] bool haveLeasesExpired(Instant now) const;
     void sendHold(Instant now);
@@ -186,7 +195,9 @@
     void setNeeds(Run&, const Catalog::Resources&);
     void sendStop(const RunId&, Run&, Instant now);
     void addEvent(Event::Kind, const RunId& = {});
-    void onRestart(const std::string& incarnation);
+    [[nodiscard]] bool isFromEarlierProcess(const RunList&) const;
+    void onRestart(const std::string& incarnation, Instant now);
+    void onUnknownProcess(Instant now);
     void applyRunList(const RunList&, Instant sentAt, Instant now);
     void applyRunningRuns(const RunList&, Instant sentAt, Instant now);
     void finish(std::map<RunId, Run>::iterator, std::optional<RunEnd>, RunEndProof, Instant now, bool staleNumber = false);
@@ -223,8 +234,13 @@
     int64_t latestLeaseEnd { 0 };
     /// Whether the last order could not carry a lease of `maximumLease`.
     bool isLeaseLimited { false };
-    /// When the leases that the target may have granted to other dispatchers have expired at the latest.
-    Instant unleasesExpireAt {};
+    /// When the leases that the target may have granted to other dispatchers, or by another clock, have expired at the latest.
+    Instant unknownLeasesEndAt {};
+    /// When the last order was sent that asked for a lease.
+    Instant lastLeaseOrderAt {};
+    /// Whether a list of the target has named its incarnation, and how often the target has restarted since.
+    bool isIncarnationConfirmed { false };
+    uint32_t restarts { 0 };
 
     /// Whether a start order was not answered, and the target has not answered a hold order since.
     bool hasUnansweredStart { false };
