--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -99,3 +99,9 @@
     BOOST_TEST((list.ended.at(1).end == RunEnd::Failed));
     BOOST_TEST(std::holds_alternative<Unanswered>(Platform::decodeHoldAnswer(HttpResponse { 200, {}, R"({"running":7})" })));
 }
+
+BOOST_AUTO_TEST_CASE(refusal_with_a_reason_that_is_no_string_ends_no_process)
+{
+    for (const auto* body : { R"({"reason":7})", R"({"reason":null})", R"({"reason":["fence"]})", R"([])", "\xff" })
+        BOOST_TEST((std::get<Refused>(Platform::decodeOrderAnswer(HttpResponse { 409, {}, body })).reason == OrderRefusal::InsufficientCapacity), body);
+}
