--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -1,4 +1,6 @@
 #include <boost/test/unit_test.hpp>
+#include <limits>
+#include <map>
 #include <platform/Decode.h>
 #include <platform/Orders.h>
 
@@ -105,3 +107,41 @@
     for (const auto* body : { R"({"reason":7})", R"({"reason":null})", R"({"reason":["fence"]})", R"([])", "\xff" })
         BOOST_TEST((std::get<Refused>(Platform::decodeOrderAnswer(HttpResponse { 409, {}, body })).reason == OrderRefusal::InsufficientCapacity), body);
 }
+
+namespace {
+
+std::string nested(size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+// The body of a valid report, in which the value of one member is replaced, or to which the member is added.
+std::string reportWith(const std::string& name, const std::string& value)
+{
+    std::map<std::string, std::string> members { { "service", "\"s\"" }, { "addr", "\"10.0.0.9:80\"" }, { "zone", "\"z\"" }, { "state", "\"ready\"" }, { "sequence", "4" }, { "born", "1700000000000" }, { "capacity", "{}" } };
+    members[name] = value;
+    std::string body;
+    for (const auto& [memberName, memberValue] : members)
+        body += (body.empty() ? "{\"" : ",\"") + memberName + "\":" + memberValue;
+    return body + "}";
+}
+
+Scheduler::HoldAnswer holdAnswer(const std::string& members)
+{
+    return Platform::decodeHoldAnswer(HttpResponse { 200, {}, "{" + members + "}" });
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(deeply_nested_or_huge_documents_are_refused)
+{
+    static constexpr size_t levels = 100'000;
+    BOOST_TEST(!Platform::decodeTargetReport("i-1", reportWith("extra", nested(levels))).has_value());
+    BOOST_TEST(!Platform::decodeTargetReport("i-1", reportWith("extra", "\"" + std::string(1'000'000, 'x') + "\"")).has_value());
+    BOOST_TEST(!Platform::decodeJob(R"({"steps":[{"count":1}],"extra":)" + nested(levels) + "}").has_value());
+    BOOST_TEST(!Platform::decodeConfiguration(R"({"version":7,"routes":[],"services":[],"extra":)" + nested(levels) + "}").has_value());
+    BOOST_TEST(std::holds_alternative<Unanswered>(holdAnswer(R"("clock_ms":9,"running":[],"ended":[],"extra":)" + nested(levels))));
+    BOOST_TEST(std::holds_alternative<Unanswered>(Platform::decodeOrderAnswer(HttpResponse { 200, {}, R"({"clock_ms":9,"extra":)" + nested(levels) + "}" })));
+    // Brackets within a text are no nesting.
+    BOOST_TEST(Platform::decodeTargetReport("i-1", reportWith("extra", "\"\\\"" + std::string(1000, '[') + "\"")).has_value());
+}
