--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -133,6 +133,20 @@
 
 }
 
+BOOST_AUTO_TEST_CASE(odd_numbers_in_a_report_refuse_the_report)
+{
+    BOOST_TEST(Platform::decodeTargetReport("i-1", reportWith("sequence", "4")).has_value());
+    for (const auto* value : { "-1", "18446744073709551615", "9223372036854775807", "18446744073709551616", "1e30", "4.5" })
+        BOOST_TEST(!Platform::decodeTargetReport("i-1", reportWith("sequence", value)).has_value(), value);
+    // Start times are compared as text, so all of them must have the same number of digits.
+    for (const auto* value : { "-1", "5", "18446744073709551615", "9223372036854775807", "17000000000000" })
+        BOOST_TEST(!Platform::decodeTargetReport("i-1", reportWith("born", value)).has_value(), value);
+    for (const auto* value : { "-1", "18446744073709551615", "9223372036854775807", "1e30" }) {
+        for (const auto* resource : { "cpu", "mem_mb", "gpu" })
+            BOOST_TEST(!Platform::decodeTargetReport("i-1", reportWith("capacity", std::string("{\"") + resource + "\":" + value + "}")).has_value(), std::string(resource) + " " + value);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(deeply_nested_or_huge_documents_are_refused)
 {
     static constexpr size_t levels = 100'000;
