--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -159,3 +159,16 @@
     // Brackets within a text are no nesting.
     BOOST_TEST(Platform::decodeTargetReport("i-1", reportWith("extra", "\"\\\"" + std::string(1000, '[') + "\"")).has_value());
 }
+
+BOOST_AUTO_TEST_CASE(odd_numbers_in_a_job_refuse_the_job)
+{
+    auto decode = [](const std::string& member) { return Platform::decodeJob(R"({"steps":[{"count":1,"cpu":500,)" + member + "}]}"); };
+    // A negative need of one resource, beside a positive need of another, would add to what the target has left.
+    for (const auto* member : { R"("mem_mb":-1)", R"("gpu":-1)", R"("mem_mb":9223372036854775807)", R"("mem_mb":18446744073709551615)", R"("cpu":18446744073709551615)", R"("cpu":9223372036854775807)", R"("gpu":9223372036854775807)", R"("estimate_ms":-1)", R"("estimate_ms":1e30)", R"("estimate_ms":18446744073709551615)", R"("anti_affinity":-1)" })
+        BOOST_TEST(!decode(member).has_value(), member);
+    auto job = decode(R"("estimate_ms":9007199254740991,"anti_affinity":4294967296)");
+    BOOST_REQUIRE(job.has_value());
+    BOOST_TEST(job->steps.front().maximumPerTarget == std::numeric_limits<uint32_t>::max());
+    // Times are added to an instant, which counts nanoseconds.
+    BOOST_TEST(job->steps.front().estimate.count() < std::numeric_limits<int64_t>::max() / 1'000'000'000);
+}
