platform: Bound the numbers of a configuration

Callers of a route with an extreme timeout, stretch or target latency saw their jobs refused or dropped at once.

An idle or header timeout of 2^63 - 1 ms went to the HTTP server as it was.

Ruled out: refusing such a configuration. A number that the type holds is valid, and a valid configuration must be acknowledged; a stored one must stay in force when the software is updated. A number that the type cannot hold makes the configuration unreadable and is refused.

--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -172,3 +172,22 @@
     // Times are added to an instant, which counts nanoseconds.
     BOOST_TEST(job->steps.front().estimate.count() < std::numeric_limits<int64_t>::max() / 1'000'000'000);
 }
+
+BOOST_AUTO_TEST_CASE(extreme_numbers_in_a_configuration_do_not_overflow_later_arithmetic)
+{
+    auto decode = [](const std::string& route, const std::string& limits) { return Platform::decodeConfiguration(R"({"version":7,"routes":[{"host":"a.example","path_prefix":"/p/","service":"s",)" + route + R"(}],"services":[{"name":"s"}],"limits":{)" + limits + "}}"); };
+    BOOST_TEST(!decode(R"("timeout_ms":18446744073709551615)", "").has_value());
+    BOOST_TEST(!decode(R"("timeout_ms":1,"stretch":1e400)", "").has_value());
+    BOOST_TEST(!decode(R"("timeout_ms":1,"priority":18446744073709551615)", "").has_value());
+    auto table = decode(R"("timeout_ms":9223372036854775807,"target_latency_ms":-9223372036854775808,"stretch":1e300,"max_attempts":4294967296)", R"("header_timeout_ms":9223372036854775807,"idle_timeout_ms":9223372036854775807)");
+    BOOST_REQUIRE(table.has_value());
+    const auto* route = table->match("a.example", "/p/x");
+    static constexpr int64_t addable = std::numeric_limits<int64_t>::max() / 1'000'000'000;
+    BOOST_TEST(route->timeoutMilliseconds < addable);
+    BOOST_TEST(route->targetLatencyMilliseconds == 0);
+    BOOST_TEST(route->stretch * static_cast<double>(addable) < 1e18);
+    BOOST_TEST(route->maximumAttempts > 1);
+    BOOST_TEST(route->maximumAttempts <= std::numeric_limits<uint32_t>::max());
+    BOOST_TEST(table->limits().headerTimeoutMilliseconds < addable);
+    BOOST_TEST(table->limits().idleTimeoutMilliseconds < addable);
+}
