LibTransport, platform: Refuse addresses that are not those of one host

A report with such an address was taken over, and orders were sent to wherever the address led.

Cause: inet_pton() stops at the first null character, so "10.0.0.9\u0000.example:80" passed as 10.0.0.9 and stayed in the target's address as it was. The unspecified address reaches the sender's own host, and a multicast or reserved address none. An error message repeated the whole text, up to megabytes of it.

Ruled out by checks that passed before: port 0, 65536, -1 and +80, an empty host, IPv6 with and without brackets, spaces, a name in place of the address (nothing looks it up), and text behind the port.

--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -240,6 +240,10 @@
     BOOST_TEST(Endpoint::parse("127.0.0.1:80")->port == 80);
     for (const auto* text : { "127.0.0.1", "host:80", "127.0.0.1:0", "127.0.0.1:99999", "127.0.0.1:8x" })
         BOOST_TEST(!Endpoint::parse(text).has_value());
+    BOOST_TEST(!Endpoint::parse(std::string_view("127.0.0.1\0.example:80", 21)).has_value());
+    BOOST_TEST(!Endpoint::parse(std::string_view("127.0.0.1:80\0", 13)).has_value());
+    // An error message repeats only the beginning of a long text.
+    BOOST_TEST(Endpoint::parse(std::string(1'000'000, 'x')).error().detail.size() < 200U);
 }
 
 BOOST_FIXTURE_TEST_CASE(graceful_close_ends_each_connection_after_its_response, Fixture)
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -147,6 +147,12 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(odd_addresses_in_a_report_refuse_the_report)
+{
+    for (const auto* value : { R"("10.0.0.9:0")", R"("10.0.0.9:65536")", R"("10.0.0.9:-1")", R"("10.0.0.9:+80")", R"(":80")", R"("[::1]:80")", R"("::1:80")", R"(" 10.0.0.9:80")", R"("10.0.0.9 :80")", R"("10.0.0.9:80 ")", R"("10.0.0.9:80/x")", R"("host:80")", R"("10.0.0.9\u0000.example:80")", R"("10.0.0.9:80\u0000")", R"("0.0.0.0:80")", R"("255.255.255.255:80")", R"("224.0.0.1:80")", "7", "null" })
+        BOOST_TEST(!Platform::decodeTargetReport("i-1", reportWith("addr", value)).has_value(), value);
+}
+
 BOOST_AUTO_TEST_CASE(deeply_nested_or_huge_documents_are_refused)
 {
     static constexpr size_t levels = 100'000;
