LibScheduler: Take no run as ended by an incomplete list of runs

Callers could see a task run twice at the same time, when the row of its run in a target's list could not be read.

Cause: a run that a target had confirmed and that was missing from a later list was taken as ended. The numbers of ends behind an unreadable one were acknowledged, so that the target forgot it, whatever it said.

Ruled out: treating such an answer as none. A single unreadable row would then hide the ends of all other runs there for as long as it stays, although their rows are good.

A list now says whether all of its rows could be read. An incomplete one adds what it contains and takes nothing away: no run is absent, no end behind the unreadable one is acknowledged, and a target that is not claimed yet stays unclaimed, because its runs are not all known. The next hold order waits 100 ms.

--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -12,6 +12,8 @@
 // as silent and ejected.
 static constexpr int failureThreshold { 2 };
 static constexpr Milliseconds stopRetryInterval { 120 };
+// The time between an incomplete answer to a hold order and the next order.
+static constexpr Milliseconds incompleteListInterval { 100 };
 
 TargetSession::TargetSession(Membership::TargetReport report, uint64_t fence, LeaseOptions options, Instant now)
     : report(std::move(report))
@@ -255,9 +257,10 @@
     if ((!isProbe && !isHold) || this->phase == Phase::Gone)
         return;
     auto hold = *std::exchange(isProbe ? this->openProbe : this->openHold, std::nullopt);
-    if (const auto* list = std::get_if<RunList>(&answer)) {
+    if (const auto* list = std::get_if<RunList>(&answer); list && this->mayApply(*list)) {
         this->applyHoldAnswer(hold, *list, now);
-        this->nextHold = now;
+        // A target answers at once while it lists an end that cannot be acknowledged.
+        this->nextHold = list->isComplete ? now : now + incompleteListInterval;
         return;
     }
     if (const auto* refused = std::get_if<Refused>(&answer)) {
@@ -269,6 +272,12 @@
         this->onUnansweredHold(now);
 }
 
+// A target whose runs are not all known cannot be claimed.
+bool TargetSession::mayApply(const RunList& list) const
+{
+    return list.isComplete || this->phase == Phase::Claimed;
+}
+
 void TargetSession::applyHoldAnswer(const OpenHold& hold, const RunList& list, Instant now)
 {
     if (!list.incarnation.empty() && list.incarnation != this->report.incarnation)
@@ -309,7 +318,7 @@
 void TargetSession::applyRunList(const RunList& list, Instant sentAt, Instant now)
 {
     for (const auto& ended : list.ended) {
-        this->lastEndSeen = std::max(this->lastEndSeen, ended.sequence);
+        this->lastEndSeen = std::max(this->lastEndSeen, std::min(ended.sequence, list.lastReadableEnd));
         auto position = this->knownRuns.find(ended.run);
         if (position == this->knownRuns.end())
             continue;
@@ -337,6 +346,8 @@
         ++this->runsWithUnknownNeeds;
         this->addEvent(Event::Kind::Discovered, id);
     }
+    if (!list.isComplete)
+        return;
     std::vector<RunId> absent;
     for (const auto& [id, run] : this->knownRuns) {
         if (running.contains(id))
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -164,6 +164,7 @@
     void sendHold(Instant now);
     void sendProbe(Instant now);
     [[nodiscard]] OpenHold makeHold(Milliseconds wait, Instant now);
+    [[nodiscard]] bool mayApply(const RunList&) const;
     void applyHoldAnswer(const OpenHold&, const RunList&, Instant now);
     void onUnansweredHold(Instant now);
     void setNeeds(Run&, const Catalog::Resources&);
--- a/Libraries/LibScheduler/Types.h
+++ b/Libraries/LibScheduler/Types.h
@@ -5,6 +5,7 @@
 #include <LibTransport/CodecFields.h>
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -170,6 +171,12 @@
     std::string incarnation;
     std::vector<RunId> running;
     std::vector<EndedRun> ended;
+    /// Whether all rows of the answer could be read. A run that an incomplete list does not contain may be running, or may
+    /// have ended in any way.
+    bool isComplete { true };
+    /// The highest sequence number before the first end that could not be read. Later ends must not be acknowledged, since
+    /// the target would forget the unreadable one.
+    uint64_t lastReadableEnd { std::numeric_limits<uint64_t>::max() };
 
     friend auto operator<=>(const RunList&, const RunList&) = default;
 };
--- a/Tests/LibScheduler/SimulatedTargets.cpp
+++ b/Tests/LibScheduler/SimulatedTargets.cpp
@@ -75,9 +75,21 @@
     this->leaseEnd = std::max(this->leaseEnd, std::min(end, this->clock(now) + maximumLeaseMilliseconds));
 }
 
+static void makeFirstRowsUnreadable(RunList& list)
+{
+    if (!list.running.empty())
+        list.running.erase(list.running.begin());
+    if (!list.ended.empty()) {
+        list.lastReadableEnd = list.ended.front().sequence - 1;
+        list.ended.erase(list.ended.begin());
+    }
+    list.isComplete = false;
+}
+
 HoldAnswer SimulatedTarget::hold(const HoldOrder& order, Instant now)
 {
     this->advance(now);
+    ++this->holds;
     if (order.fence < this->fence)
         return Refused { OrderRefusal::Fenced };
     this->fence = order.fence;
@@ -89,6 +101,8 @@
     for (const auto& [id, endsAt] : this->runs)
         list.running.push_back(id);
     list.ended = this->ended;
+    if (this->hasUnreadableRow)
+        makeFirstRowsUnreadable(list);
     return list;
 }
 
--- a/Tests/LibScheduler/SimulatedTargets.h
+++ b/Tests/LibScheduler/SimulatedTargets.h
@@ -35,6 +35,10 @@
     bool overcommitted { false };
     /// The number of runs that have started.
     uint64_t starts { 0 };
+    /// The number of hold orders that have arrived.
+    uint64_t holds { 0 };
+    /// Whether the first row of each list of runs cannot be read.
+    bool hasUnreadableRow { false };
 
 private:
     [[nodiscard]] int64_t clock(Instant now) const;
--- a/Tests/LibScheduler/TestTaskScheduler.cpp
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -326,3 +326,39 @@
     BOOST_TEST(starts == 1U);
     BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(run_in_an_unreadable_row_is_not_started_again)
+{
+    auto fleet = makeFleet(1, { 64 });
+    fleet.runTime = 400ms;
+    auto& target = fleet.targets.at("target-a");
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 2, 27));
+    BOOST_TEST(fleet.runUntil([&] { return target.running().size() == 2; }, 1s));
+    target.hasUnreadableRow = true;
+    fleet.run(300ms);
+    BOOST_TEST(target.starts == 2U);
+    // The end of a run in an unreadable row may be a success, so the task is not started again either.
+    fleet.run(1s);
+    BOOST_TEST(target.starts == 2U);
+    BOOST_TEST(target.running().empty());
+    BOOST_TEST(!fleet.outcome("job"));
+    target.hasUnreadableRow = false;
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 2s));
+    BOOST_TEST((fleet.outcome("job")->end == JobEnd::Completed));
+    BOOST_TEST(target.starts == 2U);
+    BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(target_with_an_unreadable_row_is_not_claimed)
+{
+    auto fleet = makeFleet(1, { 64, 64 });
+    fleet.targets.at("target-a").hasUnreadableRow = true;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 2, 27));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 2s));
+    BOOST_TEST(fleet.targets.at("target-a").starts == 0U);
+    BOOST_TEST(fleet.targets.at("target-b").starts == 2U);
+    // The target is asked again from time to time, not with each answer.
+    BOOST_TEST(fleet.targets.at("target-a").holds < 5U);
+}
