--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -133,6 +133,17 @@
 
 }
 
+BOOST_AUTO_TEST_CASE(clock_out_of_range_does_not_let_all_leases_expire)
+{
+    BOOST_TEST(std::holds_alternative<RunList>(holdAnswer(R"("clock_ms":9,"running":[],"ended":[])")));
+    for (const auto* clock : { "-1", "1e30", "9.5", "18446744073709551615", "9223372036854775807", "1e400", "\"9\"", "null" }) {
+        BOOST_TEST(std::holds_alternative<Unanswered>(holdAnswer(std::string(R"("running":[],"ended":[],"clock_ms":)") + clock)), clock);
+        BOOST_TEST(std::holds_alternative<Unanswered>(Platform::decodeOrderAnswer(HttpResponse { 200, {}, std::string(R"({"clock_ms":)") + clock + "}" })), clock);
+    }
+    for (const auto* born : { "-1", "1e30", "18446744073709551615", "\"9\"" })
+        BOOST_TEST(std::holds_alternative<Unanswered>(holdAnswer(std::string(R"("clock_ms":9,"running":[],"ended":[],"born":)") + born)), born);
+}
+
 BOOST_AUTO_TEST_CASE(odd_numbers_in_a_report_refuse_the_report)
 {
     BOOST_TEST(Platform::decodeTargetReport("i-1", reportWith("sequence", "4")).has_value());
@@ -197,3 +208,31 @@
     BOOST_TEST(table->limits().headerTimeoutMilliseconds < addable);
     BOOST_TEST(table->limits().idleTimeoutMilliseconds < addable);
 }
+
+BOOST_AUTO_TEST_CASE(unreadable_run_hides_no_other_run_and_makes_none_look_ended)
+{
+    for (const auto* row : { R"([])", R"(7)", R"([5,2])", R"(["job.0.0.2"])", R"(["job.0.0.2",-1])", R"(["job.0.0.2",1e30])", R"(["job.0.0.2",18446744073709551615])", R"({"task":"job.0.0.2"})" }) {
+        auto answer = holdAnswer(std::string(R"("clock_ms":9,"running":[["job.0.0.1",2],)") + row + R"(,["job.0.0.3",4]],"ended":[])");
+        BOOST_REQUIRE(std::holds_alternative<RunList>(answer));
+        const auto& list = std::get<RunList>(answer);
+        BOOST_TEST(!list.isComplete);
+        BOOST_TEST((list.running == std::vector { RunId { { "job", 0, 0, 1 }, 2 }, RunId { { "job", 0, 0, 3 }, 4 } }), row);
+    }
+    // A readable name of another form belongs to no task of this system.
+    BOOST_TEST(std::get<RunList>(holdAnswer(R"("clock_ms":9,"running":[["foreign",1]],"ended":[])")).isComplete);
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_end_is_not_acknowledged)
+{
+    for (const auto* row : { R"([])", R"(7)", R"([59,"job.0.0.2",1,7,""])", R"([59,"job.0.0.2",-1,"done",""])", R"([59,"job.0.0.2"])", R"(["59","job.0.0.2",1,"done",""])", R"([59,null,1,"done",""])" }) {
+        auto answer = holdAnswer(std::string(R"("clock_ms":9,"running":[],"ended":[[58,"job.0.0.1",1,"done",""],)") + row + R"(,[60,"job.0.0.3",1,"done",""]])");
+        BOOST_REQUIRE(std::holds_alternative<RunList>(answer));
+        const auto& list = std::get<RunList>(answer);
+        BOOST_TEST(!list.isComplete);
+        BOOST_TEST(list.ended.size() == 2U);
+        BOOST_TEST(list.lastReadableEnd == 58U, row);
+    }
+    auto answer = holdAnswer(R"("clock_ms":9,"running":[],"ended":[[58,"foreign",1,"done",""]])");
+    BOOST_TEST(std::get<RunList>(answer).isComplete);
+    BOOST_TEST(std::get<RunList>(answer).ended.at(0).sequence == 58U);
+}
