LibLedger: Ignore files beside the log segments that are none

Operators saw a host that ended at each start after a copy such as "log-.bak" was left in its data folder.

Cause: each name with the prefix was read with std::stoull, which throws for text that is no number or too large, and nothing catches it. Ruled out: temporary files, whose suffix was left out already.

A segment is now a file whose name is the prefix and 20 digits. The folder is listed without exceptions; a folder that cannot be listed fails the start as before, and does not pass for an empty one.

Before the fix, foreign_file_beside_the_segments_does_not_end_the_process failed with std::invalid_argument.

--- a/Libraries/LibLedger/DiskStore.cpp
+++ b/Libraries/LibLedger/DiskStore.cpp
@@ -5,9 +5,11 @@
 #include <LibTransport/Codec.h>
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
+#include <optional>
 #include <sys/file.h>
 #include <unistd.h>
 
@@ -16,6 +18,7 @@
 // Log space is preallocated in steps of this many bytes, so that a full disk is detected before a command is accepted.
 static constexpr size_t preallocationStep = 4 * 1024 * 1024;
 static constexpr std::string_view segmentPrefix = "log-";
+static constexpr size_t segmentDigits = 20;
 
 using OperationList = std::vector<StoreOperation>;
 
@@ -33,7 +36,7 @@
 std::string DiskStore::segmentPath(uint64_t number) const
 {
     auto digits = std::to_string(number);
-    return this->folder + "/" + std::string(segmentPrefix) + std::string(20 - digits.size(), '0') + digits;
+    return this->folder + "/" + std::string(segmentPrefix) + std::string(segmentDigits - digits.size(), '0') + digits;
 }
 
 ErrorOr<std::unique_ptr<DiskStore>> DiskStore::open(const std::string& folder, Random& random)
@@ -62,21 +65,37 @@
     return replaceFile(path, this->replicaIdentity);
 }
 
-static std::vector<uint64_t> listSegments(const std::string& folder)
+// Returns nothing for a file that is no segment, such as a temporary file or an operator's copy of a segment.
+static std::optional<uint64_t> parseSegmentNumber(std::string_view fileName)
+{
+    if (!fileName.starts_with(segmentPrefix))
+        return {};
+    auto digits = fileName.substr(segmentPrefix.size());
+    uint64_t number = 0;
+    auto [end, code] = std::from_chars(digits.begin(), digits.end(), number);
+    if (digits.size() != segmentDigits || code != std::errc {} || end != digits.end())
+        return {};
+    return number;
+}
+
+static ErrorOr<std::vector<uint64_t>> listSegments(const std::string& folder)
 {
     std::vector<uint64_t> numbers;
-    for (const auto& file : std::filesystem::directory_iterator(folder)) {
-        auto name = file.path().filename().string();
-        if (name.starts_with(segmentPrefix) && !name.ends_with(temporarySuffix))
-            numbers.push_back(std::stoull(name.substr(segmentPrefix.size())));
+    std::error_code code;
+    for (std::filesystem::directory_iterator file(folder, code), end; !code && file != end; file.increment(code)) {
+        if (auto number = parseSegmentNumber(file->path().filename().string()))
+            numbers.push_back(*number);
     }
+    // An incomplete list must not pass for an empty folder, in which a new log would be started.
+    if (code)
+        return tl::unexpected(Error::notRun(Reason::StorageFailed, "cannot list " + folder + ": " + code.message()));
     std::sort(numbers.begin(), numbers.end());
     return numbers;
 }
 
 ErrorOr<void> DiskStore::recover()
 {
-    auto segments = listSegments(this->folder);
+    auto segments = TRY(listSegments(this->folder));
     if (segments.empty())
         return this->startSegment({});
     // A segment is renamed to its final name only after its first frame is durable, so the latest segment always contains a
@@ -173,7 +192,10 @@
 
 void DiskStore::removeSegmentsBefore(uint64_t number)
 {
-    for (auto segment : listSegments(this->folder)) {
+    auto segments = listSegments(this->folder);
+    if (!segments)
+        return;
+    for (auto segment : *segments) {
         if (segment < number)
             unlink(this->segmentPath(segment).c_str());
     }
--- a/Tests/LibLedger/TestDiskStore.cpp
+++ b/Tests/LibLedger/TestDiskStore.cpp
@@ -183,3 +183,14 @@
     store.reset();
     BOOST_TEST(this->open()->recovered().entries.size() == 2U);
 }
+
+BOOST_FIXTURE_TEST_CASE(foreign_file_beside_the_segments_does_not_end_the_process, Fixture)
+{
+    this->open();
+    for (const auto* name : { "/log-", "/log-copy", "/log-00000000000000000001.bak", "/log-99999999999999999999999", "/log-99999999999999999999" })
+        std::ofstream(this->folder + name) << "x";
+    auto reopened = this->open();
+    BOOST_REQUIRE(reopened->store(append(1, 1)).has_value());
+    reopened.reset();
+    BOOST_TEST(this->open()->recovered().entries.size() == 1U);
+}
