platform, sassafrasshiftd: Refuse names that targets cannot list unchanged

Callers could see a task run twice, if the name of its job was no valid UTF-8.

Cause: the name is the rest of the request's path, any bytes but control characters. In an order it is part of a JSON text, where invalid UTF-8 is replaced, so a target lists the run under another name. The run looks absent, and the task is started again. Identities of targets travel the same way.

Evidence: job_that_targets_cannot_list_under_its_name_is_refused encodes the order and decodes a list with the name in it. Ruled out: dots and percent signs in names, which come back unchanged.

--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -100,6 +100,8 @@
     auto now = this->context.now();
     if (this->owner.contains(parsed.job))
         return this->addCaller(parsed.job, exchange);
+    if (!Platform::isValidName(parsed.job))
+        return refuse(exchange, 400, "the name of the job is too long, or has characters that are not printable ASCII");
     auto description = Platform::decodeJob(exchange->request().body);
     if (!description)
         return refuse(exchange, 400, description.error().detail);
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -236,3 +236,25 @@
     BOOST_TEST(std::get<RunList>(answer).isComplete);
     BOOST_TEST(std::get<RunList>(answer).ended.at(0).sequence == 58U);
 }
+
+BOOST_AUTO_TEST_CASE(job_that_targets_cannot_list_under_its_name_is_refused)
+{
+    auto listedName = [](const std::string& job) {
+        StartOrder order { { "i-1", "b", "10.0.0.9:80" }, 7, { { job, 0, 0, 1 }, 2 }, "text", 486000 };
+        auto body = Platform::encodeOrder(order).body;
+        static const std::string memberStart = "\"task\":";
+        auto start = body.find(memberStart) + memberStart.size();
+        auto name = body.substr(start, body.find('"', start + 1) + 1 - start);
+        return std::get<RunList>(holdAnswer(R"("clock_ms":9,"running":[[)" + name + R"(,2]],"ended":[])")).running.at(0).task.job;
+    };
+    // JSON holds no invalid UTF-8; it is replaced, so the run would look absent.
+    BOOST_TEST(listedName("job\xff") != "job\xff");
+    for (const auto* name : { "job\xff", "job\xc3\xa9", "", "job 1", "job\n", "job\x7f" })
+        BOOST_TEST(!Platform::isValidName(name));
+    BOOST_TEST(!Platform::isValidName(std::string(1000, 'x')));
+    for (const auto* name : { "5c0e7a21d94b36f8", "a.b", "%C3%A9" }) {
+        BOOST_TEST(Platform::isValidName(name));
+        BOOST_TEST(listedName(name) == name);
+    }
+    BOOST_TEST(!Platform::decodeTargetReport("i-\xff", reportWith("sequence", "4")).has_value());
+}
