--- a/Tests/LibScheduler/TestTargetSession.cpp
+++ b/Tests/LibScheduler/TestTargetSession.cpp
@@ -13,6 +13,11 @@
 constexpr uint64_t firstFence = 10;
 constexpr int64_t clockAtStart = 100'000;
 
+std::shared_ptr<const JobLease> makeJobLease(Instant now)
+{
+    return std::make_shared<const JobLease>(now);
+}
+
 /// A session with a claimed target, driven by hand.
 struct Session {
     Instant now { std::chrono::hours(1) };
@@ -53,7 +58,7 @@
     /// Leaves two hold orders open, the second of them a probe.
     void openHoldAndProbe()
     {
-        this->session.start(ownRun, {}, {}, this->now);
+        this->session.start(ownRun, {}, {}, makeJobLease(this->now), this->now);
         this->session.onStartAnswer(ownRun, Acknowledged { clockAtStart }, this->now);
         this->advance(1ms);
         this->session.stop(ownRun, this->now);
@@ -81,7 +86,7 @@
         session.advance(1ms);
         session.answer(2, { otherRun });
         if (isAdopted)
-            session.session.adopt(otherRun, {});
+            session.session.adopt(otherRun, {}, makeJobLease(session.now), session.now);
         session.now += 1ms;
         session.answer(1, {});
         BOOST_TEST(!session.hasEnded(otherRun), "adopted: " << isAdopted);
@@ -96,7 +101,7 @@
 BOOST_AUTO_TEST_CASE(stop_confirmed_by_an_earlier_process_does_not_prove_that_the_run_cannot_start)
 {
     Session session;
-    session.session.start(ownRun, {}, {}, session.now);
+    session.session.start(ownRun, {}, {}, makeJobLease(session.now), session.now);
     session.advance(1ms);
     session.session.onStartAnswer(ownRun, Unanswered {}, session.now);
     session.session.onStopAnswer(ownRun, Acknowledged { clockAtStart }, session.now);
