LibScheduler: Wait for a later renewal after a run lapsed unproved

Cause: a dispatcher that another one has fenced at a target takes a run there as ended when its own leases have expired. The other dispatcher has claimed the target and may have adopted the run and extended its lease, because the entry host has moved the job to it. The entry lease of the job at the first dispatcher lasts 700 ms after the last message, the leases on the target only 612 ms after the last hold, so that the first dispatcher started the task again on a target that only it could reach.

Ruled out: that it is enough not to extend a run that is not adopted.

Now such a task waits until its job was extended by a message that arrives more than the longest transit time after the leases expired. Its entry host had not moved the job before it sent that message, so nobody else has extended the run. Any other proof lets the task start at once, as before.

The second test states that the wait ends.

--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/JobOwner.cpp
@@ -11,7 +11,7 @@
 // have ended.
 static constexpr Milliseconds callerRetryDelay { 1300 };
 static constexpr JobOwner::Options defaults {};
-static_assert(defaults.maximumTransitTime + defaults.scheduler.leases.maximumRunTimeAfterExtension < callerRetryDelay);
+static_assert(defaults.scheduler.maximumTransitTime + defaults.scheduler.leases.maximumRunTimeAfterExtension < callerRetryDelay);
 // A dispatcher tries to stop the runs of a job before their leases expire.
 static_assert(defaults.scheduler.entryLease < defaults.scheduler.leases.maximumRunTimeAfterExtension);
 // While renewals arrive in time, a lease of the maximum length can be granted at any moment.
@@ -27,7 +27,7 @@
 // end in time whether or not the runs can be stopped.
 Milliseconds JobOwner::earlierRunsTimeout() const
 {
-    return this->options.maximumTransitTime + this->options.scheduler.leases.maximumRunTimeAfterExtension;
+    return this->options.scheduler.maximumTransitTime + this->options.scheduler.leases.maximumRunTimeAfterExtension;
 }
 
 void JobOwner::add(Submission submission, Instant deadline, Instant objective, Instant now)
--- a/Libraries/LibScheduler/JobOwner.h
+++ b/Libraries/LibScheduler/JobOwner.h
@@ -20,8 +20,6 @@
     struct Options {
         /// The time between two renewals to the same dispatcher.
         Milliseconds renewalInterval { 250 };
-        /// The longest time that a message to a dispatcher may be in transit. The dispatcher ignores messages that took longer.
-        Milliseconds maximumTransitTime { 250 };
         /// How long a job may wait until a dispatcher is known.
         Milliseconds dispatcherTimeout { 1500 };
         /// A job is refused once this many dispatchers have refused it.
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -124,7 +124,7 @@
     job.otherShardRunsEndAt = now + Milliseconds(submission.untilOtherShardRunsEnd);
     job.expectedRunTime = this->speeds.expectedOnFastestKind(submission.queue, Milliseconds(submission.estimateMilliseconds));
     job.rank = Rank { false, submission.priority, now + Milliseconds(submission.untilObjective), this->arrivals++ };
-    job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, firstRunNumber, {}, 0 });
+    job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, firstRunNumber, {}, 0, {} });
     job.waiting = submission.taskCount;
     auto& inserted = this->jobs.emplace(submission.job, std::move(job)).first->second;
     this->jobsByRank.emplace(inserted.rank, &inserted);
@@ -284,6 +284,7 @@
         return;
     }
     task.state = TaskState::Waiting;
+    task.leasesExpiredAt = event.evidence->proof == RunEndProof::LeaseExpired ? std::optional(now) : std::nullopt;
     ++job.waiting;
     bool hasFailed = event.end == RunEnd::Failed;
     this->recordDecision(hasFailed ? Decision::Kind::RunFailed : Decision::Kind::RunLost, task.target, event.run, "failed attempts of the task: " + std::to_string(task.failures + (hasFailed ? 1 : 0)) + " of " + std::to_string(job.submission.maximumFailures), event.evidence);
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -23,6 +24,9 @@
         /// The entry lease of each job: if the entry host has neither submitted the job nor extended this lease for that long, the
         /// job is dropped and its runs are stopped.
         Milliseconds entryLease { 700 };
+        /// The longest time that a message of an entry host may be in transit. Messages that took longer are not to be passed to the
+        /// scheduler.
+        Milliseconds maximumTransitTime { 250 };
         /// How long the outcome of a job is kept, in case the notice to its entry host was lost.
         Milliseconds outcomeRetention { 10'000 };
         /// Jobs beyond this number of open jobs are refused.
@@ -116,6 +120,8 @@
         /// The target and the number of the last run.
         std::string target;
         uint64_t run { 0 };
+        /// When the leases of the last run expired, if that is all that is known of its end.
+        std::optional<Instant> leasesExpiredAt;
     };
 
     /// The sort key of the job queue; smaller ranks are served first.
@@ -179,6 +185,7 @@
     [[nodiscard]] int64_t largestFreeCapacity(Instant now) const;
     [[nodiscard]] bool mayStartTasks(const Job&, Instant now) const;
     void processEvents(Target&, Instant now);
+    [[nodiscard]] bool mayHaveBeenTakenOver(const Job&, const Task&) const;
     void observeRun(const Job&, Target&, Milliseconds duration, Instant now);
     void onRunEnded(Target&, const TargetSession::Event&, Instant now);
     void onRunDiscovered(TargetSession&, const RunId&, Instant now);
--- a/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
@@ -18,6 +18,14 @@
     return now >= job.otherShardRunsEndAt && (now >= job.earlierRunsEndAt || this->allTargetsClaimed()) && now < job.deadline && now - job.lease->lastExtendedAt < this->options.entryLease;
 }
 
+// Returns whether the last run of a waiting task may continue although its leases have expired here. Another dispatcher that has
+// claimed the target may have adopted the run and extended its leases, if the entry host has handed the job over to it. A message
+// that the entry host sent here later shows that it has not.
+bool TaskScheduler::mayHaveBeenTakenOver(const Job& job, const Task& task) const
+{
+    return task.leasesExpiredAt && job.lease->lastExtendedAt <= *task.leasesExpiredAt + this->options.maximumTransitTime;
+}
+
 class TaskScheduler::ExpectedRunTimes {
 public:
     ExpectedRunTimes(const SpeedEstimator& speeds, const Submission& submission)
@@ -77,7 +85,7 @@
     ExpectedRunTimes expectedRunTimes(this->speeds, job.submission);
     for (size_t index = 0; index < job.tasks.size() && job.waiting > 0; ++index) {
         auto& task = job.tasks[index];
-        if (task.state != TaskState::Waiting)
+        if (task.state != TaskState::Waiting || this->mayHaveBeenTakenOver(job, task))
             continue;
         auto* session = this->chooseTarget(job, expectedRunTimes, now);
         if (!session)
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -49,7 +49,7 @@
 // Entry hosts rely on the dispatcher ignoring messages that were delayed in transit.
 bool DispatchService::isDelayed(const std::string& from, uint64_t incarnation, Milliseconds::rep sentAt)
 {
-    if (this->transitTimes.excessTransitTime(from, incarnation, Milliseconds(sentAt), this->context.now()) <= jobOwnerOptions.maximumTransitTime)
+    if (this->transitTimes.excessTransitTime(from, incarnation, Milliseconds(sentAt), this->context.now()) <= jobOwnerOptions.scheduler.maximumTransitTime)
         return false;
     this->context.metrics.count("held_up_messages_total");
     return true;
--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -175,7 +175,7 @@
             });
         });
     };
-    auto isDelayed = [this, clock, name = sender.name, incarnation = sender.incarnation](Shard& shard) { return shard.transitTimes->excessTransitTime(name, incarnation, clock, this->now) > JobOwner::Options {}.maximumTransitTime; };
+    auto isDelayed = [this, clock, name = sender.name, incarnation = sender.incarnation](Shard& shard) { return shard.transitTimes->excessTransitTime(name, incarnation, clock, this->now) > JobOwner::Options {}.scheduler.maximumTransitTime; };
     for (const auto& handover : effects.handovers) {
         send(handover.dispatcher, [this, isDelayed, name = sender.name, submission = handover.submission](Shard& shard) {
             if (!isDelayed(shard))
--- a/Tests/LibScheduler/TestTaskScheduler.cpp
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -187,6 +187,53 @@
     BOOST_TEST(fleet.runUntil([&] { return fleet.targets.at("target-a").running().empty(); }, 650ms));
 }
 
+// Each of the dispatchers reaches one of the targets only. The entry host hands the job over to the second one, which adopts the run,
+// shortly after its last renewal to the first one, where the leases of the run expire before the entry lease.
+BOOST_AUTO_TEST_CASE(task_is_not_started_again_while_another_dispatcher_extends_its_run)
+{
+    auto fleet = makeFleet(2, { 32, 32 });
+    fleet.runTime = 5s;
+    fleet.entriesRenew = false;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 1, 27));
+    fleet.run(100ms);
+    BOOST_REQUIRE(fleet.targets.at("target-a").running().size() == 1U);
+    fleet.injectFault = [](size_t dispatcher, const TargetInstance& instance, bool) {
+        return SimulatedFleet::OrderFault { 1ms, false, instance.identity == (dispatcher == 0 ? "target-a" : "target-b") };
+    };
+    fleet.dispatchers[1]->activate(secondFence, fleet.now);
+    fleet.run(200ms);
+    (void)fleet.dispatchers[0]->renew("entry", { "job" }, fleet.now);
+    auto resubmission = makeJob("job", 1, 27);
+    resubmission.firstRunNumber = 1001;
+    resubmission.untilEarlierRunsEnd = 1250;
+    fleet.submit(1, resubmission);
+    for (int i = 0; i < 10; ++i) {
+        fleet.run(200ms);
+        (void)fleet.dispatchers[1]->renew("entry", { "job" }, fleet.now);
+    }
+    BOOST_TEST(fleet.targets.at("target-a").running().size() == 1U);
+    BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
+}
+
+// The other dispatcher ends without adopting the run. The entry host stays with the first one, which learns of that by a renewal.
+BOOST_AUTO_TEST_CASE(task_of_a_fenced_target_is_started_elsewhere_after_a_later_renewal)
+{
+    auto fleet = makeFleet(2, { 32, 32 });
+    fleet.runTime = 5s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 1, 27));
+    fleet.run(100ms);
+    BOOST_REQUIRE(fleet.targets.at("target-a").running().size() == 1U);
+    fleet.injectFault = [](size_t dispatcher, const TargetInstance& instance, bool) { return SimulatedFleet::OrderFault { 1ms, false, dispatcher == 1 && instance.identity == "target-b" }; };
+    fleet.dispatchers[1]->activate(secondFence, fleet.now);
+    fleet.run(100ms);
+    fleet.dispatchers[1]->deactivate();
+    // The leases expire after 612 ms, and a renewal that arrives more than 250 ms later follows within 250 ms.
+    BOOST_TEST(fleet.runUntil([&] { return fleet.targets.at("target-b").starts == 1; }, 612ms + 500ms + 50ms));
+    BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
+}
+
 // The entry host has withdrawn the first job, but its cancellation was lost.
 BOOST_AUTO_TEST_CASE(run_of_a_withdrawn_job_is_not_kept_alive_by_other_jobs_of_its_entry_host)
 {
