LibScheduler: Stop the runs of a job that is handed back

Cause: an entry host hands a job over to a second dispatcher and then back to the first, where its cancellation was lost. The first one took the new submission for one of another entry host, went on with the run, and extended it; the second one starts the task when that run has to have ended. The waits that the submission names were ignored as well.

Ruled out: a repeated delivery of the same submission looks alike; it has the same first run number and is ignored.

Now a submission with a higher first run number from the same process, or one that names runs of other dispatchers, drops the open job first. Its runs are stopped under the lease that they had, the task counts as placed until they have ended, and the waits apply. A job that a caller submits again through another entry host goes on as before.

Failed before: run_of_a_job_that_was_withdrawn_and_handed_back_is_not_ continued: the run was still there, and no run with a new number started.

--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -95,13 +95,16 @@
 {
     if (!this->isActive())
         return;
-    auto known = this->jobs.find(submission.job);
-    if (known != this->jobs.end()) {
-        // The caller submitted the job again through another entry host.
-        known->second.entry = entry;
-        known->second.lease->lastExtendedAt = now;
-        known->second.deadline = std::max(known->second.deadline, now + Milliseconds(submission.untilDeadline));
-        return;
+    if (auto known = this->jobs.find(submission.job); known != this->jobs.end()) {
+        auto& job = known->second;
+        bool isSameEntry = job.entry == entry && job.submission.entryIncarnation == submission.entryIncarnation;
+        if (isSameEntry && submission.firstRunNumber <= job.submission.firstRunNumber)
+            return;
+        bool mayRunElsewhere = submission.untilEarlierRunsEnd > 0 || submission.untilOtherShardRunsEnd > 0;
+        if (!isSameEntry && !mayRunElsewhere)
+            return this->takeOver(job, entry, submission, now);
+        // The entry host withdrew the job in between, and another dispatcher may rely on the end of the runs here.
+        this->dropJob(submission.job, "the entry host handed the job over again", now);
     }
     uint64_t firstRunNumber = submission.firstRunNumber;
     auto finishedEarlier = this->finishedJobs.find(submission.job);
@@ -132,6 +135,16 @@
     this->needsPlacement = true;
 }
 
+// Called when the caller has submitted the job again through another entry host.
+void TaskScheduler::takeOver(Job& job, const std::string& entry, const Submission& submission, Instant now)
+{
+    job.entry = entry;
+    job.submission.entryIncarnation = submission.entryIncarnation;
+    job.submission.firstRunNumber = submission.firstRunNumber;
+    job.lease->lastExtendedAt = now;
+    job.deadline = std::max(job.deadline, now + Milliseconds(submission.untilDeadline));
+}
+
 // Adopts the runs that an earlier dispatcher started for the job. A task counts as placed on a run that is being stopped until
 // that run has ended.
 void TaskScheduler::adoptRuns(Job& job, Instant now)
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -60,7 +60,8 @@
     void onReport(const Membership::TargetReport&, Instant now);
     void onTargetGone(const std::string& identity, Instant now);
 
-    /// Queues or refuses a job. If the job is open here already, it now belongs to this entry host.
+    /// Queues or refuses a job. If the job is open here from another entry host, it now belongs to this one. If it is open from the
+    /// same one, that has withdrawn the job and handed it over again: its runs are stopped, and it is queued like a new job.
     void submit(const std::string& entry, const Submission&, Instant now);
     /// Drops a job, unless it belongs to another entry host.
     void cancel(const std::string& entry, const std::string& job, Instant now);
@@ -189,6 +190,7 @@
     void observeRun(const Job&, Target&, Milliseconds duration, Instant now);
     void onRunEnded(Target&, const TargetSession::Event&, Instant now);
     void onRunDiscovered(TargetSession&, const RunId&, Instant now);
+    void takeOver(Job&, const std::string& entry, const Submission&, Instant now);
     void adoptRuns(Job&, Instant now);
     void adoptRun(Job&, Task&, TargetSession&, const RunId&, Instant now);
     void finishJob(const std::string& job, JobEnd, std::string reason, Instant now);
--- a/Tests/LibScheduler/TestTaskScheduler.cpp
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -234,6 +234,29 @@
     BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
 }
 
+// The entry host has handed the job over to a dispatcher of another shard and back, and its cancellation was lost. The other
+// dispatcher starts the task once the run here has ended.
+BOOST_AUTO_TEST_CASE(run_of_a_job_that_was_withdrawn_and_handed_back_is_not_continued)
+{
+    auto fleet = makeFleet(1, { 64 });
+    fleet.runTime = 30s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 1, 27));
+    fleet.run(200ms);
+    BOOST_REQUIRE(fleet.targets.at("target-a").running().size() == 1U);
+    auto handedBack = makeJob("job", 1, 27);
+    handedBack.firstRunNumber = 2001;
+    handedBack.untilOtherShardRunsEnd = 1250;
+    fleet.submit(0, handedBack);
+    fleet.run(100ms);
+    BOOST_TEST(fleet.targets.at("target-a").running().empty());
+    fleet.run(1100ms);
+    BOOST_TEST(fleet.targets.at("target-a").starts == 1U);
+    fleet.run(200ms);
+    BOOST_TEST(fleet.targets.at("target-a").starts == 2U);
+    BOOST_TEST(fleet.targets.at("target-a").running().begin()->first.number >= 2001U);
+}
+
 // The entry host has withdrawn the first job, but its cancellation was lost.
 BOOST_AUTO_TEST_CASE(run_of_a_withdrawn_job_is_not_kept_alive_by_other_jobs_of_its_entry_host)
 {
