LibScheduler, sassafrasshiftd: Wait for the runs of a target that is said to be gone

Callers could see a task run twice. Three messages were taken as proof that all runs of a target had ended, so that their tasks were started elsewhere at once while they ran on there: a removal, which named no incarnation and may arrive late, twice, or while the process still ends its runs; a report with a later incarnation or another address, which another writer may have sent; and a refusal in the name of another incarnation. None of them comes from the process that has the runs. A dispatcher that began right after a removal did not know the target at all, and started the jobs that were handed over to it while the leases of the former dispatcher went on.

Such a message now retires the session: it gets no more runs, its lease is not extended, it is asked for lists, and its runs are kept until a list or the end of their leases proves the end. A later report of the same incarnation brings it back. A removal names the incarnation, and one of an earlier incarnation is ignored. The same target at two addresses has two sessions. A report of a later incarnation at the same address makes the session ask for a list before the next start; a list by the later incarnation proves the end of the earlier runs at once, since one process listens at an address. Reports of removed targets are kept, so that late ones are recognized and a new dispatcher claims a target that was removed less than 2 s ago.

Ruled out: that a caller pays more than the lease.

Failed before, each with two runs at once: late_removal_of_a_target_does_not_start_its_tasks_elsewhere, target_that_reports_again_after_its_removal_keeps_its_runs, report_of_an_incarnation_that_does_not_exist_does_not_start_a_task_twice, report_of_another_address_does_not_start_a_task_twice (same and later incarnation), new_dispatcher_waits_for_the_leases_of_a_target_that_was_removed_just_before. removal_of_an_earlier_incarnation_is_ignored failed with one target known instead of two. The other new tests passed before; they bound what the wait costs.

New lines: target-retired (runs, longest lease left) and removal-ignored.

--- a/Libraries/LibScheduler/Decision.h
+++ b/Libraries/LibScheduler/Decision.h
@@ -13,6 +13,10 @@
     enum class Kind {
         TargetAnswers,
         TargetSilent,
+        /// The target gets no more runs; those that it has are waited for.
+        TargetRetired,
+        /// A message that the target has ended is older than what is known of the target.
+        RemovalIgnored,
         TargetGone,
         TargetFenced,
         StartUnanswered,
--- a/Libraries/LibScheduler/RunEvidence.cpp
+++ b/Libraries/LibScheduler/RunEvidence.cpp
@@ -11,8 +11,6 @@
         return "absent";
     case RunEndProof::LeaseExpired:
         return "lease-expired";
-    case RunEndProof::TargetGone:
-        return "target-gone";
     case RunEndProof::StartRefused:
         return "start-refused";
     case RunEndProof::StartNotSent:
--- a/Libraries/LibScheduler/RunEvidence.h
+++ b/Libraries/LibScheduler/RunEvidence.h
@@ -16,8 +16,6 @@
     Absent,
     /// All leases that the target may have for the run have expired.
     LeaseExpired,
-    /// The target is taken as ended.
-    TargetGone,
     /// The target refused the start order.
     StartRefused,
     /// No byte of the start order was sent.
--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -12,6 +12,8 @@
 // as silent and ejected.
 static constexpr int failureThreshold { 2 };
 static constexpr Milliseconds stopRetryInterval { 120 };
+// The interval between attempts to get a list from a retired target that does not answer.
+static constexpr Milliseconds retiredRetryInterval { 100 };
 // A reading of the target's clock that is this much below an earlier one comes from another process. Answers that overtake each
 // other differ by less.
 static constexpr int64_t clockResetThresholdMilliseconds = 1000;
@@ -32,10 +34,21 @@
     return TargetInstance { this->report.identity, this->report.incarnation, this->report.address };
 }
 
-void TargetSession::updateReport(const Membership::TargetReport& latest)
+void TargetSession::updateReport(const Membership::TargetReport& latest, Instant now)
 {
-    if (latest.sequence >= this->report.sequence)
+    if (latest.incarnation < this->report.incarnation)
+        return;
+    bool isLaterIncarnation = latest.incarnation > this->report.incarnation;
+    bool isKnown = !isLaterIncarnation || (this->unconfirmedReport && this->unconfirmedReport->incarnation == latest.incarnation);
+    if (isLaterIncarnation)
+        this->unconfirmedReport = latest;
+    else if (latest.sequence >= this->report.sequence)
         this->report = latest;
+    bool wasRetired = this->phase == Phase::Retired;
+    if (wasRetired)
+        this->phase = Phase::Claiming;
+    if (wasRetired || !isKnown)
+        this->reclaim(this->fence, now);
 }
 
 void TargetSession::reclaim(uint64_t token, Instant now)
@@ -43,14 +56,43 @@
     if (this->phase == Phase::Gone)
         return;
     this->fence = token;
-    this->phase = Phase::Claiming;
+    this->hasRunList = false;
     this->openHold.reset();
     this->openProbe.reset();
     this->nextHold = now;
     this->assumeUnknownLeases(now);
+    if (this->phase != Phase::Retired)
+        this->phase = Phase::Claiming;
     this->sendHold(now);
 }
 
+void TargetSession::retire(Instant now)
+{
+    if (this->phase == Phase::Retired || this->phase == Phase::Gone)
+        return;
+    this->hasRunList = this->phase == Phase::Claimed;
+    if (!this->hasRunList)
+        this->assumeUnknownLeases(now);
+    this->phase = Phase::Retired;
+    this->nextHold = now;
+    this->addEvent(Event::Kind::Retired);
+    this->events.back().openRuns = this->knownRuns.size();
+    this->events.back().untilLeaseEnd = this->untilLeaseEnd(now);
+    this->tickRetired(now);
+}
+
+// The orders of a retired target extend no lease: they ask for lists, and stop runs.
+void TargetSession::tickRetired(Instant now)
+{
+    bool haveExpired = this->haveLeasesExpired(now);
+    if (haveExpired)
+        this->finishAll(RunEnd::Lapsed, RunEndProof::LeaseExpired, now);
+    if (this->knownRuns.empty() && (this->hasRunList || haveExpired)) {
+        this->phase = Phase::Gone;
+        this->addEvent(Event::Kind::Gone);
+    }
+}
+
 // Another dispatcher may have obtained leases from the target until now. They are unknown here, so each is assumed to be as long
 // as possible.
 void TargetSession::assumeUnknownLeases(Instant now)
@@ -115,14 +157,15 @@
 TargetSession::OpenHold TargetSession::makeHold(Milliseconds wait, Instant now)
 {
     OpenHold hold { this->nextHoldNumber++, now };
-    this->orders.holds.push_back(HoldOrder { this->instance(), hold.number, this->fence, this->lastEndSeen, this->leaseEnd(now), wait });
+    auto end = this->phase == Phase::Retired ? 0 : this->leaseEnd(now);
+    this->orders.holds.push_back(HoldOrder { this->instance(), hold.number, this->fence, this->lastEndSeen, end, wait });
     this->lastEndAcknowledged = this->lastEndSeen;
     return hold;
 }
 
 void TargetSession::sendHold(Instant now)
 {
-    bool waitsForEnd = this->phase == Phase::Claimed && this->clock;
+    bool waitsForEnd = (this->phase == Phase::Claimed || this->phase == Phase::Retired) && this->clock;
     this->openHold = this->makeHold(waitsForEnd ? this->options.holdWait : Milliseconds(0), now);
 }
 
@@ -182,11 +225,17 @@
     RunEvidence evidence { proof, this->report.incarnation, this->fence, run.stopOrders, Milliseconds(0), Milliseconds(0) };
     if (run.firstStopSentAt)
         evidence.sinceFirstStop = std::chrono::duration_cast<Milliseconds>(now - *run.firstStopSentAt);
-    if (this->clock && this->latestLeaseEnd > 0)
-        evidence.untilLeaseEnd = Milliseconds(this->latestLeaseEnd - *this->clock) - std::chrono::duration_cast<Milliseconds>(now - this->clockReadAt);
+    evidence.untilLeaseEnd = this->untilLeaseEnd(now);
     return evidence;
 }
 
+Milliseconds TargetSession::untilLeaseEnd(Instant now) const
+{
+    if (!this->clock || this->latestLeaseEnd == 0)
+        return Milliseconds(0);
+    return Milliseconds(this->latestLeaseEnd - *this->clock) - std::chrono::duration_cast<Milliseconds>(now - this->clockReadAt);
+}
+
 void TargetSession::finish(std::map<RunId, Run>::iterator position, std::optional<RunEnd> end, RunEndProof proof, Instant now, bool staleNumber)
 {
     const auto& run = position->second;
@@ -196,13 +245,16 @@
     // If the preceding hold orders were not answered, the run may have ended long before now.
     bool isKnown = run.startedAt != Instant {} && this->unansweredHolds == 0;
     auto duration = isKnown ? std::chrono::duration_cast<Milliseconds>(now - run.startedAt) : Milliseconds(0);
-    this->events.push_back(Event { Event::Kind::Ended, position->first, end, staleNumber, duration, this->evidence(run, proof, now) });
+    this->events.push_back(Event { Event::Kind::Ended, position->first, end, staleNumber, duration, this->evidence(run, proof, now), 0, Milliseconds(0) });
     this->knownRuns.erase(position);
 }
 
 void TargetSession::addEvent(Event::Kind kind, const RunId& run)
 {
-    this->events.push_back(Event { kind, run, {}, false, {}, {} });
+    Event event;
+    event.kind = kind;
+    event.run = run;
+    this->events.push_back(std::move(event));
 }
 
 void TargetSession::finishAll(std::optional<RunEnd> end, RunEndProof proof, Instant now)
@@ -211,14 +263,6 @@
         this->finish(this->knownRuns.begin(), end, proof, now);
 }
 
-void TargetSession::markGone(Instant now)
-{
-    this->phase = Phase::Gone;
-    this->openHold.reset();
-    this->finishAll({}, RunEndProof::TargetGone, now);
-    this->addEvent(Event::Kind::Gone);
-}
-
 void TargetSession::eject(Milliseconds duration, Instant now)
 {
     this->ejectedUntil = std::max(this->ejectedUntil, now + duration);
@@ -237,14 +281,14 @@
 {
     switch (reason) {
     case OrderRefusal::Fenced:
-        if (this->phase != Phase::Fenced && this->phase != Phase::Gone) {
+        if (this->phase == Phase::Claiming || this->phase == Phase::Claimed) {
             this->phase = Phase::Fenced;
             this->openHold.reset();
             this->addEvent(Event::Kind::Fenced);
         }
         return;
     case OrderRefusal::OtherIncarnation:
-        this->markGone(now);
+        this->retire(now);
         return;
     case OrderRefusal::Unhealthy:
         this->countFailure(now);
@@ -290,13 +334,16 @@
     if (!list.incarnation.empty() && list.incarnation != this->report.incarnation)
         this->onRestart(list.incarnation, now);
     this->isIncarnationConfirmed = this->isIncarnationConfirmed || !list.incarnation.empty();
+    this->unconfirmedReport.reset();
     this->observeClock(list.clock, now);
     // Another dispatcher may have renewed the leases of runs on this target until it answered.
-    if (this->phase != Phase::Claimed)
+    if (!this->knowsAllRuns())
         this->assumeUnknownLeases(now);
-    if (this->phase != Phase::Claimed || this->unansweredHolds >= failureThreshold)
+    if (!this->knowsAllRuns() || this->unansweredHolds >= failureThreshold)
         this->addEvent(Event::Kind::Answering);
-    this->phase = Phase::Claimed;
+    if (this->phase != Phase::Retired)
+        this->phase = Phase::Claimed;
+    this->hasRunList = true;
     this->applyRunList(list, hold.sentAt, now);
     this->unansweredHolds = 0;
     this->hasUnansweredStart = false;
@@ -306,6 +353,8 @@
 {
     ++this->unansweredHolds;
     this->nextHold = now + (this->knownRuns.empty() ? this->options.claimRetryInterval : Milliseconds(0));
+    if (this->phase == Phase::Retired)
+        this->nextHold = now + retiredRetryInterval;
     if (this->unansweredHolds == failureThreshold)
         this->addEvent(Event::Kind::Silent);
     if (this->unansweredHolds >= failureThreshold)
@@ -323,8 +372,11 @@
 void TargetSession::onRestart(const std::string& incarnation, Instant now)
 {
     ++this->restarts;
+    if (this->unconfirmedReport && this->unconfirmedReport->incarnation == incarnation)
+        this->report = *this->unconfirmedReport;
+    else
+        this->report.sequence = 0;
     this->report.incarnation = incarnation;
-    this->report.sequence = 0;
     this->lastEndSeen = 0;
     this->lastEndAcknowledged = 0;
     this->latestLeaseEnd = 0;
@@ -444,7 +496,7 @@
 // Returns whether a hold order is needed to renew leases, to acknowledge the ends of runs, or to claim the target.
 bool TargetSession::needsHold() const
 {
-    return !this->knownRuns.empty() || this->lastEndSeen > this->lastEndAcknowledged || this->phase == Phase::Claiming;
+    return !this->knownRuns.empty() || this->lastEndSeen > this->lastEndAcknowledged || this->phase == Phase::Claiming || this->phase == Phase::Retired;
 }
 
 void TargetSession::tick(Instant now)
@@ -456,12 +508,14 @@
         if (open && now >= open->sentAt + holdTimeout)
             this->onHoldAnswer(open->number, Unanswered {}, now);
     }
-    if (this->haveLeasesExpired(now) && !this->knownRuns.empty()) {
+    if (this->phase == Phase::Retired)
+        this->tickRetired(now);
+    else if (this->haveLeasesExpired(now) && !this->knownRuns.empty()) {
         this->finishAll(RunEnd::Lapsed, RunEndProof::LeaseExpired, now);
         if (this->phase == Phase::Claimed)
             this->reclaim(this->fence, now);
     }
-    if (this->phase == Phase::Fenced)
+    if (this->phase == Phase::Fenced || this->phase == Phase::Gone)
         return;
     std::vector<RunId> orphans;
     for (auto& [id, run] : this->knownRuns) {
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -79,7 +79,9 @@
             Ended,
             /// The target reported a run that this session did not start.
             Discovered,
-            /// The incarnation and all of its runs are gone.
+            /// The target gets no more runs, since it is said to have ended or moved; its runs are waited for.
+            Retired,
+            /// The target was retired, and all of its runs have ended.
             Gone,
             /// The target has stopped answering.
             Silent,
@@ -100,6 +102,9 @@
         Milliseconds duration { 0 };
         /// For `Ended`.
         std::optional<RunEvidence> evidence;
+        /// For `Retired`: how many runs are known, and the time until the latest lease ends.
+        size_t openRuns { 0 };
+        Milliseconds untilLeaseEnd { 0 };
     };
 
     /// The orders to send to the target.
@@ -111,8 +116,9 @@
 
     TargetSession(Membership::TargetReport, uint64_t fence, LeaseOptions, Instant now);
 
-    /// Stores a report of the same incarnation, unless it is older than the current one.
-    void updateReport(const Membership::TargetReport&);
+    /// Stores a report from the target's address, unless it is older than the current one. A target that was retired is used
+    /// again. After a report of a later incarnation no run is started before a list has named the incarnation.
+    void updateReport(const Membership::TargetReport&, Instant now);
     /// Claims the target again, with a higher fencing token or because the state recorded here may be outdated.
     void reclaim(uint64_t fence, Instant now);
 
@@ -134,8 +140,9 @@
     /// Handles timeouts and expired leases, and sends the orders that are due.
     void tick(Instant now);
 
-    /// Called when the target has ended or another incarnation has replaced it.
-    void markGone(Instant now);
+    /// Called when the target is said to have ended, or to be at another address. No run is started there any more and no lease is
+    /// extended. The runs are kept until a list or the end of their leases proves that they have ended; then the session is gone.
+    void retire(Instant now);
 
     [[nodiscard]] std::vector<Event> takeEvents();
     [[nodiscard]] bool hasOrders() const { return !this->orders.holds.empty() || !this->orders.starts.empty() || !this->orders.stops.empty(); }
@@ -145,6 +152,9 @@
     [[nodiscard]] const std::map<RunId, Run>& runs() const { return this->knownRuns; }
     [[nodiscard]] bool isClaimed() const { return this->phase == Phase::Claimed; }
     [[nodiscard]] bool isFenced() const { return this->phase == Phase::Fenced; }
+    /// Whether all runs on the target are known, also those that other dispatchers have started.
+    [[nodiscard]] bool knowsAllRuns() const { return this->phase == Phase::Claimed || (this->phase == Phase::Retired && this->hasRunList); }
+    [[nodiscard]] bool isRetired() const { return this->phase == Phase::Retired; }
     [[nodiscard]] bool isGone() const { return this->phase == Phase::Gone; }
 
 private:
@@ -154,6 +164,8 @@
         Claimed,
         /// Another dispatcher has claimed the target.
         Fenced,
+        /// The target gets no more runs; see retire().
+        Retired,
         Gone,
     };
 
@@ -184,6 +196,8 @@
     void applyRunList(const RunList&, Instant sentAt, Instant now);
     void applyRunningRuns(const RunList&, Instant sentAt, Instant now);
     void finish(std::map<RunId, Run>::iterator, std::optional<RunEnd>, RunEndProof, Instant now, bool staleNumber = false);
+    void tickRetired(Instant now);
+    [[nodiscard]] Milliseconds untilLeaseEnd(Instant now) const;
     void finishAll(std::optional<RunEnd>, RunEndProof, Instant now);
     [[nodiscard]] RunEvidence evidence(const Run&, RunEndProof, Instant now) const;
     void onRefusal(OrderRefusal, Instant now);
@@ -192,6 +206,8 @@
     void countFailure(Instant now);
 
     Membership::TargetReport report;
+    /// The report of a later incarnation that no list has named yet.
+    std::optional<Membership::TargetReport> unconfirmedReport;
     LeaseOptions options;
     Phase phase { Phase::Claiming };
     uint64_t fence { 0 };
@@ -219,6 +235,8 @@
     Instant unknownLeasesEndAt {};
     /// When the last order was sent that asked for a lease.
     Instant lastLeaseOrderAt {};
+    /// Whether a list was received since the target was last claimed or retired.
+    bool hasRunList { false };
     /// Whether a list of the target has named its incarnation, and how often the target has restarted since.
     bool isIncarnationConfirmed { false };
     uint32_t restarts { 0 };
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -11,6 +11,10 @@
 // How many run numbers are skipped when a target refuses a run because it has had a run of the same task with the same or a higher
 // number.
 static constexpr uint64_t staleRunNumberStep { 100 };
+// For how long after a target has announced its end an earlier dispatcher may keep runs there alive, because it has not been told.
+static constexpr Milliseconds removalNoticeTime { 2000 };
+// How long the report of a removed target is kept, so that an earlier report of it that arrives late is recognized.
+static constexpr Milliseconds removedReportRetention { 10'000 };
 
 TaskScheduler::TaskScheduler(Options options)
     : options(options)
@@ -23,13 +27,17 @@
     this->fence = token;
     this->selector = std::move(newSelector);
     if (wasActive) {
-        for (auto& [identity, target] : this->targets)
+        for (auto& [key, target] : this->targets)
             target.session.reclaim(token, now);
         return;
     }
-    for (const auto& [identity, report] : this->reports) {
-        if (this->isSelected(report))
-            this->targets.emplace(identity, Target { TargetSession(report, token, this->options.leases, now), {} });
+    for (const auto& [identity, known] : this->reports) {
+        bool isGone = known.removedAt && now - *known.removedAt >= removalNoticeTime;
+        if (isGone || !this->isSelected(known.report))
+            continue;
+        auto& session = this->targets.emplace(TargetKey { identity, known.report.address }, Target { TargetSession(known.report, token, this->options.leases, now), {} }).first->second.session;
+        if (known.removedAt)
+            session.retire(now);
     }
 }
 
@@ -44,52 +52,68 @@
     this->effects = {};
 }
 
+bool TaskScheduler::isOutdated(const KnownReport& known, const TargetReport& report)
+{
+    if (report.incarnation != known.report.incarnation)
+        return report.incarnation < known.report.incarnation;
+    return known.removedAt ? report.sequence <= known.report.sequence : report.sequence < known.report.sequence;
+}
+
 void TaskScheduler::onReport(const TargetReport& report, Instant now)
 {
     auto known = this->reports.find(report.identity);
-    if (known != this->reports.end()) {
-        bool isOlder = report.incarnation < known->second.incarnation || (report.incarnation == known->second.incarnation && report.sequence < known->second.sequence);
-        if (isOlder)
-            return;
-    }
-    this->reports.insert_or_assign(report.identity, report);
-    if (!this->isActive())
+    if (known != this->reports.end() && isOutdated(known->second, report))
         return;
-    auto position = this->targets.find(report.identity);
-    if (position != this->targets.end()) {
-        auto& session = position->second.session;
-        if (!session.isGone() && session.target().incarnation == report.incarnation && session.target().address == report.address) {
-            session.updateReport(report);
-            this->needsPlacement = true;
-            return;
-        }
-        session.markGone(now);
+    this->reports.insert_or_assign(report.identity, KnownReport { report, {} });
+    if (this->isActive())
+        this->applyReport(report, now);
+}
+
+void TaskScheduler::applyReport(const TargetReport& report, Instant now)
+{
+    TargetKey current { report.identity, report.address };
+    for (auto position = this->targets.lower_bound(TargetKey { report.identity, {} }); position != this->targets.end() && position->first.identity == report.identity; ++position) {
+        if (position->first == current)
+            position->second.session.updateReport(report, now);
+        else
+            position->second.session.retire(now);
         this->processEvents(position->second, now);
-        this->targets.erase(position);
     }
-    if (!this->isSelected(report))
-        return;
-    this->targets.emplace(report.identity, Target { TargetSession(report, this->fence, this->options.leases, now), {} });
+    this->removeGoneTargets();
+    if (!this->targets.contains(current) && this->isSelected(report))
+        this->targets.emplace(current, Target { TargetSession(report, this->fence, this->options.leases, now), {} });
+    this->needsPlacement = true;
 }
 
-void TaskScheduler::onTargetGone(const std::string& identity, Instant now)
+void TaskScheduler::onTargetGone(const std::string& identity, const std::string& incarnation, Instant now)
 {
-    this->reports.erase(identity);
-    auto position = this->targets.find(identity);
-    if (position == this->targets.end())
+    auto known = this->reports.find(identity);
+    if (known != this->reports.end() && !incarnation.empty() && incarnation < known->second.report.incarnation) {
+        this->recordDecision(Decision::Kind::RemovalIgnored, identity, {}, "incarnation " + incarnation + " has ended, and incarnation " + known->second.report.incarnation + " is known");
         return;
-    position->second.session.markGone(now);
-    this->processEvents(position->second, now);
-    this->targets.erase(position);
+    }
+    if (known != this->reports.end())
+        known->second.removedAt = now;
+    std::erase_if(this->reports, [&](const auto& entry) { return entry.second.removedAt && now - *entry.second.removedAt > removedReportRetention; });
+    for (auto position = this->targets.lower_bound(TargetKey { identity, {} }); position != this->targets.end() && position->first.identity == identity; ++position) {
+        auto& session = position->second.session;
+        if (incarnation.empty() || session.target().incarnation <= incarnation)
+            session.retire(now);
+        this->processEvents(position->second, now);
+    }
+    this->removeGoneTargets();
     this->needsPlacement = true;
 }
 
+void TaskScheduler::removeGoneTargets()
+{
+    std::erase_if(this->targets, [](const auto& entry) { return entry.second.session.isGone(); });
+}
+
 TaskScheduler::Target* TaskScheduler::findTarget(const TargetInstance& instance)
 {
-    auto position = this->targets.find(instance.identity);
-    if (position == this->targets.end() || position->second.session.target().address != instance.address)
-        return nullptr;
-    return &position->second;
+    auto position = this->targets.find(TargetKey { instance.identity, instance.address });
+    return position == this->targets.end() ? nullptr : &position->second;
 }
 
 void TaskScheduler::submit(const std::string& entry, const Submission& submission, Instant now)
@@ -136,7 +160,7 @@
 // that run has ended.
 void TaskScheduler::adoptRuns(Job& job)
 {
-    for (auto& [identity, target] : this->targets) {
+    for (auto& [key, target] : this->targets) {
         std::vector<RunId> found;
         const auto& runs = target.session.runs();
         for (auto position = runs.lower_bound(RunId { TaskId { job.submission.job, 0, 0, 0 }, 0 }); position != runs.end() && position->first.task.job == job.submission.job; ++position)
@@ -215,7 +239,7 @@
 // Stops all runs of a job, including those that another dispatcher started and that were not adopted.
 void TaskScheduler::stopRuns(const std::string& job, Instant now)
 {
-    for (auto& [identity, target] : this->targets) {
+    for (auto& [key, target] : this->targets) {
         std::vector<RunId> found;
         const auto& runs = target.session.runs();
         for (auto position = runs.lower_bound(RunId { TaskId { job, 0, 0, 0 }, 0 }); position != runs.end() && position->first.task.job == job; ++position)
@@ -307,8 +331,11 @@
         case Kind::Discovered:
             this->onRunDiscovered(target.session, event.run);
             break;
+        case Kind::Retired:
+            this->recordDecision(Decision::Kind::TargetRetired, identity, {}, "the target is said to have ended or moved; incarnation " + target.session.target().incarnation + " has " + std::to_string(event.openRuns) + " runs, whose leases end in " + std::to_string(event.untilLeaseEnd.count()) + " ms");
+            break;
         case Kind::Gone:
-            this->recordDecision(Decision::Kind::TargetGone, identity, {}, "the target ended, or another incarnation replaced it");
+            this->recordDecision(Decision::Kind::TargetGone, identity, {}, "a target that was retired has no runs left");
             break;
         case Kind::Silent:
             this->recordDecision(Decision::Kind::TargetSilent, identity, {}, "the target did not answer consecutive hold orders");
@@ -372,10 +399,11 @@
 {
     if (!this->isActive())
         return;
-    for (auto& [identity, target] : this->targets) {
+    for (auto& [key, target] : this->targets) {
         target.session.tick(now);
         this->processEvents(target, now);
     }
+    this->removeGoneTargets();
     this->needsPlacement = true;
     if (now < this->nextPeriodicCheck)
         return;
@@ -404,7 +432,7 @@
 // Removes targets that now belong to another shard, once they have no runs.
 void TaskScheduler::releaseUnselectedTargets()
 {
-    for (auto& [identity, target] : this->targets)
+    for (auto& [key, target] : this->targets)
         target.isSelected = this->isSelected(target.session.target());
     std::erase_if(this->targets, [](const auto& entry) { return !entry.second.isSelected && entry.second.session.runs().empty(); });
 }
@@ -415,7 +443,7 @@
         return;
     // Entry leases may have expired during the pause, so other dispatchers may have started the same tasks. Each target has to
     // report its runs before a new run is started there.
-    for (auto& [identity, target] : this->targets)
+    for (auto& [key, target] : this->targets)
         target.session.reclaim(this->fence, now);
 }
 
@@ -423,7 +451,7 @@
 {
     if (this->needsPlacement)
         this->placeWaitingTasks(now);
-    for (auto& [identity, target] : this->targets) {
+    for (auto& [key, target] : this->targets) {
         if (!target.session.hasOrders())
             continue;
         auto orders = target.session.takeOrders();
@@ -451,7 +479,7 @@
 size_t TaskScheduler::openRuns() const
 {
     size_t count = 0;
-    for (const auto& [identity, target] : this->targets)
+    for (const auto& [key, target] : this->targets)
         count += target.session.runs().size();
     return count;
 }
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -52,9 +52,11 @@
     void deactivate();
     [[nodiscard]] bool isActive() const { return this->fence != 0; }
 
-    /// Stores the report of a target, unless it is outdated. A report with a new incarnation or address replaces the target.
+    /// Stores the report of a target, unless it is outdated. A report with a new address retires the target at its former address.
     void onReport(const Membership::TargetReport&, Instant now);
-    void onTargetGone(const std::string& identity, Instant now);
+    /// Retires a target that has announced its end, unless a later incarnation is known. An empty incarnation stands for the one
+    /// that is known here. A later report brings the target back.
+    void onTargetGone(const std::string& identity, const std::string& incarnation, Instant now);
 
     /// Queues or refuses a job. If the job is open here already, it now belongs to this entry host.
     void submit(const std::string& entry, const Submission&, Instant now);
@@ -152,6 +154,20 @@
         Milliseconds waitTime { 0 };
     };
 
+    /// The same target at two addresses has a session for each, while the runs at its former address are waited for.
+    struct TargetKey {
+        std::string identity;
+        std::string address;
+
+        friend auto operator<=>(const TargetKey&, const TargetKey&) = default;
+    };
+
+    struct KnownReport {
+        Membership::TargetReport report;
+        /// When the target announced its end, if it did.
+        std::optional<Instant> removedAt;
+    };
+
     struct Target {
         TargetSession session;
         TargetSpeed speed;
@@ -201,14 +217,17 @@
     [[nodiscard]] Milliseconds expectedWait(const Submission&) const;
     [[nodiscard]] static double remainingWork(const Job&);
     Target* findTarget(const TargetInstance&);
+    [[nodiscard]] static bool isOutdated(const KnownReport&, const Membership::TargetReport&);
+    void applyReport(const Membership::TargetReport&, Instant now);
+    void removeGoneTargets();
 
     Options options;
     /// The fencing token of this dispatcher; zero while it is inactive.
     uint64_t fence { 0 };
     TargetSelector selector;
-    std::map<std::string, Target> targets;
+    std::map<TargetKey, Target> targets;
     /// The latest report of each target. Also collected while inactive, so that dispatching can start immediately.
-    std::map<std::string, Membership::TargetReport> reports;
+    std::map<std::string, KnownReport> reports;
     std::unordered_map<std::string, Job> jobs;
     /// The queue: all open jobs in the order in which they are served.
     std::map<Rank, Job*> jobsByRank;
--- a/Libraries/LibScheduler/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerAdmission.cpp
@@ -23,9 +23,9 @@
 double TaskScheduler::usableCapacity() const
 {
     double capacity = 0;
-    for (const auto& [identity, target] : this->targets) {
+    for (const auto& [key, target] : this->targets) {
         const auto& report = target.session.target();
-        if (report.state == TargetState::Serving && !target.session.isFenced())
+        if (report.state == TargetState::Serving && !target.session.isFenced() && !target.session.isRetired())
             capacity += static_cast<double>(report.capacity.milliCores);
     }
     return capacity * usableCapacityShare;
@@ -36,9 +36,9 @@
 {
     static constexpr double remainingShareOfRuns = 0.5;
     std::map<std::string, double> capacity;
-    for (const auto& [identity, target] : this->targets) {
+    for (const auto& [key, target] : this->targets) {
         const auto& report = target.session.target();
-        if (report.state == TargetState::Serving && !target.session.isFenced())
+        if (report.state == TargetState::Serving && !target.session.isFenced() && !target.session.isRetired())
             capacity[report.pool] += static_cast<double>(report.capacity.milliCores) * usableCapacityShare;
     }
     std::map<std::string, double> openWork;
@@ -74,9 +74,9 @@
     if (this->jobs.size() >= this->options.maximumJobs)
         return outcome;
     bool anyTarget = false;
-    for (const auto& [identity, target] : this->targets) {
+    for (const auto& [key, target] : this->targets) {
         const auto& report = target.session.target();
-        anyTarget = anyTarget || (report.pool == submission.pool && submission.needs.fitInto(report.capacity));
+        anyTarget = anyTarget || (report.pool == submission.pool && !target.session.isRetired() && submission.needs.fitInto(report.capacity));
     }
     if (!this->knowsAllTargets)
         return {};
--- a/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
@@ -10,7 +10,7 @@
 // Returns whether the runs on all targets of the shard are known here.
 bool TaskScheduler::allTargetsClaimed() const
 {
-    return this->knowsAllTargets && std::all_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.session.isClaimed(); });
+    return this->knowsAllTargets && std::all_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.session.knowsAllRuns(); });
 }
 
 bool TaskScheduler::mayStartTasks(const Job& job, Instant now) const
@@ -51,7 +51,7 @@
     const auto& submission = job.submission;
     TargetSession* best = nullptr;
     std::pair<Milliseconds, int64_t> bestScore {};
-    for (auto& [identity, target] : this->targets) {
+    for (auto& [key, target] : this->targets) {
         auto& session = target.session;
         const auto& report = session.target();
         if (!submission.needs.fitInto(session.freeCapacity()) || report.pool != submission.pool || !session.canStartRuns(now) || !target.isSelected)
@@ -98,7 +98,7 @@
 int64_t TaskScheduler::largestFreeCapacity(Instant now) const
 {
     int64_t largestFree = 0;
-    for (const auto& [identity, target] : this->targets) {
+    for (const auto& [key, target] : this->targets) {
         if (auto freeMilliCores = target.session.freeCapacity().milliCores; freeMilliCores > largestFree && target.session.canStartRuns(now))
             largestFree = freeMilliCores;
     }
@@ -134,7 +134,7 @@
 // Detects slow targets by their runs that already take longer than usual, before these runs end.
 void TaskScheduler::observeUnfinishedRuns(Instant now)
 {
-    for (auto& [identity, target] : this->targets) {
+    for (auto& [key, target] : this->targets) {
         for (const auto& [id, run] : target.session.runs()) {
             auto position = this->jobs.find(id.task.job);
             if (position == this->jobs.end() || run.startedAt == Instant {} || run.lastReportedRunningAt < run.startedAt)
@@ -149,8 +149,9 @@
 TaskScheduler::TargetCounts TaskScheduler::countTargets(Instant now) const
 {
     TargetCounts counts;
-    for (const auto& [identity, target] : this->targets) {
-        ++counts.known;
+    for (const auto& [key, target] : this->targets) {
+        if (!target.session.isRetired())
+            ++counts.known;
         if (!target.session.canStartRuns(now))
             continue;
         ++counts.usable;
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -65,8 +65,10 @@
 /// A target has deregistered itself because it is shutting down.
 struct TargetGone {
     std::string identity;
+    /// The incarnation that the sender knew; empty if it knew none.
+    std::string incarnation;
 
-    CODEC_FIELDS(identity);
+    CODEC_FIELDS(identity, incarnation);
 };
 
 /// Asks a host that accepts targets' reports for the latest reports of the targets in the sender's shard.
--- a/Services/sassafrasshiftd/Cluster/ControlApi.cpp
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.cpp
@@ -147,7 +147,7 @@
     Telemetry::log(LogLevel::Information, "target-removed", "a target announced that it ends", { { "target", identity }, { "incarnation", incarnation } });
     this->targets.erase(identity);
     for (const auto* member : this->context.cluster.liveMembers(this->context.now()))
-        this->context.send(member->address, TargetGone { identity });
+        this->context.send(member->address, TargetGone { identity, incarnation });
     respond(exchange, 200);
 }
 
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -91,7 +91,7 @@
 
 void DispatchService::onMessage(const std::string&, const TargetGone& gone)
 {
-    this->scheduler.onTargetGone(gone.identity, this->context.now());
+    this->scheduler.onTargetGone(gone.identity, gone.incarnation, this->context.now());
     this->scheduleEffects();
 }
 
@@ -169,6 +169,10 @@
         return "target-answers";
     case Kind::TargetSilent:
         return "target-silent";
+    case Kind::TargetRetired:
+        return "target-retired";
+    case Kind::RemovalIgnored:
+        return "removal-ignored";
     case Kind::TargetGone:
         return "target-gone";
     case Kind::TargetFenced:
--- a/Tests/LibScheduler/SimulatedTargets.cpp
+++ b/Tests/LibScheduler/SimulatedTargets.cpp
@@ -164,8 +164,7 @@
 void SimulatedFleet::announceEnd(const std::string& identity, const std::string& incarnation)
 {
     for (auto& dispatcher : this->dispatchers)
-        dispatcher->onTargetGone(identity, this->now);
-    (void)incarnation;
+        dispatcher->onTargetGone(identity, incarnation, this->now);
 }
 
 void SimulatedFleet::submit(size_t dispatcher, const Submission& submission)
--- a/Tests/LibScheduler/TestRunEnds.cpp
+++ b/Tests/LibScheduler/TestRunEnds.cpp
@@ -10,7 +10,130 @@
 namespace {
 
 constexpr uint64_t firstFence = 10;
+constexpr uint64_t secondFence = 20;
 
+/// Two targets with room for one task each, and one task that runs on one of them.
+struct RunningTask {
+    SimulatedFleet fleet { 2 };
+    std::string target;
+
+    explicit RunningTask(Milliseconds runTime)
+    {
+        this->fleet.addTarget("target-a", 32);
+        this->fleet.addTarget("target-b", 32);
+        this->fleet.report();
+        this->fleet.runTime = runTime;
+        this->fleet.dispatchers[0]->activate(firstFence, this->fleet.now);
+        this->fleet.submit(0, makeJob("job", 1, 27));
+        this->fleet.run(100ms);
+        for (const auto& [identity, candidate] : this->fleet.targets) {
+            if (!candidate.running().empty())
+                this->target = identity;
+        }
+        BOOST_REQUIRE(!this->target.empty());
+    }
+
+    SimulatedTarget& runningTarget() { return this->fleet.targets.at(this->target); }
+    [[nodiscard]] uint64_t starts() const
+    {
+        uint64_t sum = 0;
+        for (const auto& [identity, candidate] : this->fleet.targets)
+            sum += candidate.starts;
+        return sum;
+    }
+};
+
+}
+
+// A target that is said to have ended may still run what it was given: the message may be late.
+BOOST_AUTO_TEST_CASE(late_removal_of_a_target_does_not_start_its_tasks_elsewhere)
+{
+    RunningTask task(2s);
+    task.fleet.announceEnd(task.target, "1");
+    task.fleet.run(3s);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(target_that_reports_again_after_its_removal_keeps_its_runs)
+{
+    RunningTask task(2s);
+    task.fleet.announceEnd(task.target, "1");
+    task.fleet.run(200ms);
+    ++task.runningTarget().sequence;
+    task.fleet.report();
+    BOOST_TEST(task.fleet.runUntil([&] { return task.fleet.outcome("job") != nullptr; }, 3s));
+    BOOST_TEST(task.starts() == 1U);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(removal_of_an_earlier_incarnation_is_ignored)
+{
+    RunningTask task(400ms);
+    task.runningTarget().restart();
+    task.fleet.report();
+    BOOST_TEST(task.fleet.runUntil([&] { return task.starts() == 2; }, 1s));
+    task.fleet.run(20ms);
+    auto before = task.fleet.dispatchers[0]->countTargets(task.fleet.now).known;
+    task.fleet.announceEnd(task.target, "1");
+    task.fleet.run(20ms);
+    BOOST_TEST(task.fleet.dispatchers[0]->countTargets(task.fleet.now).known == before);
+    BOOST_TEST(task.fleet.runUntil([&] { return task.fleet.outcome("job") != nullptr; }, 1s));
+    BOOST_TEST(task.starts() == 2U);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
+
+// A target that ends with its runs costs its callers no more than the lease.
+BOOST_AUTO_TEST_CASE(tasks_of_a_target_that_has_ended_are_started_again_after_the_lease)
+{
+    RunningTask task(300ms);
+    task.fleet.targets.erase(task.target);
+    task.fleet.announceEnd(task.target, "1");
+    BOOST_TEST(task.fleet.runUntil([&] { return task.fleet.outcome("job") != nullptr; }, 620ms + 320ms));
+}
+
+BOOST_AUTO_TEST_CASE(report_of_an_incarnation_that_does_not_exist_does_not_start_a_task_twice)
+{
+    RunningTask task(2s);
+    auto report = task.runningTarget().report();
+    report.incarnation = "2";
+    task.fleet.report(report);
+    task.fleet.run(3s);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(report_of_another_address_does_not_start_a_task_twice)
+{
+    for (const auto* incarnation : { "1", "2" }) {
+        RunningTask task(2s);
+        auto report = task.runningTarget().report();
+        report.incarnation = incarnation;
+        report.address = "127.0.0.1:999";
+        ++report.sequence;
+        task.fleet.report(report);
+        task.fleet.run(3s);
+        BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U, "incarnation " << incarnation);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(tasks_of_a_restarted_target_are_started_again_at_once)
+{
+    RunningTask task(400ms);
+    task.runningTarget().restart();
+    task.fleet.report();
+    BOOST_TEST(task.fleet.runUntil([&] { return task.starts() == 2; }, 50ms));
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(target_that_restarted_at_another_address_is_used_again)
+{
+    RunningTask task(400ms);
+    task.runningTarget().restart();
+    task.runningTarget().address = "127.0.0.1:999";
+    task.fleet.report();
+    BOOST_TEST(task.fleet.runUntil([&] { return task.fleet.outcome("job") != nullptr; }, 620ms + 420ms));
+    auto capacity = task.fleet.dispatchers[0]->loads().front().capacity;
+    BOOST_TEST(capacity > 32'000);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
 }
 
 // The new process has the same identity and obeys a start order that was meant for the earlier one.
@@ -56,3 +179,19 @@
     fleet.run(3s);
     BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
 }
+
+// The earlier dispatcher is gone, and its run on the removed target goes on until its lease ends.
+BOOST_AUTO_TEST_CASE(new_dispatcher_waits_for_the_leases_of_a_target_that_was_removed_just_before)
+{
+    RunningTask task(2s);
+    task.fleet.dispatchers[0]->deactivate();
+    task.fleet.announceEnd(task.target, "1");
+    task.fleet.injectFault = [&](size_t, const TargetInstance& instance, bool) { return SimulatedFleet::OrderFault { 1ms, false, instance.identity == task.target }; };
+    task.fleet.dispatchers[1]->activate(secondFence, task.fleet.now);
+    auto resubmission = makeJob("job", 1, 27);
+    resubmission.firstRunNumber = 1001;
+    resubmission.untilEarlierRunsEnd = 1250;
+    task.fleet.submit(1, resubmission);
+    task.fleet.run(3s);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
