sassafrasshiftd: Log why reports of targets are refused

A refused report was only counted, so an operator could not see which writer sent it, nor what was wrong with it. The cause is now logged, with the identity and the number of refusals so far, at most once a second and host; the identity only if it is printable. A request to remove a target whose identity no report can have gets 404, without a message to all members and a line in the log.

--- a/Services/sassafrasshiftd/Cluster/ControlApi.cpp
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.cpp
@@ -15,6 +15,8 @@
 // A target that has not reported itself for this long is forgotten, and no longer announced to new members.
 static constexpr Milliseconds reportRetention { 8'000 };
 
+static constexpr Milliseconds refusalLogInterval { 1000 };
+
 using Exchange = std::shared_ptr<HttpExchange>;
 
 static void respond(const Exchange& exchange, int status, std::string body = "{}")
@@ -46,7 +48,7 @@
         std::string identity(path.substr(Platform::reportPathPrefix.size()));
         if (request.method == "PUT")
             return this->acceptReport(exchange, identity);
-        if (request.method == "DELETE")
+        if (request.method == "DELETE" && Platform::isValidName(identity))
             return this->removeTarget(exchange, identity);
     }
     refuse(exchange, 404, "no resource exists at this path");
@@ -90,7 +92,7 @@
 {
     auto report = Platform::decodeTargetReport(identity, exchange->request().body);
     if (!report) {
-        this->context.metrics.count("reports_refused_total");
+        this->logRefusedReport(identity, report.error());
         return refuse(exchange, 400, report.error().detail);
     }
     auto now = this->context.now();
@@ -117,6 +119,19 @@
     this->context.send(dispatcher, ReportNotice { *report, number });
 }
 
+// Each refused report is counted. The log gets at most one line per interval, since a writer repeats its report.
+void ControlApi::logRefusedReport(const std::string& identity, const Error& error)
+{
+    this->context.metrics.count("reports_refused_total");
+    ++this->refusedReports;
+    auto now = this->context.now();
+    if (now < this->nextRefusalLog)
+        return;
+    this->nextRefusalLog = now + refusalLogInterval;
+    auto loggedIdentity = Platform::isValidName(identity) ? identity : std::string("invalid");
+    Telemetry::log(LogLevel::Warning, "report-refused", "this member refused the report of a target; its last valid report stays in force", { { "target", loggedIdentity }, { "detail", error.detail }, { "refusedReports", std::to_string(this->refusedReports) } });
+}
+
 void ControlApi::onMessage(const std::string&, const ReportAcknowledgment& acknowledgment)
 {
     auto position = this->pendingReports.find(acknowledgment.number);
--- a/Services/sassafrasshiftd/Cluster/ControlApi.h
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.h
@@ -41,6 +41,7 @@
     void publish(const std::shared_ptr<Transport::HttpExchange>&);
     void read(const std::shared_ptr<Transport::HttpExchange>&);
     void acceptReport(const std::shared_ptr<Transport::HttpExchange>&, const std::string& identity);
+    void logRefusedReport(const std::string& identity, const Error&);
     void removeTarget(const std::shared_ptr<Transport::HttpExchange>&, const std::string& identity);
     [[nodiscard]] bool mayDispatch(const Membership::MemberRecord&, const Membership::TargetReport&) const;
     void forwardReport(const Membership::TargetReport&);
@@ -54,6 +55,9 @@
     std::map<uint64_t, PendingReport> pendingReports;
     std::vector<PendingRead> pendingReads;
     uint64_t nextReportNumber { 1 };
+    /// The number of reports that were refused because they were malformed.
+    uint64_t refusedReports { 0 };
+    Instant nextRefusalLog {};
     /// The incarnations of the members to which all known targets have been sent, by address.
     std::map<std::string, uint64_t> informedMembers;
 };
