Tests/Cluster: Send malformed reports and answers

Two more executors answer oddly: one refuses its first starts with a reason of another type, one lists rows that cannot be read. All reports must be refused, all processes must live, jobs must be served, and each good executor must get runs afterwards.

--- a/Tests/Cluster/executors.py
+++ b/Tests/Cluster/executors.py
@@ -54,6 +54,7 @@
         self.started_at = time.monotonic()
         self.fence, self.lease, self.next_end_number, self.sequence = 0, 0.0, 1, 0
         self.runs, self.highest_closed_run, self.ended = {}, {}, []
+        self.started = 0  # The number of runs since the start, or since a test has set it to zero.
         self.stopping = False
         handler = type("Handler", (Handler,), {"executor": self})
         host, port = address.split(":")
@@ -120,6 +121,7 @@
         if run <= self.highest_closed_run.get(task, 0):
             return 409, {"reason": "old"}
         self.runs[task] = (run, time.monotonic() + run_time_of(task))
+        self.started += 1
         self.run_log.begin(task)
         if len(self.runs) * TASK_CPU > CAPACITY:
             self.run_log.faults.append(f"{self.identity} exceeds its capacity")
--- a/Tests/Cluster/run.py
+++ b/Tests/Cluster/run.py
@@ -14,11 +14,13 @@
 import time
 
 from executors import CUT_OFF, TASK_CPU, Executor, RunLog, call
+from malformed import RefusingExecutor, UnreadableExecutor, malformed_reports, send_report
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "build", "bin", "sassafrasshiftd")
 CORE_ADDRESSES = [f"127.0.31.{i}" for i in (1, 2, 3)]
 ENTRY_ADDRESSES = [f"127.0.32.{i}" for i in (1, 2, 3)]
+EXECUTOR_ADDRESSES = [f"127.0.33.{i}:7600" for i in range(1, 7)]
 CONTROL_ADDRESSES = [f"{address}:7503" for address in CORE_ADDRESSES]
 TASKS_PER_JOB = 2
 WAIT_LIMIT_SECONDS = 30
@@ -147,6 +149,16 @@
     return faults
 
 
+def send_malformed_reports(executor):
+    """Sends malformed reports under the identity of the executor, and under an unknown one, to all hosts that accept reports."""
+    for body in malformed_reports(executor.address):
+        for control_address in CONTROL_ADDRESSES:
+            for identity in (executor.identity, "i-unknown"):
+                status = send_report(control_address, identity, body)
+                assert status == 400, f"the response to a malformed report has status {status}: {body[:200]}"
+    executor.started = 0
+
+
 def run_scenario(folder):
     members = [Member(folder, address, True) for address in CORE_ADDRESSES] + [Member(folder, address, False) for address in ENTRY_ADDRESSES]
     run_log = RunLog()
@@ -155,12 +167,20 @@
         for member in members:
             member.start(first_start=True)
         wait_until(lambda: call(CONTROL_ADDRESSES[0], "PUT", "/api/config", document(1), timeout=2)[0] == 200, "a configuration is accepted")
-        executors = [Executor(run_log, f"i-{i}", f"127.0.33.{i + 1}:7600", CONTROL_ADDRESSES) for i in range(4)]
+        executors = [Executor(run_log, f"i-{i}", EXECUTOR_ADDRESSES[i], CONTROL_ADDRESSES) for i in range(4)]
         entries = [member for member in members if not member.is_core]
         wait_until(lambda: all(member.is_ready() for member in entries), "all entries are ready")
         load = Load(seed=1)
         load.wait_for_more(50, "the start")
 
+        executors.append(RefusingExecutor(run_log, "i-4", EXECUTOR_ADDRESSES[4], CONTROL_ADDRESSES))
+        executors.append(UnreadableExecutor(run_log, "i-5", EXECUTOR_ADDRESSES[5], CONTROL_ADDRESSES))
+        send_malformed_reports(executors[0])
+        wait_until(lambda: executors[4].refusals_left == 0, "an executor has refused starts for a reason of another type")
+        load.wait_for_more(50, "malformed entries were sent")
+        assert all(member.process.poll() is None for member in members), "a malformed entry ended a process"
+        wait_until(lambda: all(executor.started > 0 for executor in executors[:5]), "all good executors get runs after malformed entries")
+
         victim = wait_for_dispatcher(members)
         victim.process.kill()
         victim.process.wait()
