LibLedger: Let a node store through an interface

A node owned a StorageThread with a real folder and a real thread, so that no test could show what a node does while its disk refuses or delays writes. Node now takes a Storage, which StorageThread implements; the owner of the node creates it. No change of behaviour.

--- a/Benchmarks/LedgerSpeed.cpp
+++ b/Benchmarks/LedgerSpeed.cpp
@@ -1,5 +1,6 @@
 #include <LibDurableState/DurableState.h>
 #include <LibLedger/Node.h>
+#include <LibLedger/StorageThread.h>
 #include <LibTransport/Codec.h>
 #include <algorithm>
 #include <chrono>
@@ -108,7 +109,7 @@
     options.replica.host = "a";
     options.snapshotInterval = 1'000'000;
     Ledger::Node::Environment environment { &clock, [](const auto&) {}, [&](auto function) { loop.post(std::move(function)); }, [](const Error& error) { std::fprintf(stderr, "%s\n", error.detail.c_str()); std::abort(); } };
-    Ledger::Node node(options, std::move(*store), initialState, state, environment, random);
+    Ledger::Node node(options, std::make_unique<Ledger::StorageThread>(std::move(*store)), initialState, state, environment, random);
     while (!node.replica().isEstablishedLeader()) {
         loop.post([&] { node.tick(); });
         loop.runOne();
--- a/Libraries/LibLedger/Node.cpp
+++ b/Libraries/LibLedger/Node.cpp
@@ -4,21 +4,22 @@
 
 static constexpr size_t maximumPendingProposals = 65'536;
 
-Node::Node(Options options, std::unique_ptr<DiskStore> store, const StoredState& stored, StateMachine& stateMachine, Environment environment, Random random)
+Node::Node(Options options, std::unique_ptr<Storage> storage, const StoredState& stored, StateMachine& stateMachine, Environment environment, Random random)
     : options(options)
     , stateMachine(stateMachine)
     , environment(std::move(environment))
     , core(options.replica, stored, random, this->environment.clock->now())
     , lastAppliedIndex(stored.snapshot.index)
     , lastSnapshotIndex(stored.snapshot.index)
-    , storage(std::move(store), this->makeStorageCallbacks())
+    , storage(std::move(storage))
 {
+    this->storage->start(this->makeStorageCallbacks());
     this->scheduleProcessing();
 }
 
-StorageThread::Callbacks Node::makeStorageCallbacks()
+Storage::Callbacks Node::makeStorageCallbacks()
 {
-    return StorageThread::Callbacks {
+    return Storage::Callbacks {
         [this](uint64_t ticket) { this->environment.post([this, ticket] { this->onStored(ticket); }); },
         [this](bool full) { this->environment.post([this, full] { this->storageFull = full; }); },
         [this](Error error) { this->environment.post([this, error] { this->environment.storageFailed(error); }); },
@@ -85,7 +86,7 @@
 {
     auto effects = this->core.takeEffects();
     if (!effects.operations.empty()) {
-        this->storage.submit(effects.ticket, std::move(effects.operations));
+        this->storage->submit(effects.ticket, std::move(effects.operations));
         this->submittedTicket = effects.ticket;
     }
     for (const auto& message : effects.immediateMessages)
--- a/Libraries/LibLedger/Node.h
+++ b/Libraries/LibLedger/Node.h
@@ -2,7 +2,7 @@
 
 #include <LibLedger/Replica.h>
 #include <LibLedger/StateMachine.h>
-#include <LibLedger/StorageThread.h>
+#include <LibLedger/Storage.h>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -13,8 +13,8 @@
 /// committed entries to the state machine.
 class Node {
 public:
-    /// The interface to the rest of the process. The node calls post() also from the storage thread, and all other functions
-    /// only from the thread that runs the event loop.
+    /// The interface to the rest of the process. The node calls post() also from threads of the storage, and all other
+    /// functions only from the thread that runs the event loop.
     struct Environment {
         const Clock* clock { nullptr };
         std::function<void(const Message&)> send;
@@ -33,8 +33,8 @@
     /// applied.
     using Completion = std::function<void(ErrorOr<std::string>)>;
 
-    /// Starts the replica from a stored state, normally the one that the store recovered.
-    Node(Options, std::unique_ptr<DiskStore>, const StoredState&, StateMachine&, Environment, Random);
+    /// Starts the replica from a stored state, normally the one that was recovered from the storage.
+    Node(Options, std::unique_ptr<Storage>, const StoredState&, StateMachine&, Environment, Random);
 
     void tick();
     void receive(const Message&);
@@ -46,7 +46,7 @@
     [[nodiscard]] const Replica& replica() const { return this->core; }
     [[nodiscard]] Index appliedIndex() const { return this->lastAppliedIndex; }
     [[nodiscard]] bool isStorageFull() const { return this->storageFull; }
-    [[nodiscard]] uint64_t batchesStored() const { return this->storage.batchesStored(); }
+    [[nodiscard]] uint64_t batchesStored() const { return this->storage->batchesStored(); }
 
 private:
     struct PendingProposal {
@@ -68,7 +68,7 @@
     void onStored(uint64_t ticket);
     void failPendingProposals(const Error&);
     void takeSnapshotIfDue();
-    [[nodiscard]] StorageThread::Callbacks makeStorageCallbacks();
+    [[nodiscard]] Storage::Callbacks makeStorageCallbacks();
 
     Options options;
     StateMachine& stateMachine;
@@ -83,8 +83,8 @@
     Index lastSnapshotIndex { 0 };
     bool processingScheduled { false };
     bool storageFull { false };
-    // Declared last, so that the storage thread is joined before the members that its callbacks use are destroyed.
-    StorageThread storage;
+    // Declared last, so that a thread of the storage is joined before the members that its callbacks use are destroyed.
+    std::unique_ptr<Storage> storage;
 };
 
 }
--- a/Libraries/LibLedger/StorageThread.cpp
+++ b/Libraries/LibLedger/StorageThread.cpp
@@ -5,13 +5,17 @@
 
 static constexpr Milliseconds storageFullRetryInterval { 200 };
 
-StorageThread::StorageThread(std::unique_ptr<DiskStore> store, Callbacks callbacks)
+StorageThread::StorageThread(std::unique_ptr<DiskStore> store)
     : store(std::move(store))
-    , callbacks(std::move(callbacks))
-    , thread([this] { this->run(); })
 {
 }
 
+void StorageThread::start(Callbacks newCallbacks)
+{
+    this->callbacks = std::move(newCallbacks);
+    this->thread = std::thread([this] { this->run(); });
+}
+
 StorageThread::~StorageThread()
 {
     {
@@ -19,7 +23,8 @@
         this->stopping = true;
     }
     this->stateChanged.notify_all();
-    this->thread.join();
+    if (this->thread.joinable())
+        this->thread.join();
 }
 
 void StorageThread::submit(uint64_t ticket, std::vector<StoreOperation> operations)
--- a/Libraries/LibLedger/StorageThread.h
+++ b/Libraries/LibLedger/StorageThread.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <LibLedger/DiskStore.h>
+#include <LibLedger/Storage.h>
+#include <atomic>
 #include <condition_variable>
-#include <functional>
+#include <memory>
 #include <mutex>
 #include <thread>
 
@@ -10,26 +12,18 @@
 
 /// Stores operations on a dedicated thread. Operations that are submitted while a sync is in progress share the next sync
 /// (group commit).
-class StorageThread {
+class StorageThread final : public Storage {
 public:
-    /// All callbacks are called on the storage thread.
-    struct Callbacks {
-        /// Called when the operations up to a ticket are durable.
-        std::function<void(uint64_t ticket)> stored;
-        /// Called with true when the disk is full and the thread starts to retry, and with false when a retry has succeeded.
-        std::function<void(bool full)> storageFullChanged;
-        /// Called when storing has failed permanently. The thread stores nothing after this.
-        std::function<void(Error)> failed;
-    };
-
-    StorageThread(std::unique_ptr<DiskStore>, Callbacks);
-    ~StorageThread();
+    explicit StorageThread(std::unique_ptr<DiskStore>);
+    ~StorageThread() override;
     StorageThread(const StorageThread&) = delete;
     StorageThread& operator=(const StorageThread&) = delete;
 
-    void submit(uint64_t ticket, std::vector<StoreOperation>);
+    /// The callbacks are called on the storage thread.
+    void start(Callbacks) override;
+    void submit(uint64_t ticket, std::vector<StoreOperation>) override;
 
-    [[nodiscard]] uint64_t batchesStored() const { return this->batchCount; }
+    [[nodiscard]] uint64_t batchesStored() const override { return this->batchCount; }
 
 private:
     void run();
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -1,5 +1,6 @@
 #include "Cluster/DocumentLedger.h"
 #include <LibBase/Try.h>
+#include <LibLedger/StorageThread.h>
 #include <LibTelemetry/Log.h>
 #include <LibTransport/Codec.h>
 #include <algorithm>
@@ -98,7 +99,7 @@
     auto stored = initialState ? *initialState : this->pendingStore->recovered();
     if (!stored.snapshot.state.empty())
         this->state.restore(stored.snapshot.state);
-    this->node = std::make_unique<Ledger::Node>(options, std::move(this->pendingStore), stored, this->state, environment, Random(this->context.random()));
+    this->node = std::make_unique<Ledger::Node>(options, std::make_unique<Ledger::StorageThread>(std::move(this->pendingStore)), stored, this->state, environment, Random(this->context.random()));
     Telemetry::log(LogLevel::Information, "ledger-started", "the ledger replica has started", { { "identity", this->identity }, { "initialized", this->initialized ? "true" : "false" } });
 }
 
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.h
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.h
@@ -3,6 +3,7 @@
 #include "Cluster/ClusterContext.h"
 #include "Cluster/DocumentStore.h"
 #include <LibDurableState/DurableState.h>
+#include <LibLedger/DiskStore.h>
 #include <LibLedger/Node.h>
 #include <LibLedger/ProposalQueue.h>
 #include <functional>
--- a/Services/sassafrasshiftd/LedgerService.cpp
+++ b/Services/sassafrasshiftd/LedgerService.cpp
@@ -1,5 +1,6 @@
 #include "LedgerService.h"
 #include <LibBase/Try.h>
+#include <LibLedger/StorageThread.h>
 #include <LibTelemetry/Log.h>
 #include <LibTransport/Codec.h>
 #include <algorithm>
@@ -101,7 +102,7 @@
     environment.storageFailed = [this](const Error& error) { this->exitOnStorageFailure(error); };
     this->initialized = initialState || this->pendingStore->isInitialized();
     auto stored = initialState ? *initialState : this->pendingStore->recovered();
-    this->node = std::make_unique<Ledger::Node>(options, std::move(this->pendingStore), stored, this->durableState, environment, Random(this->context.random()));
+    this->node = std::make_unique<Ledger::Node>(options, std::make_unique<Ledger::StorageThread>(std::move(this->pendingStore)), stored, this->durableState, environment, Random(this->context.random()));
     this->context.timeLine.record("ledger-started", { { "identity", this->identity }, { "initialized", this->initialized ? "true" : "false" } });
 }
 
--- a/Services/sassafrasshiftd/LedgerService.h
+++ b/Services/sassafrasshiftd/LedgerService.h
@@ -3,6 +3,7 @@
 #include "ConfigurationStore.h"
 #include "Context.h"
 #include <LibDurableState/DurableState.h>
+#include <LibLedger/DiskStore.h>
 #include <LibLedger/Node.h>
 #include <LibLedger/ProposalQueue.h>
 #include <map>
