LibLedger: Accept commands on a leader whose disk is full

The node refused each command as soon as its storage reported a full disk; the proposer repeated it to the same leader until its timeout.

Ruled out by the same schedules, before the change too: a lasting refusal after the last disk had room, a command without any result, an accepted command that is missing on a host, a host that does not become a voter again.

An entry counts as committed when a quorum of voters has stored it, the leader or not. So the leader goes on as it does while its disk is slow: the other voters commit, and its own copy is written when there is room. Who leads does not change how many disks are needed; a hand-over would only add an election without a leader. Where the other reachable voters are no quorum, nothing can be committed, and the command is refused at once as before.

--- a/Libraries/LibLedger/Node.cpp
+++ b/Libraries/LibLedger/Node.cpp
@@ -40,7 +40,8 @@
 
 void Node::propose(std::string command, Completion completion)
 {
-    if (this->storageFull) {
+    // While the disk of the leader is full, the disks of the other voters commit the command.
+    if (this->storageFull && this->core.role() == Role::Leader && !this->core.hasReachableQuorumOfOthers()) {
         completion(tl::unexpected(Error::notRun(Reason::StorageFull, "no space left in the data folder")));
         return;
     }
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -78,6 +78,10 @@
     /// membership change is in progress or if the member is the leader itself.
     [[nodiscard]] ErrorOr<Index> proposeRemoval(std::string_view identity);
 
+    /// Whether the other voters that are reachable form a quorum, so that commands can be committed without this replica's own
+    /// disk. Meaningful on the leader only.
+    [[nodiscard]] bool hasReachableQuorumOfOthers() const;
+
     [[nodiscard]] Effects takeEffects();
 
     /// Reports that the operations of all tickets up to and including this one are durable.
--- a/Libraries/LibLedger/ReplicaMembership.cpp
+++ b/Libraries/LibLedger/ReplicaMembership.cpp
@@ -81,6 +81,16 @@
     return static_cast<size_t>(reachable) >= membership.quorum();
 }
 
+bool Replica::hasReachableQuorumOfOthers() const
+{
+    const auto& membership = this->log.membership();
+    auto isReachableOther = [&](const Member& member) {
+        return member.role == MemberRole::Voter && member.identity != this->options.identity && this->isReachable(member.identity);
+    };
+    auto reachable = std::count_if(membership.members.begin(), membership.members.end(), isReachableOther);
+    return static_cast<size_t>(reachable) >= membership.quorum();
+}
+
 // Removes one voter that has been unreachable for longer than lostVoterTimeout, provided that the group has more than the
 // minimum number of voters and a quorum of the remaining voters is reachable.
 void Replica::removeLostVoter()
--- /dev/null
+++ b/Tests/LibLedger/TestFullDisk.cpp
@@ -0,0 +1,128 @@
+#include "SimulatedHosts.h"
+#include <algorithm>
+#include <array>
+#include <boost/test/unit_test.hpp>
+
+using namespace Sassafrasshift;
+using namespace Sassafrasshift::Ledger;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Proposes a command at a random host every 100 ms.
+struct Load {
+    SimulatedHosts& hosts;
+    Random random;
+    std::vector<std::shared_ptr<const Outcome>> outcomes;
+
+    void run(Milliseconds duration)
+    {
+        for (auto end = this->hosts.now() + duration; this->hosts.now() < end; this->hosts.runFor(100ms))
+            this->outcomes.push_back(this->hosts.propose(this->random() % this->hosts.count()));
+    }
+
+    size_t refusedSince(Instant start) const
+    {
+        return static_cast<size_t>(std::count_if(this->outcomes.begin(), this->outcomes.end(), [&](const auto& outcome) { return outcome->proposedAt >= start && outcome->refusal; }));
+    }
+
+    size_t unanswered() const
+    {
+        return static_cast<size_t>(std::count_if(this->outcomes.begin(), this->outcomes.end(), [](const auto& outcome) { return !outcome->completedAt; }));
+    }
+};
+
+bool holdsAllAccepted(const SimulatedHosts& hosts, const Load& load)
+{
+    return std::all_of(load.outcomes.begin(), load.outcomes.end(), [&](const auto& outcome) {
+        if (!outcome->isAccepted())
+            return true;
+        for (size_t host = 0; host < hosts.count(); ++host) {
+            if (!hosts.commands(host).contains(outcome->command))
+                return false;
+        }
+        return true;
+    });
+}
+
+bool allVote(const SimulatedHosts& hosts)
+{
+    auto leader = hosts.leader();
+    return leader && hosts.node(*leader).replica().membership().voterCount() == hosts.count();
+}
+
+}
+
+// Guards against a leader that refuses all changes while its disk is full, although the other voters could store them.
+BOOST_AUTO_TEST_CASE(commands_are_accepted_while_the_disk_of_the_leader_is_full)
+{
+    SimulatedHosts hosts(1, 3);
+    hosts.runFor(3s);
+    Load load { hosts, Random(1), {} };
+    auto leader = *hosts.leader();
+    hosts.disk(leader).isFull = true;
+    auto start = hosts.now();
+    load.run(8s);
+    hosts.disk(leader).isFull = false;
+    load.run(2s);
+    hosts.runFor(1s);
+    BOOST_TEST(load.refusedSince(start) == 0U);
+    BOOST_TEST(load.unanswered() == 0U);
+    BOOST_TEST(holdsAllAccepted(hosts, load));
+}
+
+BOOST_AUTO_TEST_CASE(command_that_no_quorum_can_store_is_refused_in_time)
+{
+    SimulatedHosts hosts(1, 3);
+    hosts.runFor(3s);
+    auto leader = *hosts.leader();
+    hosts.disk(leader).isFull = true;
+    hosts.stop((leader + 1) % 3);
+    hosts.runFor(1s);
+    auto outcome = hosts.propose((leader + 2) % 3);
+    hosts.runFor(1s);
+    BOOST_REQUIRE(outcome->completedAt.has_value());
+    BOOST_TEST(outcome->refusal.has_value());
+    hosts.start((leader + 1) % 3);
+    hosts.disk(leader).isFull = false;
+    hosts.runFor(2s);
+    outcome = hosts.propose((leader + 2) % 3);
+    hosts.runFor(1s);
+    BOOST_TEST(outcome->isAccepted());
+}
+
+// Disks are full or stalled one after another, at any host and for any time, the next one as soon as the last has room again.
+static void checkFaultyDisksInTurn(uint64_t seed, size_t count)
+{
+    BOOST_TEST_CONTEXT("seed " << seed << ", " << count << " hosts")
+    {
+        Random random(seed);
+        SimulatedHosts hosts(seed, count);
+        hosts.runFor(3s);
+        Load load { hosts, Random(seed), {} };
+        auto start = hosts.now();
+        for (int fault = 0; fault < 8; ++fault) {
+            bool choosesLeader = random() % 3 == 0 && hosts.leader();
+            auto host = choosesLeader ? *hosts.leader() : random() % count;
+            auto& disk = hosts.disk(host);
+            (random() % 4 == 0 ? disk.isStalled : disk.isFull) = true;
+            load.run(Milliseconds(500 + random() % 8000));
+            disk.isStalled = disk.isFull = false;
+            load.run(Milliseconds(random() % 3 == 0 ? 0 : random() % 2000));
+        }
+        load.run(3s);
+        hosts.runFor(2s);
+        BOOST_TEST(load.refusedSince(start) == 0U);
+        BOOST_TEST(load.unanswered() == 0U);
+        BOOST_TEST(holdsAllAccepted(hosts, load));
+        BOOST_TEST(allVote(hosts));
+    }
+}
+
+// A host with a full disk is removed from the voters after a while if there are more than three, and joins again.
+BOOST_AUTO_TEST_CASE(commands_are_accepted_while_disks_are_full_one_after_another)
+{
+    for (uint64_t seed = 1; seed <= 80; ++seed)
+        checkFaultyDisksInTurn(seed, seed % 2 ? 3 : seed % 4 ? 4
+                                                             : 8);
+}
