LibLedger: Stop naming a silent leader on a replica that does not vote

A replica that is no voter does not stand for election, and only standing for election cleared the leader that it names. A host whose disk was full is removed from more than three voters and joins again as a learner; if the leader that added it loses its leadership before another voter has that entry, no new leader knows of the learner. It went on sending its join requests and its operators' changes to the former leader, which ignores the one and refuses the other with not-leader, for as long as that host lives.

The leader is now forgotten when the election timeout of a non-voter expires; join requests and changes then go to the leader that gossip names.

--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -76,8 +76,15 @@
             this->sendHeartbeats();
         return;
     }
-    if (this->now >= this->electionDeadline && this->log.membership().isVoter(this->options.identity))
+    if (this->now < this->electionDeadline)
+        return;
+    if (this->log.membership().isVoter(this->options.identity)) {
         this->startPreVote();
+        return;
+    }
+    // Commands and join requests are sent to the leader that is named, so a silent one must not be named any longer.
+    this->leaderIdentity.clear();
+    this->resetElectionTimer();
 }
 
 void Replica::receive(const Message& message, Instant time)
--- a/Tests/LibLedger/TestMembership.cpp
+++ b/Tests/LibLedger/TestMembership.cpp
@@ -107,3 +107,20 @@
     BOOST_REQUIRE(group.leader());
     BOOST_TEST(group.leader()->membership().voterCount() == 3U);
 }
+
+// Guards against a learner that sends its join requests, and the commands of its operators, to a former leader for good: it does
+// not stand for election, so that nothing else clears the leader.
+BOOST_AUTO_TEST_CASE(learner_does_not_name_a_silent_leader)
+{
+    Group group({ "a", "b", "c" });
+    group.run(3s);
+    BOOST_REQUIRE(group.leader());
+    auto former = group.leader()->leaderHost();
+    StoredState stored;
+    stored.snapshot.membership = group.leader()->membership().with(Member { "d", "d", MemberRole::Learner });
+    group.start("d", stored);
+    group.replicas.at("d")->receive(Message { 0, former, former, "d", "d", AppendRequest { 1, 0, 0, 0, {} } }, group.now);
+    BOOST_TEST(group.replicas.at("d")->leaderHost() == former);
+    group.run(2s);
+    BOOST_TEST(group.replicas.at("d")->leaderHost() == "");
+}
