LibLedger: Stand for election only while votes can be stored

A replica whose disk was full stood for election at every election timeout without a leader, and each time raised its term, which it could not store. Whoever heard of that term dropped back to a follower and waited once more; so did a new leader when the disk had room and the pending answers were sent. A pre-vote that such a replica granted started elections that its vote could not complete.

A vote that is not stored was never sent, before the change either: the answer waits for the store; only the pre-vote does not.

A replica takes its storage for blocked when operations have waited for longer than an election timeout, which covers a full and a stalled disk alike. It then neither stands nor grants pre-votes; it still follows a leader, and the terms stay where they are until those who can store elect one.

--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -78,7 +78,8 @@
     }
     if (this->now < this->electionDeadline)
         return;
-    if (this->log.membership().isVoter(this->options.identity)) {
+    // Only a replica that could store its vote stands for election.
+    if (this->log.membership().isVoter(this->options.identity) && !this->isStorageBlocked()) {
         this->startPreVote();
         return;
     }
@@ -87,6 +88,11 @@
     this->resetElectionTimer();
 }
 
+bool Replica::isStorageBlocked() const
+{
+    return !this->pendingTickets.empty() && this->now >= this->pendingTickets.front().issuedAt + this->options.electionTimeout;
+}
+
 void Replica::receive(const Message& message, Instant time)
 {
     this->now = time;
@@ -194,7 +200,7 @@
     if (this->heardFromLeaderRecently())
         return;
     if (request.stage == VoteStage::PreVote) {
-        bool granted = request.term > this->hardState.term && this->isUpToDate(request);
+        bool granted = request.term > this->hardState.term && this->isUpToDate(request) && !this->isStorageBlocked();
         this->effects.immediateMessages.push_back(this->reply(message, VoteResponse { VoteStage::PreVote, granted ? request.term : this->hardState.term, granted }));
         return;
     }
@@ -476,7 +482,7 @@
     Effects result;
     std::swap(result, this->effects);
     result.ticket = this->nextTicket++;
-    this->pendingTickets.push_back(PendingTicket { result.ticket, this->log.lastIndex(), this->log.lastTerm() });
+    this->pendingTickets.push_back(PendingTicket { result.ticket, this->log.lastIndex(), this->log.lastTerm(), this->now });
     return result;
 }
 
@@ -484,7 +490,7 @@
 {
     while (!this->pendingTickets.empty() && this->pendingTickets.front().ticket <= ticket) {
         auto pending = this->pendingTickets.front();
-        this->pendingTickets.erase(this->pendingTickets.begin());
+        this->pendingTickets.pop_front();
         // Entries that have been truncated since the ticket was issued do not count as stored.
         if (this->log.hasTermAt(pending.lastIndex) && this->log.termAt(pending.lastIndex) == pending.lastTerm)
             this->storedIndex = std::max(this->storedIndex, pending.lastIndex);
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -5,6 +5,7 @@
 #include <LibBase/Random.h>
 #include <LibLedger/ReplicaLog.h>
 #include <LibLedger/Types.h>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -114,11 +115,12 @@
         std::optional<Instant> snapshotSentAt;
     };
 
-    // A ticket that is not stored yet, and the last entry of the log when the ticket was issued.
+    // A ticket whose operations are not stored yet, and the last entry of the log when the ticket was issued.
     struct PendingTicket {
         uint64_t ticket;
         Index lastIndex;
         Term lastTerm;
+        Instant issuedAt;
     };
 
     void handle(const Message&, const VoteRequest&);
@@ -131,6 +133,8 @@
     [[nodiscard]] Message messageTo(const Member&, MessageBody) const;
     void becomeFollower(Term, std::string leaderIdentity);
     void followLeader(const std::string& identity);
+    /// Whether operations have waited to be stored for longer than an election timeout: the disk is full or stalled.
+    [[nodiscard]] bool isStorageBlocked() const;
     void startPreVote();
     void startElection();
     void becomeLeader();
@@ -187,7 +191,7 @@
 
     Effects effects;
     uint64_t nextTicket { 1 };
-    std::vector<PendingTicket> pendingTickets;
+    std::deque<PendingTicket> pendingTickets;
 };
 
 }
--- a/Tests/LibLedger/TestFullDisk.cpp
+++ b/Tests/LibLedger/TestFullDisk.cpp
@@ -126,3 +126,35 @@
         checkFaultyDisksInTurn(seed, seed % 2 ? 3 : seed % 4 ? 4
                                                              : 8);
 }
+
+// Guards against a host with a full disk that raises its term again and again in elections that it cannot win, and thereby
+// delays the election of a leader by the others.
+BOOST_AUTO_TEST_CASE(replica_with_a_full_disk_does_not_stand_for_election)
+{
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        Random random(seed);
+        SimulatedHosts hosts(seed, 3);
+        hosts.runFor(3s);
+        auto leader = *hosts.leader();
+        auto full = (leader + 1) % 3;
+        auto termBefore = hosts.node(full).replica().term();
+        hosts.disk(full).isFull = true;
+        (void)hosts.propose(leader);
+        hosts.runFor(1s);
+        hosts.stop(leader);
+        hosts.runFor(Milliseconds(2000 + random() % 4000));
+        BOOST_TEST(hosts.node(full).replica().term() <= termBefore + 1);
+        hosts.start(leader);
+        hosts.runFor(1500ms);
+        auto outcome = hosts.propose(leader);
+        hosts.runFor(1s);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        BOOST_TEST(outcome->isAccepted());
+        hosts.disk(full).isFull = false;
+        hosts.runFor(1500ms);
+        outcome = hosts.propose(full);
+        hosts.runFor(1s);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        BOOST_TEST(outcome->isAccepted());
+    }
+}
