LibLedger: Bound what a node keeps while its disk takes nothing

A node whose disk was full or stalled kept every entry, every answer and a ticket for each pass of its event loop until there was room: its memory grew without limit, and the tickets were then erased one by one from the front of a vector, with the square of their number. A leader also never gave up its leadership, however much waited for its own disk.

Evidence: what_waits_for_a_full_disk_is_bounded, 10 s of commands of 128 KB and five minutes of a full disk. No process was seen to fail of it; that hours of a full disk would stop one is inferred from these figures.

At most 16 MB of entries may wait. Beyond it, a follower ignores further entries, which the leader sends again after the next rejection, and a leader steps down if the reachable others are a quorum; its proposers repeat their commands to the next leader, so the test sees none refused after the hand-over. Answers beyond 1,024 are dropped, since requests are repeated. A ticket without operations needs no record, as it changes neither log nor term.

--- a/Libraries/LibLedger/Node.cpp
+++ b/Libraries/LibLedger/Node.cpp
@@ -3,6 +3,36 @@
 namespace Sassafrasshift::Ledger {
 
 static constexpr size_t maximumPendingProposals = 65'536;
+// Messages beyond this are dropped while the disk takes nothing; the other replicas repeat what they ask.
+static constexpr size_t maximumDeferredMessages = 1024;
+
+static size_t entryBytes(const std::vector<StoreOperation>& operations)
+{
+    struct Visitor {
+        size_t operator()(const HardState&) const { return 0; }
+        size_t operator()(const TruncateOperation&) const { return 0; }
+        size_t operator()(const AppendOperation& append) const { return sumOf(append.entries); }
+        size_t operator()(const SnapshotOperation& snapshot) const { return snapshot.snapshot.state.size() + sumOf(snapshot.retained); }
+
+        static size_t sumOf(const std::vector<Entry>& entries)
+        {
+            size_t bytes = 0;
+            for (const auto& entry : entries)
+                bytes += entry.payload.size();
+            return bytes;
+        }
+    };
+    size_t bytes = 0;
+    for (const auto& operation : operations)
+        bytes += std::visit(Visitor {}, operation);
+    return bytes;
+}
+
+static bool addsToLog(const Message& message)
+{
+    const auto* append = std::get_if<AppendRequest>(&message.body);
+    return (append && !append->entries.empty()) || std::holds_alternative<SnapshotRequest>(message.body);
+}
 
 Node::Node(Options options, std::unique_ptr<Storage> storage, const StoredState& stored, StateMachine& stateMachine, Environment environment, Random random)
     : options(options)
@@ -34,6 +64,8 @@
 
 void Node::receive(const Message& message)
 {
+    if (this->unstoredByteCount >= this->options.maximumUnstoredBytes && addsToLog(message))
+        return;
     this->core.receive(message, this->environment.clock->now());
     this->scheduleProcessing();
 }
@@ -86,10 +118,8 @@
 void Node::processEffects()
 {
     auto effects = this->core.takeEffects();
-    if (!effects.operations.empty()) {
-        this->storage->submit(effects.ticket, std::move(effects.operations));
-        this->submittedTicket = effects.ticket;
-    }
+    if (!effects.operations.empty())
+        this->submit(effects.ticket, std::move(effects.operations));
     for (const auto& message : effects.immediateMessages)
         this->environment.send(message);
     if (effects.restoredSnapshot) {
@@ -103,14 +133,33 @@
         this->core.markStored(effects.ticket);
         for (const auto& message : effects.messagesAfterStore)
             this->environment.send(message);
-    } else if (!effects.messagesAfterStore.empty()) {
-        this->deferredMessages.push_back(DeferredMessages { this->submittedTicket, std::move(effects.messagesAfterStore) });
+    } else {
+        this->deferMessages(std::move(effects.messagesAfterStore));
     }
+    if (this->unstoredByteCount >= this->options.maximumUnstoredBytes && this->core.hasReachableQuorumOfOthers())
+        this->core.stepDown();
     if (this->core.role() != Role::Leader)
         this->failPendingProposals(Error::mayHaveRun(Reason::NotLeader, "leadership was lost before the command was known to be committed"));
     this->takeSnapshotIfDue();
 }
 
+void Node::submit(uint64_t ticket, std::vector<StoreOperation> operations)
+{
+    auto bytes = entryBytes(operations);
+    this->unstoredBytesByTicket.push_back(UnstoredBytes { ticket, bytes });
+    this->unstoredByteCount += bytes;
+    this->submittedTicket = ticket;
+    this->storage->submit(ticket, std::move(operations));
+}
+
+void Node::deferMessages(std::vector<Message> messages)
+{
+    for (auto& message : messages) {
+        if (this->deferredMessages.size() < maximumDeferredMessages)
+            this->deferredMessages.push_back(DeferredMessage { this->submittedTicket, std::move(message) });
+    }
+}
+
 void Node::apply(const Entry& entry)
 {
     std::string result;
@@ -131,9 +180,12 @@
 {
     this->storedTicket = ticket;
     this->core.markStored(ticket);
+    while (!this->unstoredBytesByTicket.empty() && this->unstoredBytesByTicket.front().ticket <= ticket) {
+        this->unstoredByteCount -= this->unstoredBytesByTicket.front().bytes;
+        this->unstoredBytesByTicket.pop_front();
+    }
     while (!this->deferredMessages.empty() && this->deferredMessages.front().ticket <= ticket) {
-        for (const auto& message : this->deferredMessages.front().messages)
-            this->environment.send(message);
+        this->environment.send(this->deferredMessages.front().message);
         this->deferredMessages.pop_front();
     }
     this->processEffects();
--- a/Libraries/LibLedger/Node.h
+++ b/Libraries/LibLedger/Node.h
@@ -27,6 +27,9 @@
         Replica::Options replica;
         /// The number of applied entries after which a new snapshot is taken.
         Index snapshotInterval { 8192 };
+        /// The size in bytes of the entries that may wait for the disk. Beyond it, a follower ignores further entries, which
+        /// the leader sends again later, and a leader gives up its leadership if the other voters can elect one.
+        size_t maximumUnstoredBytes { 16 * 1024 * 1024 };
     };
 
     /// Called once with the encoded result of the command. The verdict of an error says whether the command may still be
@@ -46,6 +49,10 @@
     [[nodiscard]] const Replica& replica() const { return this->core; }
     [[nodiscard]] Index appliedIndex() const { return this->lastAppliedIndex; }
     [[nodiscard]] bool isStorageFull() const { return this->storageFull; }
+    /// The size in bytes of the entries that wait for the disk.
+    [[nodiscard]] size_t unstoredBytes() const { return this->unstoredByteCount; }
+    /// The number of messages that wait for the disk, exposed for tests.
+    [[nodiscard]] size_t deferredMessageCount() const { return this->deferredMessages.size(); }
     [[nodiscard]] uint64_t batchesStored() const { return this->storage->batchesStored(); }
 
 private:
@@ -55,15 +62,23 @@
         Completion completion;
     };
 
-    // Messages that may be sent once the operations up to a ticket are durable.
-    struct DeferredMessages {
+    // A message that may be sent once the operations up to a ticket are durable.
+    struct DeferredMessage {
         uint64_t ticket;
-        std::vector<Message> messages;
+        Message message;
+    };
+
+    // The size of the entries among the operations of a ticket.
+    struct UnstoredBytes {
+        uint64_t ticket;
+        size_t bytes;
     };
 
     void scheduleProcessing();
     /// Carries out the effects that the replica has accumulated.
     void processEffects();
+    void submit(uint64_t ticket, std::vector<StoreOperation>);
+    void deferMessages(std::vector<Message>);
     void apply(const Entry&);
     void onStored(uint64_t ticket);
     void failPendingProposals(const Error&);
@@ -75,7 +90,9 @@
     Environment environment;
     Replica core;
     std::deque<PendingProposal> pendingProposals;
-    std::deque<DeferredMessages> deferredMessages;
+    std::deque<DeferredMessage> deferredMessages;
+    std::deque<UnstoredBytes> unstoredBytesByTicket;
+    size_t unstoredByteCount { 0 };
     /// The latest ticket whose operations are durable, and the latest one whose operations were submitted for storing.
     uint64_t storedTicket { 0 };
     uint64_t submittedTicket { 0 };
--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -278,6 +278,12 @@
     this->effects.operations.emplace_back(AppendOperation { { std::move(entry) } });
 }
 
+void Replica::stepDown()
+{
+    if (this->currentRole == Role::Leader)
+        this->becomeFollower(this->hardState.term, {});
+}
+
 ErrorOr<Index> Replica::propose(std::string payload)
 {
     if (this->currentRole != Role::Leader)
@@ -482,7 +488,8 @@
     Effects result;
     std::swap(result, this->effects);
     result.ticket = this->nextTicket++;
-    this->pendingTickets.push_back(PendingTicket { result.ticket, this->log.lastIndex(), this->log.lastTerm(), this->now });
+    if (!result.operations.empty())
+        this->pendingTickets.push_back(PendingTicket { result.ticket, this->log.lastIndex(), this->log.lastTerm(), this->now });
     return result;
 }
 
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -79,6 +79,9 @@
     /// membership change is in progress or if the member is the leader itself.
     [[nodiscard]] ErrorOr<Index> proposeRemoval(std::string_view identity);
 
+    /// Gives up the leadership, for an owner that cannot take more commands. Ignored if this replica is not the leader.
+    void stepDown();
+
     /// Whether the other voters that are reachable form a quorum, so that commands can be committed without this replica's own
     /// disk. Meaningful on the leader only.
     [[nodiscard]] bool hasReachableQuorumOfOthers() const;
@@ -105,6 +108,8 @@
     [[nodiscard]] bool isEstablishedLeader() const;
     /// The in-memory log, exposed for tests.
     [[nodiscard]] const ReplicaLog& replicaLog() const { return this->log; }
+    /// The number of tickets that are not stored yet, exposed for tests.
+    [[nodiscard]] size_t pendingTicketCount() const { return this->pendingTickets.size(); }
 
 private:
     // The replication state of one member as far as the leader knows it.
--- a/Tests/LibLedger/SimulatedHosts.cpp
+++ b/Tests/LibLedger/SimulatedHosts.cpp
@@ -208,6 +208,7 @@
     options.replica.heartbeatInterval = heartbeatInterval;
     options.replica.lostVoterTimeout = lostVoterTimeout;
     options.snapshotInterval = snapshotInterval;
+    options.maximumUnstoredBytes = maximumUnstoredBytes;
     Node::Environment environment;
     environment.clock = &this->loop.clock();
     environment.send = [this](const Message& message) { this->send(message); };
--- a/Tests/LibLedger/SimulatedHosts.h
+++ b/Tests/LibLedger/SimulatedHosts.h
@@ -64,6 +64,8 @@
 /// that it knows of, and asks to join when it is not a voter, as the processes do.
 class SimulatedHosts {
 public:
+    static constexpr size_t maximumUnstoredBytes = 2 * 1024 * 1024;
+
     SimulatedHosts(uint64_t seed, size_t count);
     ~SimulatedHosts();
 
--- a/Tests/LibLedger/TestFullDisk.cpp
+++ b/Tests/LibLedger/TestFullDisk.cpp
@@ -15,10 +15,10 @@
     Random random;
     std::vector<std::shared_ptr<const Outcome>> outcomes;
 
-    void run(Milliseconds duration)
+    void run(Milliseconds duration, size_t commandBytes = 10)
     {
         for (auto end = this->hosts.now() + duration; this->hosts.now() < end; this->hosts.runFor(100ms))
-            this->outcomes.push_back(this->hosts.propose(this->random() % this->hosts.count()));
+            this->outcomes.push_back(this->hosts.propose(this->random() % this->hosts.count(), commandBytes));
     }
 
     size_t refusedSince(Instant start) const
@@ -158,3 +158,32 @@
         BOOST_TEST(outcome->isAccepted());
     }
 }
+
+// Guards against a process that runs out of memory, or is busy with what has piled up, after its disk was full for long.
+BOOST_AUTO_TEST_CASE(what_waits_for_a_full_disk_is_bounded)
+{
+    static constexpr size_t commandBytes = 128 * 1024;
+    // A leader whose own disk is full, and a follower.
+    for (size_t distance : { 0, 1 }) {
+        SimulatedHosts hosts(1, 3);
+        hosts.runFor(3s);
+        Load load { hosts, Random(1), {} };
+        auto full = (*hosts.leader() + distance) % 3;
+        hosts.disk(full).isFull = true;
+        load.run(10s, commandBytes);
+        hosts.runFor(300s);
+        const auto& node = hosts.node(full);
+        BOOST_TEST(node.unstoredBytes() <= SimulatedHosts::maximumUnstoredBytes + Replica::Options {}.maximumAppendBytes);
+        BOOST_TEST(node.deferredMessageCount() <= 1024U);
+        BOOST_TEST(node.replica().pendingTicketCount() <= 256U);
+        BOOST_TEST((node.replica().role() != Role::Leader));
+        auto start = hosts.now();
+        load.run(2s);
+        hosts.disk(full).isFull = false;
+        load.run(2s);
+        hosts.runFor(2s);
+        BOOST_TEST(load.refusedSince(start) == 0U);
+        BOOST_TEST(load.unanswered() == 0U);
+        BOOST_TEST(holdsAllAccepted(hosts, load));
+    }
+}
