--- a/Libraries/LibLedger/Node.h
+++ b/Libraries/LibLedger/Node.h
@@ -2,7 +2,7 @@
 
 #include <LibLedger/Replica.h>
 #include <LibLedger/StateMachine.h>
-#include <LibLedger/StorageThread.h>
+#include <LibLedger/Storage.h>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -13,8 +13,8 @@
 /// committed entries to the state machine.
 class Node {
 public:
-    /// The interface to the rest of the process. The node calls post() also from the storage thread, and all other functions
-    /// only from the thread that runs the event loop.
+    /// The interface to the rest of the process. The node calls post() also from threads of the storage, and all other
+    /// functions only from the thread that runs the event loop.
     struct Environment {
         const Clock* clock { nullptr };
         std::function<void(const Message&)> send;
@@ -27,14 +27,17 @@
         Replica::Options replica;
         /// The number of applied entries after which a new snapshot is taken.
         Index snapshotInterval { 8192 };
+        /// The size in bytes of the entries that may wait for the disk. Beyond it, a follower ignores further entries, which
+        /// the leader sends again later, and a leader gives up its leadership if the other voters can elect one.
+        size_t maximumUnstoredBytes { 16 * 1024 * 1024 };
     };
 
     /// Called once with the encoded result of the command. The verdict of an error says whether the command may still be
     /// applied.
     using Completion = std::function<void(ErrorOr<std::string>)>;
 
-    /// Starts the replica from a stored state, normally the one that the store recovered.
-    Node(Options, std::unique_ptr<DiskStore>, const StoredState&, StateMachine&, Environment, Random);
+    /// Starts the replica from a stored state, normally the one that was recovered from the storage.
+    Node(Options, std::unique_ptr<Storage>, const StoredState&, StateMachine&, Environment, Random);
 
     void tick();
     void receive(const Message&);
@@ -46,7 +49,11 @@
     [[nodiscard]] const Replica& replica() const { return this->core; }
     [[nodiscard]] Index appliedIndex() const { return this->lastAppliedIndex; }
     [[nodiscard]] bool isStorageFull() const { return this->storageFull; }
-    [[nodiscard]] uint64_t batchesStored() const { return this->storage.batchesStored(); }
+    /// The size in bytes of the entries that wait for the disk.
+    [[nodiscard]] size_t unstoredBytes() const { return this->unstoredByteCount; }
+    /// The number of messages that wait for the disk, exposed for tests.
+    [[nodiscard]] size_t deferredMessageCount() const { return this->deferredMessages.size(); }
+    [[nodiscard]] uint64_t batchesStored() const { return this->storage->batchesStored(); }
 
 private:
     struct PendingProposal {
@@ -55,27 +62,37 @@
         Completion completion;
     };
 
-    // Messages that may be sent once the operations up to a ticket are durable.
-    struct DeferredMessages {
+    // A message that may be sent once the operations up to a ticket are durable.
+    struct DeferredMessage {
         uint64_t ticket;
-        std::vector<Message> messages;
+        Message message;
+    };
+
+    // The size of the entries among the operations of a ticket.
+    struct UnstoredBytes {
+        uint64_t ticket;
+        size_t bytes;
     };
 
     void scheduleProcessing();
     /// Carries out the effects that the replica has accumulated.
     void processEffects();
+    void submit(uint64_t ticket, std::vector<StoreOperation>);
+    void deferMessages(std::vector<Message>);
     void apply(const Entry&);
     void onStored(uint64_t ticket);
     void failPendingProposals(const Error&);
     void takeSnapshotIfDue();
-    [[nodiscard]] StorageThread::Callbacks makeStorageCallbacks();
+    [[nodiscard]] Storage::Callbacks makeStorageCallbacks();
 
     Options options;
     StateMachine& stateMachine;
     Environment environment;
     Replica core;
     std::deque<PendingProposal> pendingProposals;
-    std::deque<DeferredMessages> deferredMessages;
+    std::deque<DeferredMessage> deferredMessages;
+    std::deque<UnstoredBytes> unstoredBytesByTicket;
+    size_t unstoredByteCount { 0 };
     /// The latest ticket whose operations are durable, and the latest one whose operations were submitted for storing.
     uint64_t storedTicket { 0 };
     uint64_t submittedTicket { 0 };
@@ -83,8 +100,8 @@
     Index lastSnapshotIndex { 0 };
     bool processingScheduled { false };
     bool storageFull { false };
-    // Declared last, so that the storage thread is joined before the members that its callbacks use are destroyed.
-    StorageThread storage;
+    // Declared last, so that a thread of the storage is joined before the members that its callbacks use are destroyed.
+    std::unique_ptr<Storage> storage;
 };
 
 }
--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -76,8 +76,21 @@
             this->sendHeartbeats();
         return;
     }
-    if (this->now >= this->electionDeadline && this->log.membership().isVoter(this->options.identity))
+    if (this->now < this->electionDeadline)
+        return;
+    // Only a replica that could store its vote stands for election.
+    if (this->log.membership().isVoter(this->options.identity) && !this->isStorageBlocked()) {
         this->startPreVote();
+        return;
+    }
+    // Commands and join requests are sent to the leader that is named, so a silent one must not be named any longer.
+    this->leaderIdentity.clear();
+    this->resetElectionTimer();
+}
+
+bool Replica::isStorageBlocked() const
+{
+    return !this->pendingTickets.empty() && this->now >= this->pendingTickets.front().issuedAt + this->options.electionTimeout;
 }
 
 void Replica::receive(const Message& message, Instant time)
@@ -187,7 +200,7 @@
     if (this->heardFromLeaderRecently())
         return;
     if (request.stage == VoteStage::PreVote) {
-        bool granted = request.term > this->hardState.term && this->isUpToDate(request);
+        bool granted = request.term > this->hardState.term && this->isUpToDate(request) && !this->isStorageBlocked();
         this->effects.immediateMessages.push_back(this->reply(message, VoteResponse { VoteStage::PreVote, granted ? request.term : this->hardState.term, granted }));
         return;
     }
@@ -265,6 +278,12 @@
     this->effects.operations.emplace_back(AppendOperation { { std::move(entry) } });
 }
 
+void Replica::stepDown()
+{
+    if (this->currentRole == Role::Leader)
+        this->becomeFollower(this->hardState.term, {});
+}
+
 ErrorOr<Index> Replica::propose(std::string payload)
 {
     if (this->currentRole != Role::Leader)
@@ -469,7 +488,8 @@
     Effects result;
     std::swap(result, this->effects);
     result.ticket = this->nextTicket++;
-    this->pendingTickets.push_back(PendingTicket { result.ticket, this->log.lastIndex(), this->log.lastTerm() });
+    if (!result.operations.empty())
+        this->pendingTickets.push_back(PendingTicket { result.ticket, this->log.lastIndex(), this->log.lastTerm(), this->now });
     return result;
 }
 
@@ -477,7 +497,7 @@
 {
     while (!this->pendingTickets.empty() && this->pendingTickets.front().ticket <= ticket) {
         auto pending = this->pendingTickets.front();
-        this->pendingTickets.erase(this->pendingTickets.begin());
+        this->pendingTickets.pop_front();
         // Entries that have been truncated since the ticket was issued do not count as stored.
         if (this->log.hasTermAt(pending.lastIndex) && this->log.termAt(pending.lastIndex) == pending.lastTerm)
             this->storedIndex = std::max(this->storedIndex, pending.lastIndex);
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -5,6 +5,7 @@
 #include <LibBase/Random.h>
 #include <LibLedger/ReplicaLog.h>
 #include <LibLedger/Types.h>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -78,6 +79,13 @@
     /// membership change is in progress or if the member is the leader itself.
     [[nodiscard]] ErrorOr<Index> proposeRemoval(std::string_view identity);
 
+    /// Gives up the leadership, for an owner that cannot take more commands. Ignored if this replica is not the leader.
+    void stepDown();
+
+    /// Whether the other voters that are reachable form a quorum, so that commands can be committed without this replica's own
+    /// disk. Meaningful on the leader only.
+    [[nodiscard]] bool hasReachableQuorumOfOthers() const;
+
     [[nodiscard]] Effects takeEffects();
 
     /// Reports that the operations of all tickets up to and including this one are durable.
@@ -100,6 +108,8 @@
     [[nodiscard]] bool isEstablishedLeader() const;
     /// The in-memory log, exposed for tests.
     [[nodiscard]] const ReplicaLog& replicaLog() const { return this->log; }
+    /// The number of tickets that are not stored yet, exposed for tests.
+    [[nodiscard]] size_t pendingTicketCount() const { return this->pendingTickets.size(); }
 
 private:
     // The replication state of one member as far as the leader knows it.
@@ -110,11 +120,12 @@
         std::optional<Instant> snapshotSentAt;
     };
 
-    // A ticket that is not stored yet, and the last entry of the log when the ticket was issued.
+    // A ticket whose operations are not stored yet, and the last entry of the log when the ticket was issued.
     struct PendingTicket {
         uint64_t ticket;
         Index lastIndex;
         Term lastTerm;
+        Instant issuedAt;
     };
 
     void handle(const Message&, const VoteRequest&);
@@ -127,6 +138,8 @@
     [[nodiscard]] Message messageTo(const Member&, MessageBody) const;
     void becomeFollower(Term, std::string leaderIdentity);
     void followLeader(const std::string& identity);
+    /// Whether operations have waited to be stored for longer than an election timeout: the disk is full or stalled.
+    [[nodiscard]] bool isStorageBlocked() const;
     void startPreVote();
     void startElection();
     void becomeLeader();
@@ -183,7 +196,7 @@
 
     Effects effects;
     uint64_t nextTicket { 1 };
-    std::vector<PendingTicket> pendingTickets;
+    std::deque<PendingTicket> pendingTickets;
 };
 
 }
