LibScheduler: Start the tasks of a target that no longer answers elsewhere

Cause: a hold order that is not answered was followed by another one with a new lease. Any of them may have arrived, so the time at which all leases have expired moved on with each, and the run never counted as lapsed. The tasks were started elsewhere only if the target reported a restart, was removed, or a list no longer contained the run.

Ruled out: that the run survives by the leases of further orders. Where the first order is lost, the target ends the run 600 ms after the one before, whatever arrives later, unless it is asked in time; it is asked at once, without a lease and without a wait, and the first answer lets the next order extend the leases again.

Change: no lease is granted, and no run started, on a target whose last hold order was not answered. It is asked until it answers.

--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -122,10 +122,11 @@
 }
 
 // Returns until when all runs that may be on the target may continue, but no later than `maximumLease` from now. While the target
-// is not claimed, or has runs that are not adopted, nothing is known of the leases of their jobs.
+// is not claimed, or has runs that are not adopted, nothing is known of the leases of their jobs. A target that has not answered
+// gets no lease, since its runs could not be taken as ended for as long as an order with a lease may reach it.
 Instant TargetSession::permittedLeaseEnd(Instant now) const
 {
-    if (this->phase != Phase::Claimed)
+    if (this->phase != Phase::Claimed || this->unansweredHolds > 0)
         return now;
     auto end = now + this->options.maximumLease;
     for (const auto& [id, run] : this->knownRuns)
@@ -197,7 +198,7 @@
 
 void TargetSession::sendHold(Instant now)
 {
-    bool waitsForEnd = (this->phase == Phase::Claimed || this->phase == Phase::Retired) && this->clock;
+    bool waitsForEnd = (this->phase == Phase::Claimed || this->phase == Phase::Retired) && this->clock && this->unansweredHolds == 0;
     this->openHold = this->makeHold(waitsForEnd ? this->options.holdWait : Milliseconds(0), now);
 }
 
@@ -551,10 +552,11 @@
         this->onRefusal(refused->reason, now);
 }
 
-// Returns whether a hold order is needed to renew leases, to acknowledge the ends of runs, or to claim the target.
+// Returns whether a hold order is needed to renew leases, to acknowledge the ends of runs, to claim the target, or to learn whether it
+// answers again.
 bool TargetSession::needsHold() const
 {
-    return !this->knownRuns.empty() || this->lastEndSeen > this->lastEndAcknowledged || this->phase == Phase::Claiming || this->phase == Phase::Retired;
+    return !this->knownRuns.empty() || this->lastEndSeen > this->lastEndAcknowledged || this->unansweredHolds > 0 || this->phase != Phase::Claimed;
 }
 
 void TargetSession::tick(Instant now)
--- a/Tests/LibScheduler/TestTaskScheduler.cpp
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -216,6 +216,34 @@
     BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(task_on_a_target_that_no_longer_answers_is_started_elsewhere)
+{
+    auto fleet = makeFleet(1, { 32, 32 });
+    fleet.runTime = 5s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 1, 27));
+    fleet.run(100ms);
+    BOOST_REQUIRE(fleet.targets.at("target-a").running().size() == 1U);
+    fleet.injectFault = [](size_t, const TargetInstance& instance, bool) { return SimulatedFleet::OrderFault { 1ms, false, instance.identity == "target-a" }; };
+    // The first hold order that is lost carries a lease of 600 ms.
+    BOOST_TEST(fleet.runUntil([&] { return fleet.targets.at("target-b").starts == 1; }, 20ms + 612ms + 50ms));
+    BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(run_on_a_target_that_misses_one_hold_order_goes_on)
+{
+    auto fleet = makeFleet(1, { 32, 32 });
+    fleet.runTime = 2s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.submit(0, makeJob("job", 1, 27));
+    fleet.run(100ms);
+    bool hasLostOrder = false;
+    fleet.injectFault = [&](size_t, const TargetInstance& instance, bool) { return SimulatedFleet::OrderFault { 1ms, false, instance.identity == "target-a" && !std::exchange(hasLostOrder, true) }; };
+    BOOST_TEST(fleet.runUntil([&] { return fleet.outcome("job") != nullptr; }, 2s));
+    BOOST_TEST(hasLostOrder);
+    BOOST_TEST(fleet.targets.at("target-a").starts + fleet.targets.at("target-b").starts == 1U);
+}
+
 // The other dispatcher ends without adopting the run. The entry host stays with the first one.
 BOOST_AUTO_TEST_CASE(task_of_a_fenced_target_is_started_elsewhere_once_its_entry_host_confirms_the_job)
 {
