LibScheduler: Tie the outcome of a job to its handover

Cause: an entry host took any outcome that came from the dispatcher of a job as that of the last handover. A dispatcher that did not know the job got it again; a refusal of the first handover that was late then made the entry host hand the job over to another shard at once, or answer that nothing had run, although the dispatcher may have started its tasks.

Ruled out: the order of messages on one connection, since notices are sent again and connections are replaced.

Now an outcome names the first run number of the submission it belongs to, which differs with each handover of an entry host. Refusals and failures of another handover are ignored. A completion is true whichever handover it belongs to: it is answered, and the later submission is cancelled.

Failed before: late_refusal_of_an_earlier_handover_is_ignored, one handover to the other shard (run with the new field, without the check in JobOwner). The other tests of JobOwner name the handover that they mean.

--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/JobOwner.cpp
@@ -184,8 +184,14 @@
     auto position = this->jobs.find(outcome.job);
     if (position == this->jobs.end() || position->second.dispatcher != from)
         return;
+    // After the last handover, the dispatcher may have started tasks even if it refused or failed the job before.
+    bool isLastHandover = outcome.firstRunNumber == position->second.submission.firstRunNumber;
+    if (!isLastHandover && outcome.end != JobEnd::Completed)
+        return;
     switch (outcome.end) {
     case JobEnd::Completed:
+        if (!isLastHandover)
+            this->effects.cancellations.push_back(Cancellation { from, outcome.job });
         this->finishWithAnswer(position, Answer::Kind::Completed, outcome.reason);
         return;
     case JobEnd::Failed:
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -266,7 +266,7 @@
     const auto& job = this->jobs.at(name);
     if (end != JobEnd::Completed)
         this->recordDecision(end == JobEnd::Failed ? Decision::Kind::JobFailed : Decision::Kind::JobRefused, {}, RunId { TaskId { name, 0, 0, 0 }, 0 }, reason);
-    JobOutcome outcome { name, end, std::move(reason), 0, job.waitTime.count(), job.starts };
+    JobOutcome outcome { name, end, std::move(reason), 0, job.waitTime.count(), job.starts, job.submission.firstRunNumber };
     auto entry = job.entry;
     this->effects.notices.push_back(Notice { entry, outcome });
     this->removeJob(name, now);
--- a/Libraries/LibScheduler/Types.h
+++ b/Libraries/LibScheduler/Types.h
@@ -120,8 +120,10 @@
     /// For logs: the time from the arrival of the job to its first start, and the total number of starts.
     Milliseconds::rep waitedMilliseconds { 0 };
     uint32_t starts { 0 };
+    /// The `firstRunNumber` of the submission, which differs with each handover of the job by its entry host.
+    uint64_t firstRunNumber { 0 };
 
-    CODEC_FIELDS(job, end, reason, retryAfterMilliseconds, waitedMilliseconds, starts);
+    CODEC_FIELDS(job, end, reason, retryAfterMilliseconds, waitedMilliseconds, starts, firstRunNumber);
     friend auto operator<=>(const JobOutcome&, const JobOutcome&) = default;
 };
 
--- a/Tests/LibScheduler/TestJobOwner.cpp
+++ b/Tests/LibScheduler/TestJobOwner.cpp
@@ -30,9 +30,9 @@
 
     std::vector<JobOwner::Handover> handovers() { return this->owner.takeEffects().handovers; }
 
-    void refuse(const std::string& from, const std::string& job)
+    void refuse(const std::string& from, const std::string& job, uint64_t firstRunNumber)
     {
-        this->owner.onOutcome(from, JobOutcome { job, JobEnd::Refused, "overloaded", 700, 0, 0 }, this->now);
+        this->owner.onOutcome(from, JobOutcome { job, JobEnd::Refused, "overloaded", 700, 0, 0, firstRunNumber }, this->now);
     }
 };
 
@@ -43,7 +43,7 @@
     this->useTwoShards();
     this->add("job");
     BOOST_TEST(this->handovers().at(0).dispatcher == "a");
-    this->refuse("a", "job");
+    this->refuse("a", "job", 1);
     auto effects = this->owner.takeEffects();
     BOOST_TEST(effects.answers.empty());
     BOOST_REQUIRE(effects.handovers.size() == 1U);
@@ -56,8 +56,8 @@
 {
     this->useTwoShards();
     this->add("job");
-    this->refuse("a", "job");
-    this->refuse("b", "job");
+    this->refuse("a", "job", 1);
+    this->refuse("b", "job", 1001);
     auto effects = this->owner.takeEffects();
     BOOST_REQUIRE(effects.answers.size() == 1U);
     BOOST_TEST((effects.answers.at(0).kind == Kind::Refused));
@@ -75,7 +75,7 @@
     BOOST_TEST(takenHandovers.at(1).submission.untilEarlierRunsEnd == 1250);
     BOOST_TEST(takenHandovers.at(1).submission.untilOtherShardRunsEnd == 0);
     BOOST_TEST(takenHandovers.at(1).submission.firstRunNumber > 1U);
-    this->refuse("b", "job");
+    this->refuse("b", "job", 1001);
     BOOST_TEST((this->owner.takeEffects().answers.at(0).kind == Kind::Unknown));
 }
 
@@ -133,12 +133,44 @@
     this->updateDispatchers({ { "", "a" } });
     this->add("job");
     this->updateDispatchers({ { "", "b" } });
-    this->owner.onOutcome("a", JobOutcome { "job", JobEnd::Failed, "task-failed", 0, 0, 0 }, this->now);
+    this->owner.onOutcome("a", JobOutcome { "job", JobEnd::Failed, "task-failed", 0, 0, 0, 1 }, this->now);
     BOOST_TEST(this->owner.openJobs() == 1U);
-    this->owner.onOutcome("b", JobOutcome { "job", JobEnd::Completed, "completed", 0, 0, 0 }, this->now);
+    this->owner.onOutcome("b", JobOutcome { "job", JobEnd::Completed, "completed", 0, 0, 0, 1001 }, this->now);
     BOOST_TEST((this->owner.takeEffects().answers.at(0).kind == Kind::Completed));
 }
 
+// The dispatcher has the job from a later handover and may have started its tasks.
+BOOST_FIXTURE_TEST_CASE(late_refusal_of_an_earlier_handover_is_ignored, Fixture)
+{
+    this->useTwoShards();
+    this->add("job");
+    this->now += 300ms;
+    this->owner.onRenewalAnswer("a", { "job" }, {}, this->now);
+    auto takenHandovers = this->handovers();
+    BOOST_REQUIRE(takenHandovers.size() == 2U);
+    BOOST_TEST(takenHandovers.at(1).submission.firstRunNumber == 1001U);
+    this->refuse("a", "job", 1);
+    auto effects = this->owner.takeEffects();
+    BOOST_TEST(effects.handovers.empty());
+    BOOST_TEST(effects.answers.empty());
+    this->refuse("a", "job", 1001);
+    BOOST_TEST(this->handovers().at(0).dispatcher == "b");
+}
+
+// All tasks of the job have ended, so the caller is answered, and the later submission is withdrawn.
+BOOST_FIXTURE_TEST_CASE(late_completion_of_an_earlier_handover_is_accepted, Fixture)
+{
+    this->updateDispatchers({ { "", "a" } });
+    this->add("job");
+    this->now += 300ms;
+    this->owner.onRenewalAnswer("a", { "job" }, {}, this->now);
+    this->owner.onOutcome("a", JobOutcome { "job", JobEnd::Completed, "completed", 0, 0, 0, 1 }, this->now);
+    auto effects = this->owner.takeEffects();
+    BOOST_REQUIRE(effects.answers.size() == 1U);
+    BOOST_TEST((effects.answers.at(0).kind == Kind::Completed));
+    BOOST_TEST(effects.cancellations.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(renewals_to_a_dispatcher_that_is_not_fresh_do_not_extend_the_entry_lease, Fixture)
 {
     this->updateDispatchers({ { "", "a" } });
