LibScheduler, sassafrasshiftd: Learn transit times from gossip

Cause: the first message of a sender counts as on time whatever its age, since there is nothing to compare it with. A dispatcher that has just begun gets its first messages about jobs with the submissions that are handed over to it. One that was held up for 550 ms or more took effect, and its entry lease was counted from the arrival, so that its runs went on when the caller of a killed entry host had submitted the job again.

Ruled out: refusing the first message of a sender. That would delay each handover after a change of dispatchers by a renewal, and let the runs that are to be adopted lapse.

Now gossip carries the time of sending and the incarnation of its sender, and a member records it whether it dispatches or not; so do renewals that arrive before dispatching begins. A submission of a host that has not sent any gossip directly in the life of this process still counts as on time.

The simulation now has gossip too, and keeps the transit times of the host; before, it made new ones with each dispatcher, as a process that had not dispatched yet had.

--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -132,8 +132,9 @@
     this->hub->send(*endpoint, Transport::encodeMessage(message));
 }
 
-void ClusterDaemon::handle(const std::string&, const Gossip& gossip)
+void ClusterDaemon::handle(const std::string& from, const Gossip& gossip)
 {
+    this->dispatch->observeTransitTime(from, gossip);
     this->cluster->mergeRecords(gossip.members, this->loop->now());
 }
 
@@ -152,6 +153,12 @@
         this->control->onMessage(from, message);
 }
 
+Gossip ClusterDaemon::makeGossip(std::vector<Membership::MemberRecord> records) const
+{
+    auto sentAt = std::chrono::duration_cast<Milliseconds>(this->loop->now().time_since_epoch()).count();
+    return Gossip { std::move(records), sentAt, this->cluster->self().incarnation };
+}
+
 void ClusterDaemon::gossip(Instant now)
 {
     const auto& self = this->cluster->self();
@@ -161,10 +168,10 @@
     this->nextGossip = now + this->cluster->gossipInterval();
     auto recipients = this->cluster->nextGossipRecipients(now);
     if (self.dispatchEpoch != this->gossipedEpoch)
-        this->broadcast(Gossip { { self } }, now);
+        this->broadcast(this->makeGossip({ self }), now);
     this->gossipedEpoch = self.dispatchEpoch;
     this->gossipedVersion = self.configurationVersion;
-    Gossip message { this->cluster->liveRecords(now) };
+    auto message = this->makeGossip(this->cluster->liveRecords(now));
     for (const auto& address : recipients)
         this->send(address, message);
 }
@@ -265,7 +272,7 @@
     this->cluster->self().dispatchEpoch = 0;
     // All other members are informed immediately, without waiting for the next gossip round.
     this->cluster->incrementHeartbeat();
-    this->broadcast(Gossip { { this->cluster->self() } }, now);
+    this->broadcast(this->makeGossip({ this->cluster->self() }), now);
     Telemetry::log(LogLevel::Information, "shutdown-started", "the cluster member is shutting down and completes its open jobs first", { { "openJobs", std::to_string(this->entry->openJobs()) } });
 }
 
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -50,6 +50,7 @@
     /// Applies the timeouts of the published document in force to callers' connections.
     void applyConnectionTimeouts();
     /// Sends a gossip message to all other live members.
+    [[nodiscard]] Gossip makeGossip(std::vector<Membership::MemberRecord>) const;
     void broadcast(const Gossip&, Instant now);
     void detectPause(Instant now);
     void reloadSettings(bool isForced);
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -15,8 +15,11 @@
 /// The records of the members that the sender considers alive.
 struct Gossip {
     std::vector<Membership::MemberRecord> members;
+    /// The time of sending by the clock of the sender, in milliseconds. Only times of the same incarnation are comparable.
+    Milliseconds::rep sentAt { 0 };
+    uint64_t senderIncarnation { 0 };
 
-    CODEC_FIELDS(members);
+    CODEC_FIELDS(members, sentAt, senderIncarnation);
 };
 
 /// Asks the dispatcher to cancel a job.
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -71,9 +71,14 @@
     this->scheduleEffects();
 }
 
+void DispatchService::observeTransitTime(const std::string& from, const Gossip& gossip)
+{
+    (void)this->transitTimes.excessTransitTime(from, gossip.senderIncarnation, Milliseconds(gossip.sentAt), this->context.now());
+}
+
 void DispatchService::onMessage(const std::string& from, const RenewSubmissions& renewal)
 {
-    if (!this->scheduler.isActive() || this->isDelayed(from, renewal.entryIncarnation, renewal.sentAt))
+    if (this->isDelayed(from, renewal.entryIncarnation, renewal.sentAt) || !this->scheduler.isActive())
         return;
     auto unknown = this->scheduler.renew(from, renewal.jobs, this->context.now(), renewal.kind);
     this->context.send(from, RenewResponse { std::move(unknown), this->scheduler.loads() });
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -19,6 +19,9 @@
     void onMessage(const std::string& from, const ReportNotice&);
     void onMessage(const std::string& from, const TargetGone&);
     void onMessage(const std::string& from, const TargetListResponse&);
+    /// Records the transit time of a message that every member sends, so that the first submission of an entry host can be compared
+    /// with earlier messages.
+    void observeTransitTime(const std::string& from, const Gossip&);
     void tick(Instant now);
     /// To be called after a pause of this process.
     void onPause(Instant now);
--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -11,6 +11,7 @@
 static constexpr Milliseconds linkTimeout { 700 };
 static constexpr Milliseconds linkRetryInterval { 50 };
 static constexpr Milliseconds pauseThreshold { 350 };
+static constexpr Milliseconds gossipInterval { 500 };
 
 SimulatedShards::SimulatedShards(size_t count, size_t targetsPerShard, unsigned seed, size_t entryCount)
     : random(seed)
@@ -37,7 +38,6 @@
     shard.fence += 10;
     shard.startsAt = this->now;
     shard.scheduler = std::make_unique<TaskScheduler>(TaskScheduler::Options {});
-    shard.transitTimes = std::make_unique<TransitTimes>();
     for (const auto& identity : shard.targets)
         shard.scheduler->onReport(this->targets.at(identity).report(), this->now);
     shard.scheduler->activate(shard.fence, this->now);
@@ -175,7 +175,7 @@
             });
         });
     };
-    auto isDelayed = [this, clock, name = sender.name, incarnation = sender.incarnation](Shard& shard) { return shard.transitTimes->excessTransitTime(name, incarnation, clock, this->now) > JobOwner::Options {}.scheduler.maximumTransitTime; };
+    auto isDelayed = [this, clock, name = sender.name, incarnation = sender.incarnation](Shard& shard) { return shard.transitTimes.excessTransitTime(name, incarnation, clock, this->now) > JobOwner::Options {}.scheduler.maximumTransitTime; };
     for (const auto& handover : effects.handovers) {
         send(handover.dispatcher, [this, isDelayed, name = sender.name, submission = handover.submission](Shard& shard) {
             if (!isDelayed(shard))
@@ -277,6 +277,21 @@
     });
 }
 
+// All members exchange messages that are not about jobs, also with a host that is not a dispatcher yet.
+void SimulatedShards::sendGossip(Entry& sender)
+{
+    if (this->now < sender.nextGossip)
+        return;
+    sender.nextGossip = this->now + gossipInterval;
+    auto clock = std::chrono::duration_cast<Milliseconds>(this->now.time_since_epoch());
+    for (auto& shard : this->shards) {
+        this->schedule(this->now + Milliseconds(1), [this, &shard, name = sender.name, incarnation = sender.incarnation, clock, sentAt = this->now] {
+            auto record = [this, &shard, name, incarnation, clock] { (void)shard.transitTimes.excessTransitTime(name, incarnation, clock, this->now); };
+            this->deliver(name, shard.address, sentAt, record);
+        });
+    }
+}
+
 void SimulatedShards::tickEntry(size_t number)
 {
     auto& ticked = this->entries[number];
@@ -293,6 +308,7 @@
             if (shard.scheduler)
                 currentDispatchers.push_back(ShardDispatcher { shard.name, shard.address });
         }
+        this->sendGossip(*active);
         active->owner->updateDispatchers(currentDispatchers, this->shards[number % this->shards.size()].name, this->now);
         active->owner->tick(this->now);
     });
--- a/Tests/LibScheduler/SimulatedShards.h
+++ b/Tests/LibScheduler/SimulatedShards.h
@@ -60,13 +60,15 @@
         std::unique_ptr<JobOwner> owner;
         uint64_t incarnation { 1 };
         Instant startsAt {};
+        Instant nextGossip {};
     };
 
     struct Shard {
         std::string name;
         std::string address;
         std::unique_ptr<TaskScheduler> scheduler;
-        std::unique_ptr<TransitTimes> transitTimes;
+        /// Of the host that runs all dispatchers of the shard.
+        TransitTimes transitTimes;
         std::vector<std::string> targets;
         uint64_t fence { 0 };
         uint32_t generation { 0 };
@@ -87,6 +89,7 @@
     void startDispatcher(Shard&);
     void startEntry(Entry&);
     void submitAgain(const std::string& job, size_t entry);
+    void sendGossip(Entry&);
     void tickEntry(size_t number);
     void executeEntryEffects(size_t number);
     void recordAnswer(const JobOwner::Answer&, size_t entry);
--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -155,6 +155,29 @@
     BOOST_TEST(shards.maximumConcurrentRuns() <= 1U);
 }
 
+// The submission is the first message about jobs that the new dispatcher gets from the entry host, which is killed meanwhile.
+BOOST_AUTO_TEST_CASE(delayed_first_submission_to_a_new_dispatcher_has_no_effect)
+{
+    for (int transitTime = 300; transitTime <= 650; transitTime += 50) {
+        SimulatedShards shards(2, 4, 1, 2);
+        shards.run(600ms);
+        shards.runTime = 6s;
+        // No other dispatcher is fresh, so that the new one gets the job.
+        shards.cutLink(shards.dispatcherOf(1), SimulatedShards::entry);
+        shards.run(400ms);
+        shards.cutLink(SimulatedShards::entry, "shard-0-dispatcher-2");
+        shards.replaceDispatcher(0, 0ms);
+        shards.run(60ms);
+        shards.submit(makeUrgentJob("job", 2, 30));
+        shards.run(20ms);
+        shards.killEntry(0, 20s);
+        shards.run(Milliseconds(transitTime));
+        shards.restoreAllLinks();
+        shards.run(4s);
+        BOOST_TEST(shards.maximumConcurrentRuns() <= 1U, "transit of " << transitTime << " ms");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(random_losses_of_entry_hosts_and_stop_orders_never_run_a_task_twice_at_once)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
