LibScheduler: Assume the longest lease for orders of other dispatchers

A session now assumes the longest lease that targets grant for all orders that are not its own, not the 612 ms that dispatchers ask for. Only runs on targets that stay silent after a claim wait longer for it.

The simulated targets receive an order within 150 ms or never, since the connection is given up then, and carry it out late only while the process that received it exists.

--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -94,10 +94,10 @@
 }
 
 // Another dispatcher may have obtained leases from the target until now. They are unknown here, so each is assumed to be as long
-// as possible.
+// as a target grants: an order for an earlier process of the target may have been obeyed by the present one, on another clock.
 void TargetSession::assumeUnknownLeases(Instant now)
 {
-    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumLease));
+    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumGrantedLease));
 }
 
 bool TargetSession::canStartRuns(Instant now) const
@@ -380,7 +380,7 @@
     this->lastEndSeen = 0;
     this->lastEndAcknowledged = 0;
     this->latestLeaseEnd = 0;
-    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumGrantedLease));
+    this->assumeUnknownLeases(now);
     for (auto& [id, run] : this->knownRuns)
         run.stopConfirmedAt.reset();
 }
@@ -390,7 +390,6 @@
 {
     this->clock.reset();
     this->latestLeaseEnd = 0;
-    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumGrantedLease));
     this->reclaim(this->fence, now);
 }
 
--- a/Tests/LibScheduler/SimulatedTargets.cpp
+++ b/Tests/LibScheduler/SimulatedTargets.cpp
@@ -189,24 +189,34 @@
 {
     auto& dispatcher = *this->dispatchers[number];
     static constexpr Milliseconds answerTimeout { 350 };
+    // An order is received within this time or never, since the connection is given up then. The process that has received it may
+    // carry it out later, as long as it exists.
+    static constexpr Milliseconds maximumTransitTime { 150 };
     auto effects = dispatcher.takeEffects(this->now);
     auto perform = [&](const auto& order, Milliseconds pause, bool isStart, auto execute, auto handleAnswer) {
         auto fault = this->faultOf(number, order.instance, isStart);
         using Answer = decltype(execute(this->targets.begin()->second, Instant {}));
+        auto handleTimeout = [handleAnswer] { handleAnswer(Answer { Unanswered {} }); };
+        auto transit = std::min(fault.delay, maximumTransitTime);
+        auto carryOut = [this, order, execute, handleAnswer, handleTimeout, fault](const std::string& receiver) {
+            auto position = this->targets.find(order.instance.identity);
+            if (position == this->targets.end() || position->second.address != order.instance.address || position->second.incarnation != receiver) {
+                this->schedule(answerTimeout, handleTimeout);
+                return;
+            }
+            auto answer = execute(position->second, this->now);
+            if (!fault.answerLost && fault.delay + fault.answerDelay < answerTimeout)
+                this->schedule(fault.answerDelay, [handleAnswer, answer] { handleAnswer(answer); });
+        };
         if (!fault.orderLost) {
-            this->schedule(fault.delay + pause, [this, order, execute, handleAnswer, fault] {
+            this->schedule(transit, [this, order, carryOut, delay = fault.delay - transit + pause] {
                 auto position = this->targets.find(order.instance.identity);
-                if (position == this->targets.end() || position->second.address != order.instance.address) {
-                    this->schedule(answerTimeout, [handleAnswer] { handleAnswer(Answer { Unanswered {} }); });
-                    return;
-                }
-                auto answer = execute(position->second, this->now);
-                if (!fault.answerLost && fault.delay + fault.answerDelay < answerTimeout)
-                    this->schedule(fault.answerDelay, [handleAnswer, answer] { handleAnswer(answer); });
+                auto receiver = position == this->targets.end() ? std::string() : position->second.incarnation;
+                this->schedule(delay, [carryOut, receiver] { carryOut(receiver); });
             });
         }
         if (fault.orderLost || fault.answerLost || fault.delay + fault.answerDelay >= answerTimeout)
-            this->schedule(answerTimeout + pause, [handleAnswer] { handleAnswer(Answer { Unanswered {} }); });
+            this->schedule(answerTimeout + pause, handleTimeout);
     };
     for (const auto& order : effects.orders.starts) {
         auto submission = this->submissions.at(order.run.task.job);
--- a/Tests/LibScheduler/TestRunEnds.cpp
+++ b/Tests/LibScheduler/TestRunEnds.cpp
@@ -24,6 +24,8 @@
         this->fleet.report();
         this->fleet.runTime = runTime;
         this->fleet.dispatchers[0]->activate(firstFence, this->fleet.now);
+        // Leases of earlier dispatchers have ended by then.
+        this->fleet.run(1100ms);
         this->fleet.submit(0, makeJob("job", 1, 27));
         this->fleet.run(100ms);
         for (const auto& [identity, candidate] : this->fleet.targets) {
@@ -195,3 +197,122 @@
     task.fleet.run(3s);
     BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
 }
+
+namespace {
+
+/// Disturbs the targets of a fleet at random.
+class TargetFaults {
+public:
+    TargetFaults(SimulatedFleet& fleet, unsigned seed)
+        : fleet(fleet)
+        , random(seed)
+    {
+    }
+
+    [[nodiscard]] bool chance(unsigned percent) { return this->random() % 100 < percent; }
+    [[nodiscard]] int64_t below(unsigned limit) { return static_cast<int64_t>(this->random() % limit); }
+
+    [[nodiscard]] SimulatedFleet::OrderFault nextOrderFault(const TargetInstance& instance)
+    {
+        SimulatedFleet::OrderFault fault;
+        fault.delay = Milliseconds(1 + this->below(5));
+        if (this->chance(2))
+            fault.delay = Milliseconds(100 + this->below(500));
+        fault.answerDelay = Milliseconds(1 + this->below(this->chance(20) ? 60 : 4));
+        fault.answerLost = this->chance(3);
+        fault.orderLost = this->chance(3) || instance.identity == this->unreachable;
+        return fault;
+    }
+
+    void disturb()
+    {
+        auto position = this->fleet.targets.begin();
+        std::advance(position, this->below(static_cast<unsigned>(this->fleet.targets.size())));
+        auto& target = position->second;
+        this->former.push_back(target.report());
+        switch (this->below(8)) {
+        case 0:
+            target.restart();
+            break;
+        case 1:
+            target.restart();
+            target.address = "127.0.0.1:" + std::to_string(++this->nextPort);
+            break;
+        case 2:
+            this->fleet.announceEnd(target.identity, target.incarnation);
+            break;
+        case 3: {
+            const auto& earlier = this->former[static_cast<size_t>(this->below(static_cast<unsigned>(this->former.size())))];
+            this->fleet.announceEnd(earlier.identity, this->chance(50) ? earlier.incarnation : "");
+            this->fleet.report(earlier);
+            break;
+        }
+        case 4: {
+            auto report = target.report();
+            report.address = "127.0.0.1:" + std::to_string(++this->nextPort);
+            this->fleet.report(report);
+            break;
+        }
+        case 5:
+            this->unreachable = target.identity;
+            break;
+        case 6:
+            this->unreachable.clear();
+            break;
+        default:
+            break;
+        }
+        ++target.sequence;
+        if (this->chance(70))
+            this->fleet.report();
+    }
+
+private:
+    SimulatedFleet& fleet;
+    std::mt19937 random;
+    std::vector<Membership::TargetReport> former;
+    std::string unreachable;
+    int nextPort { 60'000 };
+};
+
+}
+
+// Targets restart in place and elsewhere and are cut off; removals and reports come late and name what does not exist; answers
+// overtake each other; two dispatchers replace each other. At no time may a task have two runs or a target be overcommitted.
+BOOST_AUTO_TEST_CASE(random_restarts_and_removals_never_run_a_task_twice_at_once_or_overcommit_a_target)
+{
+    for (unsigned seed = 1; seed <= 150; ++seed) {
+        SimulatedFleet fleet(2);
+        for (const auto* identity : { "target-a", "target-b", "target-c" })
+            fleet.addTarget(identity, 64);
+        fleet.report();
+        TargetFaults faults(fleet, seed);
+        fleet.injectFault = [&](size_t, const TargetInstance& instance, bool) { return faults.nextOrderFault(instance); };
+        size_t active = 0;
+        uint64_t fence = firstFence;
+        fleet.dispatchers[active]->activate(fence, fleet.now);
+        for (unsigned turn = 0; turn < 60; ++turn) {
+            fleet.runTime = Milliseconds(50 + faults.below(600));
+            fleet.submit(active, makeJob("job-" + std::to_string(turn), 1 + static_cast<uint32_t>(faults.below(4)), 20 + faults.below(20)));
+            fleet.run(Milliseconds(20 + faults.below(100)));
+            if (faults.chance(25))
+                faults.disturb();
+            if (!faults.chance(4))
+                continue;
+            fleet.dispatchers[active]->deactivate();
+            active = 1 - active;
+            fleet.dispatchers[active]->activate(fence += 3, fleet.now);
+            for (const auto& [name, submission] : fleet.submissions) {
+                if (fleet.outcome(name))
+                    continue;
+                auto resubmission = submission;
+                resubmission.firstRunNumber += 1000 * (fence - firstFence);
+                resubmission.untilEarlierRunsEnd = 1250;
+                fleet.submit(active, resubmission);
+            }
+        }
+        fleet.run(4s);
+        BOOST_TEST(!fleet.anyOvercommitted(), "seed " << seed);
+        BOOST_TEST(fleet.maximumConcurrentRuns() <= 1U, "seed " << seed);
+    }
+}
