LibMembership, sassafrasshiftd: Ask the other candidates for targets as well

Callers could see a task run twice after a change of dispatcher. A new dispatcher starts the jobs that are handed over to it as soon as it has claimed all targets that the hosts which take reports know. Those forget a target 8 s after its last report. A target that is cut off from these hosts only goes on being used by the former dispatcher; a successor that was started after that did not know it, and started its tasks elsewhere while they ran on there.

The other candidates of the shard, which are sent all reports and keep them, are asked too, and answer with the reports of all targets that have not announced their end. As before, only members that are alive are waited for.

Not covered: a target that is cut off from the hosts for 8 s while all other candidates have been restarted since.

--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -172,6 +172,17 @@
     return position == shards.end() ? *shards.begin() : *position;
 }
 
+std::vector<std::string> Cluster::targetListHosts(Instant now) const
+{
+    std::vector<std::string> hosts;
+    for (const auto* member : this->liveMembers(now)) {
+        bool isCandidate = member->dispatchWeight > 0 && member != &this->ownRecord && this->shardFor(member->failureDomain) == this->ownShard();
+        if (!member->isEntry || isCandidate)
+            hosts.push_back(member->address);
+    }
+    return hosts;
+}
+
 const MemberRecord* Cluster::dispatcher(const std::string& shard, Instant now) const
 {
     const MemberRecord* best = nullptr;
--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -134,6 +134,9 @@
     /// The shard to which the targets of a failure domain belong. A domain in which no member has a dispatch weight belongs to
     /// the shard of another domain.
     [[nodiscard]] std::string shardFor(const std::string& failureDomain) const;
+    /// The live members that may know targets which this member does not know as a new dispatcher of its shard: those that accept
+    /// reports, and those that a dispatcher of the shard is chosen from.
+    [[nodiscard]] std::vector<std::string> targetListHosts(Instant now) const;
     [[nodiscard]] std::string ownShard() const { return this->shardFor(this->ownRecord.failureDomain); }
     /// The live, serving member whose claim to the shard has the highest epoch; null if there is none.
     [[nodiscard]] const MemberRecord* dispatcher(const std::string& shard, Instant now) const;
--- a/Libraries/LibScheduler/TargetSurvey.h
+++ b/Libraries/LibScheduler/TargetSurvey.h
@@ -7,7 +7,8 @@
 
 namespace Sassafrasshift::Scheduler {
 
-/// Tracks a survey in which a new dispatcher asks all hosts that receive target reports for the targets they know. The reports
+/// Tracks a survey in which a new dispatcher asks all hosts that receive target reports, and the other candidates for dispatching,
+/// for the targets they know. The reports
 /// that the dispatcher received itself may be incomplete, because messages to a host that has just started can be lost.
 class TargetSurvey {
 public:
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -105,6 +105,16 @@
     this->needsPlacement = true;
 }
 
+std::vector<TargetReport> TaskScheduler::knownReports() const
+{
+    std::vector<TargetReport> present;
+    for (const auto& [identity, known] : this->reports) {
+        if (!known.removedAt)
+            present.push_back(known.report);
+    }
+    return present;
+}
+
 void TaskScheduler::removeGoneTargets()
 {
     std::erase_if(this->targets, [](const auto& entry) { return entry.second.session.isGone(); });
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -58,6 +58,9 @@
     /// that is known here. A later report brings the target back.
     void onTargetGone(const std::string& identity, const std::string& incarnation, Instant now);
 
+    /// The reports of all targets that have not announced their end, of this shard and of others.
+    [[nodiscard]] std::vector<Membership::TargetReport> knownReports() const;
+
     /// Queues or refuses a job. If the job is open here already, it now belongs to this entry host.
     void submit(const std::string& entry, const Submission&, Instant now);
     /// Drops a job, unless it belongs to another entry host.
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -61,7 +61,7 @@
     this->ledger = std::make_unique<DocumentLedger>(*this->context, *this->documents);
     this->dispatch = std::make_unique<DispatchService>(*this->context, *this->client);
     this->entry = std::make_unique<JobEntry>(*this->context, *this->documents);
-    this->control = std::make_unique<ControlApi>(*this->context, *this->ledger, *this->documents);
+    this->control = std::make_unique<ControlApi>(*this->context, *this->ledger, *this->documents, this->dispatch->taskScheduler());
     TRY_VOID(this->ledger->start());
     TRY_VOID(this->openServers());
     if (auto text = Ledger::readFile(this->settingsFile))
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -71,7 +71,8 @@
     CODEC_FIELDS(identity, incarnation);
 };
 
-/// Asks a host that accepts targets' reports for the latest reports of the targets in the sender's shard.
+/// Asks a host that accepts targets' reports, or that may dispatch to them, for the latest reports of the targets in the sender's
+/// shard.
 struct TargetListRequest {
     uint64_t number { 0 };
 
--- a/Services/sassafrasshiftd/Cluster/ControlApi.cpp
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.cpp
@@ -27,10 +27,11 @@
     respond(exchange, status, Platform::encodeError(detail));
 }
 
-ControlApi::ControlApi(ClusterContext& context, DocumentLedger& ledger, DocumentStore& documents)
+ControlApi::ControlApi(ClusterContext& context, DocumentLedger& ledger, DocumentStore& documents, const Scheduler::TaskScheduler& scheduler)
     : context(context)
     , ledger(ledger)
     , documents(documents)
+    , scheduler(scheduler)
 {
 }
 
@@ -137,6 +138,11 @@
         if (this->mayDispatch(*member, target.report))
             response.reports.push_back(target.report);
     }
+    // A candidate for dispatching keeps the reports of targets that the hosts which accept reports have not heard of for a while.
+    for (auto& report : this->scheduler.knownReports()) {
+        if (this->mayDispatch(*member, report))
+            response.reports.push_back(std::move(report));
+    }
     this->context.send(from, response);
 }
 
--- a/Services/sassafrasshiftd/Cluster/ControlApi.h
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.h
@@ -12,7 +12,7 @@
 /// The HTTP interface for targets, which report themselves, and for operators, who publish and read the document.
 class ControlApi {
 public:
-    ControlApi(ClusterContext&, DocumentLedger&, DocumentStore&);
+    ControlApi(ClusterContext&, DocumentLedger&, DocumentStore&, const Scheduler::TaskScheduler&);
 
     void handle(const std::shared_ptr<Transport::HttpExchange>&);
     void onMessage(const std::string& from, const ReportAcknowledgment&);
@@ -50,6 +50,7 @@
     ClusterContext& context;
     DocumentLedger& ledger;
     DocumentStore& documents;
+    const Scheduler::TaskScheduler& scheduler;
     std::map<std::string, KnownTarget> targets;
     std::map<uint64_t, PendingReport> pendingReports;
     std::vector<PendingRead> pendingReads;
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -103,16 +103,6 @@
     this->scheduleEffects();
 }
 
-std::vector<std::string> DispatchService::reportHosts(Instant now) const
-{
-    std::vector<std::string> hosts;
-    for (const auto* member : this->context.cluster.liveMembers(now)) {
-        if (!member->isEntry)
-            hosts.push_back(member->address);
-    }
-    return hosts;
-}
-
 void DispatchService::continueSurvey(Instant now)
 {
     if (!this->scheduler.isActive())
@@ -120,7 +110,7 @@
     for (const auto& host : this->survey.takeHostsToAsk(now))
         this->context.send(host, TargetListRequest { this->survey.number() });
     // While some hosts have been alive only for a short time, there may be targets that have not reported to any host yet.
-    this->scheduler.setKnowsAllTargets(this->context.cluster.isStableFor(stabilizationTime, now) && this->survey.isComplete(this->reportHosts(now)));
+    this->scheduler.setKnowsAllTargets(this->context.cluster.isStableFor(stabilizationTime, now) && this->survey.isComplete(this->context.cluster.targetListHosts(now)));
 }
 
 void DispatchService::applyClaim(Instant now)
@@ -142,7 +132,7 @@
         return;
     Telemetry::log(LogLevel::Information, "dispatch-begun", "this member started dispatching", { { "epoch", std::to_string(claimedEpoch) }, { "shard", shard } });
     this->scheduler.activate(this->fencingToken(), now, [&cluster, shard](const auto& report) { return cluster.shardFor(report.failureDomain) == shard; });
-    this->survey.begin(this->reportHosts(now));
+    this->survey.begin(this->context.cluster.targetListHosts(now));
     this->continueSurvey(now);
 }
 
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -32,8 +32,6 @@
     [[nodiscard]] bool isDelayed(const std::string& from, uint64_t incarnation, Milliseconds::rep sentAt);
     /// Raises this member's epoch if targets reject its fencing token.
     void raiseEpochIfFenced(Instant now);
-    /// The addresses of the live hosts that accept reports of targets.
-    [[nodiscard]] std::vector<std::string> reportHosts(Instant now) const;
     void continueSurvey(Instant now);
     /// Sends the orders and messages that the scheduler has produced, and logs its decisions.
     void executeEffects();
--- a/Tests/LibMembership/TestCluster.cpp
+++ b/Tests/LibMembership/TestCluster.cpp
@@ -300,3 +300,18 @@
     this->run(1s);
     BOOST_TEST(this->dispatcherAt("west-5") == "west-1");
 }
+
+// Hosts that accept reports forget targets that they do not hear; the candidates for dispatching keep them.
+BOOST_AUTO_TEST_CASE(new_dispatcher_asks_the_other_candidates_of_its_shard_for_targets)
+{
+    Network network;
+    std::vector<std::string> seeds { "ledger" };
+    network.add("ledger", seeds, 0, false);
+    network.add("first", seeds, 10);
+    network.add("second", seeds, 10);
+    network.add("plain", seeds, 0);
+    network.run(2s);
+    auto hosts = network.members.at("first")->targetListHosts(network.now);
+    std::sort(hosts.begin(), hosts.end());
+    BOOST_TEST((hosts == std::vector<std::string> { "ledger", "second" }));
+}
--- a/Tests/LibScheduler/TestRunEnds.cpp
+++ b/Tests/LibScheduler/TestRunEnds.cpp
@@ -198,6 +198,31 @@
     BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
 }
 
+// The hosts that take reports have forgotten the target, which is cut off from them. A third member still knows it.
+BOOST_AUTO_TEST_CASE(dispatcher_that_asked_the_other_candidates_waits_for_a_target_that_no_longer_reports)
+{
+    RunningTask task(2s);
+    TaskScheduler candidate({});
+    candidate.onReport(task.runningTarget().report(), task.fleet.now);
+    TaskScheduler successor({});
+    for (const auto& [identity, target] : task.fleet.targets) {
+        if (identity != task.target)
+            successor.onReport(target.report(), task.fleet.now);
+    }
+    for (const auto& report : candidate.knownReports())
+        successor.onReport(report, task.fleet.now);
+    *task.fleet.dispatchers[1] = std::move(successor);
+    task.fleet.dispatchers[0]->deactivate();
+    task.fleet.dispatchers[1]->activate(secondFence, task.fleet.now);
+    auto resubmission = makeJob("job", 1, 27);
+    resubmission.firstRunNumber = 1001;
+    resubmission.untilEarlierRunsEnd = 1250;
+    task.fleet.submit(1, resubmission);
+    BOOST_TEST(task.fleet.runUntil([&] { return task.fleet.outcome("job") != nullptr; }, 3s));
+    BOOST_TEST(task.starts() == 1U);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
+
 namespace {
 
 /// Disturbs the targets of a fleet at random.
