--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -87,6 +87,14 @@
     BOOST_TEST((std::get<Unanswered>(Platform::decodeOrderAnswer(tl::unexpected(Error::notRun(Reason::Unreachable, "refused")))).verdict == Verdict::NotRun));
 }
 
+BOOST_AUTO_TEST_CASE(response_without_a_defined_meaning_is_not_taken_as_a_refusal)
+{
+    for (int status : { 204, 302, 404, 408 })
+        BOOST_TEST(std::holds_alternative<Unanswered>(Platform::decodeOrderAnswer(HttpResponse { status, {}, "" })), status);
+    BOOST_TEST((std::get<Refused>(Platform::decodeOrderAnswer(HttpResponse { 409, {}, R"({"reason":"room"})" })).reason == OrderRefusal::InsufficientCapacity));
+    BOOST_TEST((std::get<Refused>(Platform::decodeOrderAnswer(HttpResponse { 400, {}, "" })).reason == OrderRefusal::Malformed));
+}
+
 BOOST_AUTO_TEST_CASE(run_lists_are_decoded)
 {
     auto answer = Platform::decodeHoldAnswer(HttpResponse { 200, {}, R"({"clock_ms":9,"born":3,"running":[["job.0.0.1",2,"",41]],"ended":[[58,"job.0.0.9",1,"done",""],[59,"job.0.0.8",1,"failed",""]]})" });
