--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -64,6 +64,9 @@
     /// that is known here. A later report brings the target back.
     void onTargetGone(const std::string& identity, const std::string& incarnation, Instant now);
 
+    /// The reports of all targets that have not announced their end, of this shard and of others.
+    [[nodiscard]] std::vector<Membership::TargetReport> knownReports() const;
+
     /// Queues or refuses a job. If the job is open here from another entry host, it now belongs to this one. If it is open from the
     /// same one, that has withdrawn the job and handed it over again: its runs are stopped, and it is queued like a new job.
     void submit(const std::string& entry, const Submission&, Instant now);
