LibMembership: Ignore records whose counters are out of range

One odd record in a gossip message, passed on by every member, could stop dispatching in the whole cluster for good.

Cause: members derive higher values from the highest that they have seen. After an epoch of 2^64 - 1 the next one was 0, which is no claim; after such an incarnation of its own address a member went on with incarnation 0, so that all others ignored its records. A version of 2^64 - 1 made members ask only the member with that record for documents.

Ruled out: heartbeats and incarnations of other members, which affect only the record itself.

Records with such counters are ignored, as are those without an address.

--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -1,5 +1,6 @@
 #include <LibMembership/Cluster.h>
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace Sassafrasshift::Membership {
@@ -61,9 +62,23 @@
     return records;
 }
 
+// The highest value of a counter in a record. Members derive higher values from it, which must not overflow.
+static constexpr uint64_t maximumCounter = uint64_t { 1 } << 53;
+// Epochs count seconds, and leave room in a fencing token for the bits that identify the claimant.
+static constexpr uint64_t maximumEpoch = uint64_t { 1 } << 32;
+static constexpr uint64_t maximumVersion = std::numeric_limits<int64_t>::max();
+
+static bool isPlausible(const MemberRecord& record)
+{
+    bool hasPlausibleCounters = record.incarnation <= maximumCounter && record.heartbeat <= maximumCounter && record.ledgerTerm <= maximumCounter;
+    return !record.address.empty() && hasPlausibleCounters && record.dispatchEpoch <= maximumEpoch && record.configurationVersion <= maximumVersion;
+}
+
 void Cluster::mergeRecords(const std::vector<MemberRecord>& records, Instant now)
 {
     for (const auto& record : records) {
+        if (!isPlausible(record))
+            continue;
         this->highestEpoch = std::max(this->highestEpoch, record.dispatchEpoch);
         if (record.dispatchEpoch > 0)
             this->claimedShards.insert(record.dispatchShard);
@@ -88,7 +103,7 @@
 void Cluster::mergeOwnRecord(const MemberRecord& record)
 {
     bool isFromEarlierProcess = record.incarnation > this->ownRecord.incarnation || (record.incarnation == this->ownRecord.incarnation && record.heartbeat > this->ownRecord.heartbeat);
-    if (isFromEarlierProcess)
+    if (isFromEarlierProcess && record.incarnation < maximumCounter)
         this->ownRecord.incarnation = record.incarnation + 1;
 }
 
--- a/Tests/LibMembership/TestCluster.cpp
+++ b/Tests/LibMembership/TestCluster.cpp
@@ -1,6 +1,7 @@
 #include <LibMembership/Cluster.h>
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 
@@ -300,3 +301,34 @@
     this->run(1s);
     BOOST_TEST(this->dispatcherAt("west-5") == "west-1");
 }
+
+BOOST_AUTO_TEST_CASE(record_with_numbers_out_of_range_stops_no_member)
+{
+    static constexpr auto maximum = std::numeric_limits<uint64_t>::max();
+    Network network;
+    network.add("seed-a", {}, 500, false);
+    auto& member = *network.members.at("seed-a");
+    auto incarnation = member.self().incarnation;
+    MemberRecord odd;
+    odd.address = "odd";
+    odd.dispatchEpoch = maximum;
+    odd.incarnation = 1;
+    member.mergeRecords({ odd }, network.now);
+    BOOST_TEST(!member.find("odd"));
+    member.raiseEpoch(0);
+    BOOST_TEST(member.self().dispatchEpoch == 1U);
+    // A record of this member itself makes it use the next higher incarnation.
+    odd = MemberRecord {};
+    odd.address = "seed-a";
+    odd.incarnation = maximum;
+    member.mergeRecords({ odd }, network.now);
+    BOOST_TEST(member.self().incarnation >= incarnation);
+    odd.incarnation = 1;
+    odd.address = "odd";
+    odd.configurationVersion = maximum;
+    member.mergeRecords({ odd }, network.now);
+    BOOST_TEST(!member.find("odd"));
+    odd.configurationVersion = 0;
+    member.mergeRecords({ odd }, network.now);
+    BOOST_TEST(member.find("odd"));
+}
