--- a/Tests/LibMembership/TestCluster.cpp
+++ b/Tests/LibMembership/TestCluster.cpp
@@ -1,6 +1,7 @@
 #include <LibMembership/Cluster.h>
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 
@@ -315,3 +316,34 @@
     std::sort(hosts.begin(), hosts.end());
     BOOST_TEST((hosts == std::vector<std::string> { "ledger", "second" }));
 }
+
+BOOST_AUTO_TEST_CASE(record_with_numbers_out_of_range_stops_no_member)
+{
+    static constexpr auto maximum = std::numeric_limits<uint64_t>::max();
+    Network network;
+    network.add("seed-a", {}, 500, false);
+    auto& member = *network.members.at("seed-a");
+    auto incarnation = member.self().incarnation;
+    MemberRecord odd;
+    odd.address = "odd";
+    odd.dispatchEpoch = maximum;
+    odd.incarnation = 1;
+    member.mergeRecords({ odd }, network.now);
+    BOOST_TEST(!member.find("odd"));
+    member.raiseEpoch(0);
+    BOOST_TEST(member.self().dispatchEpoch == 1U);
+    // A record of this member itself makes it use the next higher incarnation.
+    odd = MemberRecord {};
+    odd.address = "seed-a";
+    odd.incarnation = maximum;
+    member.mergeRecords({ odd }, network.now);
+    BOOST_TEST(member.self().incarnation >= incarnation);
+    odd.incarnation = 1;
+    odd.address = "odd";
+    odd.configurationVersion = maximum;
+    member.mergeRecords({ odd }, network.now);
+    BOOST_TEST(!member.find("odd"));
+    odd.configurationVersion = 0;
+    member.mergeRecords({ odd }, network.now);
+    BOOST_TEST(member.find("odd"));
+}
