LibLedger: Tell a full disk from a failed one in every operation

A sync, a truncation or the creation of the folder that reported a lack of space counted as a failed disk: the process ended, and ended again at each start while the disk was full.

Evidence: full_disk_at_start_is_told_from_a_failed_one and sync_without_space_can_be_repeated failed before in three checks; the linker redirects the operations of the test program, so that each can be made to fail. Short writes were handled already (short_writes_are_continued).

A repeated call writes the whole frame again, so that it does not rely on pages that a failed sync has left in the cache. The sync of the folder after a rename stays final, since a segment that may or may not exist must be read anew.

--- a/Libraries/LibLedger/DiskStore.cpp
+++ b/Libraries/LibLedger/DiskStore.cpp
@@ -41,7 +41,7 @@
     std::error_code code;
     std::filesystem::create_directories(folder, code);
     if (code)
-        return tl::unexpected(Error::notRun(Reason::StorageFailed, "cannot create data folder " + folder + ": " + code.message()));
+        return tl::unexpected(storageError(code.value(), Verdict::NotRun, "cannot create data folder " + folder));
     std::unique_ptr<DiskStore> store(new DiskStore(folder));
     TRY_VOID(store->loadOrCreateIdentity(random));
     TRY_VOID(store->recover());
@@ -90,7 +90,7 @@
     this->descriptor = ::open(path.c_str(), O_RDWR | O_CLOEXEC);
     // Truncating the file removes the remains of an incomplete frame. When the file is extended again, that range reads as zeros.
     if (this->descriptor < 0 || ftruncate(this->descriptor, static_cast<off_t>(this->writeOffset)) != 0 || fsync(this->descriptor) != 0)
-        return tl::unexpected(Error::notRun(Reason::StorageFailed, "cannot open " + path + ": " + std::strerror(errno)));
+        return tl::unexpected(storageError(errno, Verdict::NotRun, "cannot open " + path));
     this->allocatedBytes = this->writeOffset;
     this->removeSegmentsBefore(this->segmentNumber);
     return {};
@@ -185,14 +185,12 @@
         return {};
     auto target = this->writeOffset + bytes + preallocationStep;
     int code = posix_fallocate(this->descriptor, static_cast<off_t>(this->allocatedBytes), static_cast<off_t>(target - this->allocatedBytes));
-    if (code == ENOSPC || code == EFBIG || code == EDQUOT)
-        return tl::unexpected(Error::notRun(Reason::StorageFull, "no space left in " + this->folder));
     if (code != 0)
-        return tl::unexpected(Error::mayHaveRun(Reason::StorageFailed, "cannot extend the log: " + std::string(std::strerror(code))));
-    this->allocatedBytes = target;
+        return tl::unexpected(storageError(code, Verdict::MayHaveRun, "cannot extend the log"));
     // The new file size is synced once here, so that the fdatasync of each batch need not write metadata.
     if (fsync(this->descriptor) != 0)
-        return tl::unexpected(Error::mayHaveRun(Reason::StorageFailed, "cannot sync the log: " + std::string(std::strerror(errno))));
+        return tl::unexpected(storageError(errno, Verdict::MayHaveRun, "cannot sync the log"));
+    this->allocatedBytes = target;
     return {};
 }
 
@@ -206,14 +204,14 @@
         if (count < 0 && errno == EINTR)
             continue;
         // The part of the frame that was written lies beyond the end of the log; the next attempt overwrites it.
-        if (count < 0 && (errno == ENOSPC || errno == EDQUOT || errno == EFBIG))
-            return tl::unexpected(Error::notRun(Reason::StorageFull, "no space left in " + this->folder));
         if (count <= 0)
-            return tl::unexpected(Error::mayHaveRun(Reason::StorageFailed, "cannot write the log: " + std::string(std::strerror(errno))));
+            return tl::unexpected(storageError(count < 0 ? errno : EIO, Verdict::MayHaveRun, "cannot write the log"));
         written += static_cast<size_t>(count);
     }
+    // A file system may find out only here that it has no space. The next attempt writes the whole frame again, so that it does
+    // not depend on what the failed sync has left in the cache.
     if (fdatasync(this->descriptor) != 0)
-        return tl::unexpected(Error::mayHaveRun(Reason::StorageFailed, "cannot sync the log: " + std::string(std::strerror(errno))));
+        return tl::unexpected(storageError(errno, Verdict::MayHaveRun, "cannot sync the log"));
     this->writeOffset += frame.size();
     this->writtenByteCount += frame.size();
     return {};
--- a/Libraries/LibLedger/DiskStore.h
+++ b/Libraries/LibLedger/DiskStore.h
@@ -17,7 +17,7 @@
 public:
     /// Opens a data folder, creating the folder and a new identity if they do not exist. Removes an incomplete frame at the
     /// end of the log, which a crash during a write leaves behind. Fails with Reason::Damaged if the stored data is corrupt in
-    /// any other way, and with Reason::StorageFailed if the folder cannot be used.
+    /// any other way, with Reason::StorageFull if the disk is full, and with Reason::StorageFailed if the folder cannot be used.
     [[nodiscard]] static ErrorOr<std::unique_ptr<DiskStore>> open(const std::string& folder, Random&);
     ~DiskStore();
     DiskStore(const DiskStore&) = delete;
@@ -32,8 +32,8 @@
     /// membership or receives the log.
     [[nodiscard]] bool isInitialized() const { return !this->recoveredState.snapshot.membership.members.empty() || !this->recoveredState.entries.empty(); }
 
-    /// Stores operations durably. Fails with Reason::StorageFull if the disk is full; nothing was stored then, and the
-    /// call may be repeated. Any other failure is final, because the content of the disk is unknown: a failed fsync must
+    /// Stores operations durably. Fails with Reason::StorageFull if the disk is full; the same call must then be repeated until it
+    /// succeeds, before any other. Any other failure is final, because the content of the disk is unknown: a failed fsync must
     /// not be retried (Rebello et al., "Can Applications Recover from fsync Failures?", 2020).
     [[nodiscard]] ErrorOr<void> store(std::span<const StoreOperation>);
 
--- a/Libraries/LibLedger/FileOperations.cpp
+++ b/Libraries/LibLedger/FileOperations.cpp
@@ -20,6 +20,12 @@
     return content.str();
 }
 
+Error storageError(int code, Verdict verdict, std::string_view action)
+{
+    bool isFull = code == ENOSPC || code == EFBIG || code == EDQUOT;
+    return Error { isFull ? Reason::StorageFull : Reason::StorageFailed, verdict, std::string(action) + ": " + std::strerror(code) };
+}
+
 static bool writeAll(int descriptor, std::string_view content)
 {
     while (!content.empty()) {
@@ -41,8 +47,7 @@
         if (descriptor >= 0)
             close(descriptor);
         unlink(temporary.c_str());
-        auto reason = code == ENOSPC || code == EFBIG || code == EDQUOT ? Reason::StorageFull : Reason::StorageFailed;
-        return tl::unexpected(Error::notRun(reason, "cannot write " + path + ": " + std::strerror(code)));
+        return tl::unexpected(storageError(code, Verdict::NotRun, "cannot write " + path));
     };
     if (descriptor < 0 || !writeAll(descriptor, content) || fsync(descriptor) != 0)
         return fail(errno);
--- a/Libraries/LibLedger/FileOperations.h
+++ b/Libraries/LibLedger/FileOperations.h
@@ -13,6 +13,10 @@
 /// Returns the content of a file, or nothing if the file cannot be opened.
 [[nodiscard]] std::optional<std::string> readFile(const std::string& path);
 
+/// The error for a failed file operation: Reason::StorageFull if the code says that there is no space, otherwise
+/// Reason::StorageFailed.
+[[nodiscard]] Error storageError(int code, Verdict, std::string_view action);
+
 /// Replaces a file atomically and durably: after a crash it holds either the complete old or the complete new content. Fails
 /// with Reason::StorageFull if the disk is full, and with Reason::StorageFailed for any other error.
 [[nodiscard]] ErrorOr<void> replaceFile(const std::string& path, std::string_view content);
--- a/Tests/LibLedger/TestDiskStore.cpp
+++ b/Tests/LibLedger/TestDiskStore.cpp
@@ -1,7 +1,9 @@
+#include "FileFailures.h"
 #include <LibLedger/DiskStore.h>
 #include <LibLedger/FileOperations.h>
 #include <LibLedger/Frame.h>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -183,3 +185,54 @@
     store.reset();
     BOOST_TEST(this->open()->recovered().entries.size() == 2U);
 }
+
+// Guards against a process that ends again and again because it is started while its disk is full.
+BOOST_FIXTURE_TEST_CASE(full_disk_at_start_is_told_from_a_failed_one, Fixture)
+{
+    {
+        FileFailures failures;
+        failures.syncCode = ENOSPC;
+        BOOST_TEST((DiskStore::open(this->folder, this->random).error().reason == Reason::StorageFull));
+    }
+    BOOST_TEST(this->open()->store(this->append(1, 1)).has_value());
+    {
+        FileFailures failures;
+        failures.truncateCode = ENOSPC;
+        BOOST_TEST((DiskStore::open(this->folder, this->random).error().reason == Reason::StorageFull));
+        failures.truncateCode = EIO;
+        BOOST_TEST((DiskStore::open(this->folder, this->random).error().reason == Reason::StorageFailed));
+    }
+    BOOST_TEST(this->open()->recovered().entries.size() == 1U);
+}
+
+// Guards against a process that ends because the file system finds out only in a sync that the disk is full.
+BOOST_FIXTURE_TEST_CASE(sync_without_space_can_be_repeated, Fixture)
+{
+    auto store = this->open();
+    {
+        FileFailures failures;
+        failures.syncCode = ENOSPC;
+        BOOST_TEST((store->store(this->append(1, 1)).error().reason == Reason::StorageFull));
+    }
+    BOOST_TEST(store->store(this->append(1, 1)).has_value());
+    {
+        FileFailures failures;
+        failures.dataSyncCode = ENOSPC;
+        BOOST_TEST((store->store(this->append(2, 1)).error().reason == Reason::StorageFull));
+        failures.dataSyncCode = EIO;
+        BOOST_TEST((store->store(this->append(2, 1)).error().reason == Reason::StorageFailed));
+    }
+    BOOST_TEST(store->store(this->append(2, 1)).has_value());
+    store.reset();
+    BOOST_TEST(this->open()->recovered().entries.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(short_writes_are_continued, Fixture)
+{
+    auto store = this->open();
+    FileFailures failures;
+    failures.maximumWrite = 7;
+    BOOST_TEST(store->store(this->append(1, 3)).has_value());
+    store.reset();
+    BOOST_TEST(this->open()->recovered().entries.size() == 3U);
+}
