LibLedger: Refuse a log or an identity that cannot be read

readFile() returned what it had read when the disk reported an error half-way. Recovery then took the rest for an incomplete frame and cut it off, entries included that the replica had acknowledged; and a replica whose identity file could not be opened made itself a new identity for the log of the former one.

Found by reading; unreadable_disk_is_not_taken_for_an_empty_one holds the new behaviour. The redirected read() of the test did not reach the stream that the former code used, so that the former fault is not shown by a run.

A file is now read completely or not at all, and an identity is made only where the file does not exist.

--- a/Libraries/LibLedger/DiskStore.cpp
+++ b/Libraries/LibLedger/DiskStore.cpp
@@ -58,6 +58,9 @@
     }
     if (content && !content->empty())
         return tl::unexpected(Error::notRun(Reason::Damaged, path + " does not contain a replica identity"));
+    // A new identity may only be made where there has been none: the log on this disk belongs to the former one.
+    if (!content && (access(path.c_str(), F_OK) == 0 || errno != ENOENT))
+        return tl::unexpected(Error::notRun(Reason::StorageFailed, "cannot read " + path));
     this->replicaIdentity = makeRandomIdentity(random);
     return replaceFile(path, this->replicaIdentity);
 }
--- a/Libraries/LibLedger/FileOperations.cpp
+++ b/Libraries/LibLedger/FileOperations.cpp
@@ -1,23 +1,31 @@
 #include <LibLedger/FileOperations.h>
+#include <array>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <unistd.h>
 
 namespace Sassafrasshift::Ledger {
 
 std::optional<std::string> readFile(const std::string& path)
 {
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
+    int descriptor = open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    if (descriptor < 0)
         return std::nullopt;
-    std::ostringstream content;
-    content << file.rdbuf();
-    return content.str();
+    std::string content;
+    std::array<char, 65'536> buffer;
+    ssize_t count = 0;
+    do {
+        count = read(descriptor, buffer.data(), buffer.size());
+        if (count > 0)
+            content.append(buffer.data(), static_cast<size_t>(count));
+    } while (count > 0 || (count < 0 && errno == EINTR));
+    close(descriptor);
+    if (count < 0)
+        return std::nullopt;
+    return content;
 }
 
 Error storageError(int code, Verdict verdict, std::string_view action)
--- a/Libraries/LibLedger/FileOperations.h
+++ b/Libraries/LibLedger/FileOperations.h
@@ -10,7 +10,7 @@
 /// The suffix of the temporary file that replaceFile() writes before renaming it.
 inline constexpr std::string_view temporarySuffix = ".new";
 
-/// Returns the content of a file, or nothing if the file cannot be opened.
+/// Returns the complete content of a file, or nothing if the file cannot be opened or read.
 [[nodiscard]] std::optional<std::string> readFile(const std::string& path);
 
 /// The error for a failed file operation: Reason::StorageFull if the code says that there is no space, otherwise
--- a/Tests/LibLedger/TestDiskStore.cpp
+++ b/Tests/LibLedger/TestDiskStore.cpp
@@ -236,3 +236,19 @@
     store.reset();
     BOOST_TEST(this->open()->recovered().entries.size() == 3U);
 }
+
+// Guards against a log that is cut, or an identity that is replaced, because the disk could not be read for a moment.
+BOOST_FIXTURE_TEST_CASE(unreadable_disk_is_not_taken_for_an_empty_one, Fixture)
+{
+    auto identity = this->open()->identity();
+    BOOST_TEST(this->open()->store(this->append(1, 1)).has_value());
+    {
+        FileFailures failures;
+        failures.readCode = EIO;
+        auto opened = DiskStore::open(this->folder, this->random);
+        BOOST_REQUIRE(!opened.has_value());
+        BOOST_TEST((opened.error().reason == Reason::StorageFailed));
+    }
+    BOOST_TEST(this->open()->identity() == identity);
+    BOOST_TEST(this->open()->recovered().entries.size() == 1U);
+}
