sassafrasshiftd: Wait for room where the disk is full at the start

A member whose disk was full when its process started ended at once, and again after each restart; so did a seed that could not store the initial membership. The member then took no reports and answered no operator, although only its replica needs the disk. A full disk left no line in the log either, nor did the room that it had again.

The member now starts without its replica and opens the data folder every 200 ms until it can; what is not stored is still never acknowledged. The lines storage-full and storage-writable and the gauge ledger_storage_full show both.

--- a/Libraries/LibLedger/Node.cpp
+++ b/Libraries/LibLedger/Node.cpp
@@ -51,7 +51,7 @@
 {
     return Storage::Callbacks {
         [this](uint64_t ticket) { this->environment.post([this, ticket] { this->onStored(ticket); }); },
-        [this](bool full) { this->environment.post([this, full] { this->storageFull = full; }); },
+        [this](bool full) { this->environment.post([this, full] { this->onStorageFullChanged(full); }); },
         [this](Error error) { this->environment.post([this, error] { this->environment.storageFailed(error); }); },
     };
 }
@@ -191,6 +191,13 @@
     this->processEffects();
 }
 
+void Node::onStorageFullChanged(bool full)
+{
+    this->storageFull = full;
+    if (this->environment.storageFullChanged)
+        this->environment.storageFullChanged(full);
+}
+
 void Node::failPendingProposals(const Error& error)
 {
     auto failed = std::move(this->pendingProposals);
--- a/Libraries/LibLedger/Node.h
+++ b/Libraries/LibLedger/Node.h
@@ -21,6 +21,8 @@
         std::function<void(std::function<void()>)> post;
         /// Called when the disk has failed. The process must exit, because the content of the disk is unknown.
         std::function<void(const Error&)> storageFailed;
+        /// Called with true when the disk is full, and with false when there is room again. May be empty.
+        std::function<void(bool full)> storageFullChanged {};
     };
 
     struct Options {
@@ -81,6 +83,7 @@
     void deferMessages(std::vector<Message>);
     void apply(const Entry&);
     void onStored(uint64_t ticket);
+    void onStorageFullChanged(bool full);
     void failPendingProposals(const Error&);
     void takeSnapshotIfDue();
     [[nodiscard]] Storage::Callbacks makeStorageCallbacks();
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -17,6 +17,7 @@
 static constexpr Milliseconds lostVoterTimeout { 4000 };
 static constexpr Milliseconds proposalResendInterval { 300 };
 static constexpr Milliseconds joinRequestInterval { 300 };
+static constexpr Milliseconds openRetryInterval { 200 };
 static constexpr Milliseconds jobKeyRetention { 3'600'000 };
 static constexpr size_t maximumPendingProposals = 4096;
 // The number of log entries after which a snapshot replaces the log. It is low, since documents in the log may be large.
@@ -35,11 +36,20 @@
 {
     if (this->context.settings.dataFolder.empty())
         return {};
-    auto store = Ledger::DiskStore::open(this->context.settings.dataFolder + "/ledger", this->context.random);
-    if (!store)
-        return tl::unexpected(store.error());
-    this->identity = (*store)->identity();
-    this->pendingStore = std::move(store).value();
+    auto opened = this->openStore();
+    if (opened || opened.error().reason != Reason::StorageFull)
+        return opened;
+    // The member takes reports and answers its operators meanwhile.
+    this->logStorageFull(true);
+    this->nextOpenAttempt = this->context.now() + openRetryInterval;
+    return {};
+}
+
+ErrorOr<void> DocumentLedger::openStore()
+{
+    auto store = TRY(Ledger::DiskStore::open(this->context.settings.dataFolder + "/ledger", this->context.random));
+    this->identity = store->identity();
+    this->pendingStore = std::move(store);
     // Only seeds that are started with firstStart create a new ledger; all other members join the existing one.
     bool isInitialMember = this->context.settings.firstStart && std::ranges::count(this->context.settings.seeds, this->context.ownAddress()) > 0;
     if (this->pendingStore->isInitialized() || !isInitialMember)
@@ -48,6 +58,21 @@
     return {};
 }
 
+void DocumentLedger::openStoreIfDue(Instant now)
+{
+    if (!this->nextOpenAttempt || now < *this->nextOpenAttempt)
+        return;
+    auto opened = this->openStore();
+    if (opened) {
+        this->nextOpenAttempt.reset();
+        this->logStorageFull(false);
+        return;
+    }
+    if (opened.error().reason != Reason::StorageFull)
+        return this->exitOnStorageFailure(opened.error());
+    this->nextOpenAttempt = now + openRetryInterval;
+}
+
 // Each initial member creates the same initial membership once it knows the replica identities of all seeds.
 void DocumentLedger::initializeLedgerIfReady(Instant now)
 {
@@ -78,10 +103,11 @@
     if (initialState) {
         std::vector<Ledger::StoreOperation> operations { Ledger::SnapshotOperation { initialState->snapshot, {}, {} } };
         auto stored = this->pendingStore->store(operations);
-        if (!stored) {
-            this->exitOnStorageFailure(stored.error());
+        // While the disk is full, nothing has changed on it, and the next tick tries again.
+        if (!stored && stored.error().reason == Reason::StorageFull)
             return;
-        }
+        if (!stored)
+            return this->exitOnStorageFailure(stored.error());
     }
     Ledger::Node::Options options;
     options.replica.identity = this->identity;
@@ -95,6 +121,7 @@
     environment.send = [this](const Ledger::Message& message) { this->context.send(message.toHost, message); };
     environment.post = [this](std::function<void()> function) { this->context.loop.post(std::move(function)); };
     environment.storageFailed = [this](const Error& error) { this->exitOnStorageFailure(error); };
+    environment.storageFullChanged = [this](bool full) { this->logStorageFull(full); };
     this->initialized = initialState || this->pendingStore->isInitialized();
     auto stored = initialState ? *initialState : this->pendingStore->recovered();
     if (!stored.snapshot.state.empty())
@@ -103,6 +130,15 @@
     Telemetry::log(LogLevel::Information, "ledger-started", "the ledger replica has started", { { "identity", this->identity }, { "initialized", this->initialized ? "true" : "false" } });
 }
 
+void DocumentLedger::logStorageFull(bool full)
+{
+    this->context.metrics.setGauge("ledger_storage_full", full ? 1 : 0);
+    if (full)
+        Telemetry::log(LogLevel::Warning, "storage-full", "the disk of the data folder is full; the replica stores nothing until there is room");
+    else
+        Telemetry::log(LogLevel::Information, "storage-writable", "the disk of the data folder has room again");
+}
+
 // After a failed sync, the state on disk is unknown. Only a new process can establish it by reading the disk again.
 void DocumentLedger::exitOnStorageFailure(const Error& error)
 {
@@ -217,6 +253,7 @@
 
 void DocumentLedger::tick(Instant now)
 {
+    this->openStoreIfDue(now);
     this->initializeLedgerIfReady(now);
     if (this->node)
         this->node->tick();
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.h
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace Sassafrasshift::Daemon {
 
@@ -21,7 +22,7 @@
     DocumentLedger(ClusterContext&, DocumentStore&);
 
     /// Opens the data folder, if one is configured, and starts the replica unless this member has to create the initial
-    /// membership first. Fails if the data folder cannot be opened.
+    /// membership first. Fails if the data folder cannot be opened. If its disk is full, the folder is opened later.
     [[nodiscard]] ErrorOr<void> start();
 
     /// Proposes a command to the current leader. The command may be sent more than once, since commands are idempotent.
@@ -40,12 +41,16 @@
     /// The address of the leader with the highest term in the records of live members; empty if there is none.
     [[nodiscard]] std::string gossipedLeader(Instant now) const;
 
+    [[nodiscard]] ErrorOr<void> openStore();
+    /// Opens the data folder if its disk was full before.
+    void openStoreIfDue(Instant now);
     /// Starts the replica of an initial member once the initial membership is known or the ledger has been initialized.
     void initializeLedgerIfReady(Instant now);
     void startNode(const Ledger::StoredState* initialState);
     void sendProposals(Instant now);
     void requestJoinIfDue(Instant now);
     void updateOwnRecord();
+    void logStorageFull(bool full);
     /// Logs a storage failure and terminates the process.
     void exitOnStorageFailure(const Error&);
 
@@ -58,6 +63,8 @@
     std::unique_ptr<Ledger::Node> node;
     Ledger::ProposalQueue proposals;
     Instant nextJoinRequest {};
+    /// When the data folder is opened next; nothing unless its disk was full.
+    std::optional<Instant> nextOpenAttempt;
     bool initialized { false };
 };
 
