Tests/LibLedger: Lose disks while all other hosts lose power

No earlier test covered it: the random schedules of SimulatedCluster lose a disk only while all others run.

--- a/Tests/LibLedger/TestFullDisk.cpp
+++ b/Tests/LibLedger/TestFullDisk.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <numeric>
 
 using namespace Sassafrasshift;
 using namespace Sassafrasshift::Ledger;
@@ -187,3 +188,51 @@
         BOOST_TEST(holdsAllAccepted(hosts, load));
     }
 }
+
+namespace {
+
+// Loses the given number of disks and the power of all other hosts at one moment, right after a command was accepted.
+void checkLostDisksWithPowerOff(uint64_t seed, size_t count, size_t lostDisks)
+{
+    BOOST_TEST_CONTEXT("seed " << seed << ", " << count << " hosts")
+    {
+        Random random(seed);
+        SimulatedHosts hosts(seed, count);
+        hosts.runFor(3s);
+        Load load { hosts, Random(seed), {} };
+        load.run(Milliseconds(500 + random() % 3000));
+        auto last = hosts.propose(random() % count);
+        load.outcomes.push_back(last);
+        while (!last->completedAt)
+            hosts.runFor(1ms);
+        BOOST_TEST(last->isAccepted());
+        for (size_t host = 0; host < count; ++host)
+            hosts.stop(host);
+        std::vector<size_t> order(count);
+        std::iota(order.begin(), order.end(), 0);
+        std::shuffle(order.begin(), order.end(), random);
+        for (size_t i = 0; i < lostDisks; ++i)
+            hosts.loseDisk(order[i]);
+        for (auto host : order) {
+            hosts.runFor(Milliseconds(random() % 500));
+            hosts.start(host);
+        }
+        hosts.runFor(12s);
+        load.outcomes.push_back(hosts.propose(random() % count));
+        hosts.runFor(2s);
+        BOOST_TEST(load.outcomes.back()->isAccepted());
+        BOOST_TEST(holdsAllAccepted(hosts, load));
+        BOOST_TEST(allVote(hosts));
+    }
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(accepted_commands_survive_lost_disks_while_all_other_hosts_lose_power)
+{
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        checkLostDisksWithPowerOff(seed, 3, 1);
+        checkLostDisksWithPowerOff(seed, 4, 1);
+        checkLostDisksWithPowerOff(seed, 8, 2);
+    }
+}
