--- a/Tests/LibLedger/TestDiskStore.cpp
+++ b/Tests/LibLedger/TestDiskStore.cpp
@@ -1,7 +1,9 @@
+#include "FileFailures.h"
 #include <LibLedger/DiskStore.h>
 #include <LibLedger/FileOperations.h>
 #include <LibLedger/Frame.h>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -190,7 +192,74 @@
     for (const auto* name : { "/log-", "/log-copy", "/log-00000000000000000001.bak", "/log-99999999999999999999999", "/log-99999999999999999999" })
         std::ofstream(this->folder + name) << "x";
     auto reopened = this->open();
-    BOOST_REQUIRE(reopened->store(append(1, 1)).has_value());
+    BOOST_REQUIRE(reopened->store(this->append(1, 1)).has_value());
     reopened.reset();
     BOOST_TEST(this->open()->recovered().entries.size() == 1U);
 }
+
+// Guards against a process that ends again and again because it is started while its disk is full.
+BOOST_FIXTURE_TEST_CASE(full_disk_at_start_is_told_from_a_failed_one, Fixture)
+{
+    {
+        FileFailures failures;
+        failures.syncCode = ENOSPC;
+        BOOST_TEST((DiskStore::open(this->folder, this->random).error().reason == Reason::StorageFull));
+    }
+    BOOST_TEST(this->open()->store(this->append(1, 1)).has_value());
+    {
+        FileFailures failures;
+        failures.truncateCode = ENOSPC;
+        BOOST_TEST((DiskStore::open(this->folder, this->random).error().reason == Reason::StorageFull));
+        failures.truncateCode = EIO;
+        BOOST_TEST((DiskStore::open(this->folder, this->random).error().reason == Reason::StorageFailed));
+    }
+    BOOST_TEST(this->open()->recovered().entries.size() == 1U);
+}
+
+// Guards against a process that ends because the file system finds out only in a sync that the disk is full.
+BOOST_FIXTURE_TEST_CASE(sync_without_space_can_be_repeated, Fixture)
+{
+    auto store = this->open();
+    {
+        FileFailures failures;
+        failures.syncCode = ENOSPC;
+        BOOST_TEST((store->store(this->append(1, 1)).error().reason == Reason::StorageFull));
+    }
+    BOOST_TEST(store->store(this->append(1, 1)).has_value());
+    {
+        FileFailures failures;
+        failures.dataSyncCode = ENOSPC;
+        BOOST_TEST((store->store(this->append(2, 1)).error().reason == Reason::StorageFull));
+        failures.dataSyncCode = EIO;
+        BOOST_TEST((store->store(this->append(2, 1)).error().reason == Reason::StorageFailed));
+    }
+    BOOST_TEST(store->store(this->append(2, 1)).has_value());
+    store.reset();
+    BOOST_TEST(this->open()->recovered().entries.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(short_writes_are_continued, Fixture)
+{
+    auto store = this->open();
+    FileFailures failures;
+    failures.maximumWrite = 7;
+    BOOST_TEST(store->store(this->append(1, 3)).has_value());
+    store.reset();
+    BOOST_TEST(this->open()->recovered().entries.size() == 3U);
+}
+
+// Guards against a log that is cut, or an identity that is replaced, because the disk could not be read for a moment.
+BOOST_FIXTURE_TEST_CASE(unreadable_disk_is_not_taken_for_an_empty_one, Fixture)
+{
+    auto identity = this->open()->identity();
+    BOOST_TEST(this->open()->store(this->append(1, 1)).has_value());
+    {
+        FileFailures failures;
+        failures.readCode = EIO;
+        auto opened = DiskStore::open(this->folder, this->random);
+        BOOST_REQUIRE(!opened.has_value());
+        BOOST_TEST((opened.error().reason == Reason::StorageFailed));
+    }
+    BOOST_TEST(this->open()->identity() == identity);
+    BOOST_TEST(this->open()->recovered().entries.size() == 1U);
+}
