LibMembership: Ignore records with unknown enumerators

Cause: the decoder casts any number to an enumeration. The dispatch layout of a record is adopted if it is higher than the own one, and spreads with the own record: after a layout of 77 no member finds the dispatcher of any shard, because it is neither of the two layouts, and no later record changes that.

Ruled out: a crash by a switch without a case; none of the switches over the decoded enumerations has such an effect.

A record whose layout or state is unknown is now ignored as a whole.

Before the fix, record_with_numbers_out_of_range_stops_no_member failed in the two added checks.

--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -68,10 +68,18 @@
 static constexpr uint64_t maximumEpoch = uint64_t { 1 } << 32;
 static constexpr uint64_t maximumVersion = std::numeric_limits<int64_t>::max();
 
+// The decoder casts any number to an enumeration.
+static bool hasKnownEnumerators(const MemberRecord& record)
+{
+    bool isKnownLayout = record.layout == DispatchLayout::WholeCluster || record.layout == DispatchLayout::FailureDomains;
+    bool isKnownState = record.state == HostState::Serving || record.state == HostState::Leaving;
+    return isKnownLayout && isKnownState;
+}
+
 static bool isPlausible(const MemberRecord& record)
 {
     bool hasPlausibleCounters = record.incarnation <= maximumCounter && record.heartbeat <= maximumCounter && record.ledgerTerm <= maximumCounter;
-    return !record.address.empty() && hasPlausibleCounters && record.dispatchEpoch <= maximumEpoch && record.configurationVersion <= maximumVersion;
+    return !record.address.empty() && hasKnownEnumerators(record) && hasPlausibleCounters && record.dispatchEpoch <= maximumEpoch && record.configurationVersion <= maximumVersion;
 }
 
 void Cluster::mergeRecords(const std::vector<MemberRecord>& records, Instant now)
--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -99,8 +99,8 @@
     [[nodiscard]] std::vector<std::string> nextGossipRecipients(Instant now);
     /// The content of a gossip message: the records of this member and of all other live members.
     [[nodiscard]] std::vector<MemberRecord> liveRecords(Instant now) const;
-    /// Merges records from a gossip message; for each member the newest one is kept. Records with counters far out of range are
-    /// ignored.
+    /// Merges records from a gossip message; for each member the newest one is kept. Records with counters far out of range, or
+    /// with unknown enumerators, are ignored.
     void mergeRecords(const std::vector<MemberRecord>&, Instant now);
 
     /// Makes, keeps or withdraws this member's claim to be the dispatcher of its shard. The epoch of a new claim is higher than
--- a/Tests/LibMembership/TestCluster.cpp
+++ b/Tests/LibMembership/TestCluster.cpp
@@ -329,6 +329,15 @@
     member.mergeRecords({ odd }, network.now);
     BOOST_TEST(!member.find("odd"));
     odd.configurationVersion = 0;
+    // The layout only ever changes to a higher value, and spreads to all members.
+    odd.layout = static_cast<DispatchLayout>(77);
+    member.mergeRecords({ odd }, network.now);
+    BOOST_TEST((member.layout() == DispatchLayout::WholeCluster));
+    odd.layout = DispatchLayout::WholeCluster;
+    odd.state = static_cast<HostState>(-1);
+    member.mergeRecords({ odd }, network.now);
+    BOOST_TEST(!member.find("odd"));
+    odd.state = HostState::Serving;
     member.mergeRecords({ odd }, network.now);
     BOOST_TEST(member.find("odd"));
 }
