--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -52,7 +52,7 @@
 // as possible.
 void TargetSession::assumeUnknownLeases(Instant now)
 {
-    this->unleasesExpireAt = std::max(this->unleasesExpireAt, now + this->options.maximumLease * (100 + this->options.clockDriftPercent) / 100);
+    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->options.maximumLease * (100 + this->options.clockDriftPercent) / 100);
 }
 
 bool TargetSession::canStartRuns(Instant now) const
@@ -114,9 +114,9 @@
 Instant TargetSession::leasesExpireAt() const
 {
     if (!this->clock)
-        return this->unleasesExpireAt;
+        return this->unknownLeasesEndAt;
     auto remaining = Milliseconds(this->latestLeaseEnd - *this->clock) * (100 + this->options.clockDriftPercent) / 100;
-    return std::max(this->unleasesExpireAt, this->clockReadAt + remaining + Milliseconds(1));
+    return std::max(this->unknownLeasesEndAt, this->clockReadAt + remaining + Milliseconds(1));
 }
 
 bool TargetSession::haveLeasesExpired(Instant now) const
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -224,7 +224,7 @@
     /// Whether the last order could not carry a lease of `maximumLease`.
     bool isLeaseLimited { false };
     /// When the leases that the target may have granted to other dispatchers have expired at the latest.
-    Instant unleasesExpireAt {};
+    Instant unknownLeasesEndAt {};
 
     /// Whether a start order was not answered, and the target has not answered a hold order since.
     bool hasUnansweredStart { false };
