--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -99,7 +99,8 @@
 // as a target grants: an order for an earlier process of the target may have been obeyed by the present one, on another clock.
 void TargetSession::assumeUnknownLeases(Instant now)
 {
-    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumGrantedLease));
+    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumLease));
+    this->unknownGrantsEndAt = std::max(this->unknownGrantsEndAt, now + this->allowingForDrift(this->options.maximumGrantedLease));
 }
 
 bool TargetSession::canStartRuns(Instant now) const
@@ -176,6 +177,8 @@
 
 bool TargetSession::haveLeasesExpired(Instant now) const
 {
+    if (now < this->unknownGrantsEndAt)
+        return false;
     // A process that has replaced the target may have obeyed the start order, and reads the lease on its own clock.
     if (this->hasUnconfirmedStart() && now < this->lastLeaseOrderAt + this->allowingForDrift(this->options.maximumGrantedLease))
         return false;
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -251,8 +251,10 @@
     int64_t latestLeaseEnd { 0 };
     /// Whether the last order could not carry a lease of `maximumLease`.
     bool isLeaseLimited { false };
-    /// When the leases that the target may have granted to other dispatchers, or by another clock, have expired at the latest.
+    /// When the leases that the target may have granted to other dispatchers have expired at the latest.
     Instant unknownLeasesEndAt {};
+    /// The same, if the target read the ends of these leases on another clock.
+    Instant unknownGrantsEndAt {};
     /// When the last order was sent that asked for a lease.
     Instant lastLeaseOrderAt {};
     /// Whether a list was received since the target was last claimed or retired.
