Tests/LibScheduler: Let claims age before a lapse is timed

The longest lease that a target grants may have been granted by an earlier dispatcher just before a claim, so that runs lapse 1,020 ms after a claim at the earliest. The two tests time a lapse in ordinary work; their bounds are unchanged.

--- a/Tests/LibScheduler/TestTaskScheduler.cpp
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -221,6 +221,8 @@
     auto fleet = makeFleet(1, { 32, 32 });
     fleet.runTime = 5s;
     fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    // Until then an earlier dispatcher may have obtained leases.
+    fleet.run(1100ms);
     fleet.submit(0, makeJob("job", 1, 27));
     fleet.run(100ms);
     BOOST_REQUIRE(fleet.targets.at("target-a").running().size() == 1U);
@@ -250,6 +252,8 @@
     auto fleet = makeFleet(2, { 32, 32 });
     fleet.runTime = 5s;
     fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    // Until then an earlier dispatcher may have obtained leases.
+    fleet.run(1100ms);
     fleet.submit(0, makeJob("job", 1, 27));
     fleet.run(100ms);
     BOOST_REQUIRE(fleet.targets.at("target-a").running().size() == 1U);
