Tests/LibScheduler: Show that a late message of an earlier incarnation counts as on time

The test fails: a message of incarnation 1 that arrives 1,900 ms late, after one of incarnation 2, is measured as 0 ms late, since each change of the incarnation, also back to an earlier one, begins anew. A submission or a renewal of a process that has ended is then obeyed whatever its age.

--- a/Tests/LibScheduler/TestTransitTimes.cpp
+++ b/Tests/LibScheduler/TestTransitTimes.cpp
@@ -33,3 +33,11 @@
         BOOST_TEST((excessTransitTime <= 250ms), "after " << second << " s");
     }
 }
+
+BOOST_AUTO_TEST_CASE(late_message_of_an_earlier_incarnation_is_not_on_time)
+{
+    TransitTimes times;
+    (void)times.excessTransitTime("entry", 1, 0ms, begin);
+    (void)times.excessTransitTime("entry", 2, 1000ms, begin + 1000ms);
+    BOOST_TEST((times.excessTransitTime("entry", 1, 100ms, begin + 2000ms) == 1900ms));
+}
