Tests/LibScheduler: Show that an entry host extends the lease of a job whose caller is gone

The time that runs may take after the last message of an entry host is bounded, but a caller counts from the loss of its connection, which a paused entry host sees only after it has extended the lease once more. Orders to stop are lost in this test, as in the one with a killed entry host.

--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -128,6 +128,25 @@
     }
 }
 
+void SimulatedShards::loseCallers(size_t number, Milliseconds detectionDelay)
+{
+    auto name = this->entries[number].name;
+    auto incarnation = this->entries[number].incarnation;
+    auto lost = std::exchange(this->entryByJob, {});
+    for (const auto& [job, connected] : lost) {
+        if (connected != number) {
+            this->entryByJob.emplace(job, connected);
+            continue;
+        }
+        this->submitAgain(job, number);
+        auto cancel = [this, number, incarnation, job] {
+            if (auto* active = this->activateEntry(number, incarnation))
+                active->owner->cancel(job);
+        };
+        this->runWhenResumed(name, [this, name, detectionDelay, cancel] { this->schedule(this->now + detectionDelay, [this, name, cancel] { this->runWhenResumed(name, cancel); }); });
+    }
+}
+
 void SimulatedShards::startEntry(Entry& started)
 {
     ++started.incarnation;
--- a/Tests/LibScheduler/SimulatedShards.h
+++ b/Tests/LibScheduler/SimulatedShards.h
@@ -29,6 +29,9 @@
     /// Ends an entry host, and starts another process there after the delay. Its callers submit their open jobs again through the
     /// next entry host, `callerRetryDelay` after the loss of their connections.
     void killEntry(size_t entry, Milliseconds restartDelay);
+    /// Closes the connections of all callers of an entry host, which goes on. It sees that after the delay, and only while it is not
+    /// paused. The callers submit their open jobs again as after its end.
+    void loseCallers(size_t entry, Milliseconds detectionDelay);
     void submit(const Submission&, size_t entry = 0);
     void run(Milliseconds);
 
--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -155,6 +155,26 @@
     BOOST_TEST(shards.maximumConcurrentRuns() <= 1U);
 }
 
+// The entry host is paused for less than the entry lease when its callers lose their connections, and extends the lease of their job
+// when it resumes, before it sees that they are gone.
+BOOST_AUTO_TEST_CASE(run_ends_before_resubmission_although_its_entry_host_resumes_after_the_loss_of_the_connection)
+{
+    for (int pause = 0; pause < 700; pause += 50) {
+        SimulatedShards shards(2, 4, 1, 2);
+        shards.lostStopPercent = 100;
+        shards.run(600ms);
+        shards.runTime = 6s;
+        shards.submit(makeUrgentJob("job", 2, 30));
+        shards.run(100ms);
+        if (pause > 0)
+            shards.pauseProcess(SimulatedShards::entry, Milliseconds(pause));
+        shards.loseCallers(0, 100ms);
+        shards.run(4s);
+        BOOST_TEST(shards.startsOn(1) == 2U, "paused for " << pause << " ms");
+        BOOST_TEST(shards.maximumConcurrentRuns() <= 1U, "paused for " << pause << " ms");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(random_losses_of_entry_hosts_and_stop_orders_never_run_a_task_twice_at_once)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
