Tests/LibScheduler: Show that a dispatcher trusts outdated claims of its targets

The test fails: two runs of a task. A dispatcher without runs at a target does not ask it again, so that it takes it as claimed after another one with a higher token has claimed it and started a task there. When the entry host hands that job back, it starts on a target that only it has claimed, without waiting for the earlier runs.

--- a/Tests/LibScheduler/TestRunEnds.cpp
+++ b/Tests/LibScheduler/TestRunEnds.cpp
@@ -195,3 +195,29 @@
     task.fleet.run(3s);
     BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
 }
+
+// The claims of the first dispatcher are outdated: it has had no runs, so that it has not asked since, and another one has claimed
+// the target and started the task there.
+BOOST_AUTO_TEST_CASE(dispatcher_with_outdated_claims_waits_for_the_runs_of_the_one_that_gave_the_job_up)
+{
+    SimulatedFleet fleet(2);
+    fleet.addTarget("target-a", 32);
+    fleet.addTarget("target-b", 28);
+    fleet.report();
+    fleet.runTime = 2s;
+    fleet.injectFault = [](size_t dispatcher, const TargetInstance& instance, bool) { return SimulatedFleet::OrderFault { 1ms, false, dispatcher == 1 && instance.identity == "target-b" }; };
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.run(1s);
+    fleet.dispatchers[1]->activate(secondFence, fleet.now);
+    fleet.run(700ms);
+    fleet.submit(1, makeJob("job", 1, 27));
+    fleet.run(100ms);
+    BOOST_REQUIRE(!fleet.targets.at("target-a").running().empty());
+    fleet.dispatchers[1]->deactivate();
+    auto resubmission = makeJob("job", 1, 27);
+    resubmission.firstRunNumber = 1001;
+    resubmission.untilEarlierRunsEnd = 1250;
+    fleet.submit(0, resubmission);
+    fleet.run(3s);
+    BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
+}
