Tests/LibScheduler: Show that a start at a target that restarted unnoticed outlives its job

The test fails: the run is still there 1,050 ms after its job was last extended. A job may be started until 700 ms after that, and a process that has replaced the target grants its longest lease, 1,000 ms, from the arrival of the order, since it reads the end of the lease on a new clock.

--- a/Tests/LibScheduler/TestRunEnds.cpp
+++ b/Tests/LibScheduler/TestRunEnds.cpp
@@ -221,3 +221,30 @@
     fleet.run(3s);
     BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
 }
+
+// The new process reads the end of the lease on a clock that starts again, and grants its longest lease from its own start order.
+BOOST_AUTO_TEST_CASE(run_on_a_target_that_restarted_unnoticed_ends_in_time_for_its_job)
+{
+    SimulatedFleet fleet(1);
+    auto& target = fleet.addTarget("target-a", 32);
+    target.state = Membership::TargetState::Leaving;
+    fleet.report();
+    fleet.runTime = 5s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.run(1s);
+    fleet.entriesRenew = false;
+    fleet.stopsAreLost = true;
+    fleet.submit(0, makeJob("job", 1, 27));
+    auto lastExtendedAt = fleet.now;
+    fleet.run(600ms);
+    target.restart();
+    auto report = target.report();
+    report.incarnation = "1";
+    report.sequence = 2;
+    report.state = Membership::TargetState::Serving;
+    fleet.report(report);
+    fleet.run(20ms);
+    BOOST_TEST(target.starts == 1U);
+    fleet.run(std::chrono::duration_cast<Milliseconds>(lastExtendedAt + 1050ms - fleet.now));
+    BOOST_TEST(target.running().empty());
+}
