Tests/LibScheduler: Show that a run outside of the shard of its dispatcher's successor is not waited for

The test fails: two runs of a task. A successor may start the jobs of its shard at once when it has claimed all targets of the shard, but its predecessor may have had other targets: those of a failure domain that had no dispatcher then.

--- a/Tests/LibScheduler/TestRunEnds.cpp
+++ b/Tests/LibScheduler/TestRunEnds.cpp
@@ -248,3 +248,17 @@
     fleet.run(std::chrono::duration_cast<Milliseconds>(lastExtendedAt + 1050ms - fleet.now));
     BOOST_TEST(target.running().empty());
 }
+
+// The earlier dispatcher of the shard had a target that belongs to another shard now, which has got a dispatcher of its own.
+BOOST_AUTO_TEST_CASE(dispatcher_waits_for_runs_on_a_target_that_no_longer_belongs_to_its_shard)
+{
+    RunningTask task(2s);
+    task.fleet.dispatchers[0]->deactivate();
+    task.fleet.dispatchers[1]->activate(secondFence, task.fleet.now, [other = task.target](const auto& report) { return report.identity != other; });
+    auto resubmission = makeJob("job", 1, 27);
+    resubmission.firstRunNumber = 1001;
+    resubmission.untilEarlierRunsEnd = 1250;
+    task.fleet.submit(1, resubmission);
+    task.fleet.run(3s);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
