Tests/LibScheduler: Show that a target removed long before is not waited for

The test fails: two runs of a task. A new dispatcher forgets a target that was removed more than 2 s ago, but its predecessor extends the leases there for as long as it has not been told, which no time bounds.

--- a/Tests/LibScheduler/TestRunEnds.cpp
+++ b/Tests/LibScheduler/TestRunEnds.cpp
@@ -262,3 +262,20 @@
     task.fleet.run(3s);
     BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
 }
+
+// The earlier dispatcher has not been told of the removal, and the target has not ended.
+BOOST_AUTO_TEST_CASE(new_dispatcher_waits_for_the_runs_of_a_target_whose_removal_the_earlier_one_missed)
+{
+    RunningTask task(10s);
+    task.fleet.dispatchers[1]->onTargetGone(task.target, "1", task.fleet.now);
+    task.fleet.run(2500ms);
+    BOOST_REQUIRE(!task.runningTarget().running().empty());
+    task.fleet.dispatchers[0]->deactivate();
+    task.fleet.dispatchers[1]->activate(secondFence, task.fleet.now);
+    auto resubmission = makeJob("job", 1, 27);
+    resubmission.firstRunNumber = 1001;
+    resubmission.untilEarlierRunsEnd = 1250;
+    task.fleet.submit(1, resubmission);
+    task.fleet.run(3s);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
