--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -175,6 +175,22 @@
     }
 }
 
+// The entry host is not paused, but sees late that its callers are gone: it checks a bounded number of connections at a time.
+BOOST_AUTO_TEST_CASE(run_ends_before_resubmission_although_its_entry_host_sees_the_loss_of_the_connection_late)
+{
+    for (int detectionDelay = 0; detectionDelay <= 600; detectionDelay += 50) {
+        SimulatedShards shards(2, 4, 1, 2);
+        shards.lostStopPercent = 100;
+        shards.run(600ms);
+        shards.runTime = 6s;
+        shards.submit(makeUrgentJob("job", 2, 30));
+        shards.run(100ms);
+        shards.loseCallers(0, Milliseconds(detectionDelay));
+        shards.run(4s);
+        BOOST_TEST(shards.maximumConcurrentRuns() <= 1U, "seen after " << detectionDelay << " ms");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(random_losses_of_entry_hosts_and_stop_orders_never_run_a_task_twice_at_once)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
