Tests/LibScheduler: Show that an entry host hands a job over after a pause

The test fails: two runs of a task, with all orders carried out. An entry host that was paused hands nothing over that its dispatcher has dropped, but it does where the dispatcher was replaced in the meantime, and starts the job beside the one that the caller has submitted through another entry host.

--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -191,6 +191,23 @@
     }
 }
 
+// The dispatcher is replaced while the entry host is paused; the callers have submitted the job again by the time it resumes.
+BOOST_AUTO_TEST_CASE(entry_host_that_resumes_does_not_hand_a_job_over_to_a_new_dispatcher)
+{
+    SimulatedShards shards(2, 4, 1, 2);
+    shards.run(600ms);
+    shards.runTime = 3s;
+    shards.submit(makeUrgentJob("job", 2, 30));
+    shards.run(100ms);
+    shards.pauseProcess(SimulatedShards::entry, 1500ms);
+    shards.loseCallers(0, 100ms);
+    shards.run(300ms);
+    shards.replaceDispatcher(0, 300ms);
+    shards.run(4s);
+    BOOST_TEST(shards.startsOn(1) == 2U);
+    BOOST_TEST(shards.maximumConcurrentRuns() <= 1U);
+}
+
 BOOST_AUTO_TEST_CASE(random_losses_of_entry_hosts_and_stop_orders_never_run_a_task_twice_at_once)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
