--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -139,7 +139,7 @@
             continue;
         }
         this->submitAgain(job, number);
-        auto cancel = [this, number, incarnation, job] {
+        auto cancel = [this, number, incarnation, job = job] {
             if (auto* active = this->activateEntry(number, incarnation))
                 active->owner->cancel(job);
         };
