--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -167,7 +167,10 @@
 void SimulatedShards::recordAnswer(const JobOwner::Answer& answer, size_t number)
 {
     this->answersByJob.insert_or_assign(answer.job, answer);
-    this->entryByJob.erase(answer.job);
+    auto connection = this->entryByJob.find(answer.job);
+    if (connection == this->entryByJob.end() || connection->second != number)
+        return;
+    this->entryByJob.erase(connection);
     if (this->callersRetryUnknownJobs && answer.kind == JobOwner::Answer::Kind::Unknown)
         this->submitAgain(answer.job, number);
 }
