--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -128,6 +128,25 @@
     }
 }
 
+void SimulatedShards::loseCallers(size_t number, Milliseconds detectionDelay)
+{
+    auto name = this->entries[number].name;
+    auto incarnation = this->entries[number].incarnation;
+    auto lost = std::exchange(this->entryByJob, {});
+    for (const auto& [job, connected] : lost) {
+        if (connected != number) {
+            this->entryByJob.emplace(job, connected);
+            continue;
+        }
+        this->submitAgain(job, number);
+        auto cancel = [this, number, incarnation, job = job] {
+            if (auto* active = this->activateEntry(number, incarnation))
+                active->owner->cancel(job);
+        };
+        this->runWhenResumed(name, [this, name, detectionDelay, cancel] { this->schedule(this->now + detectionDelay, [this, name, cancel] { this->runWhenResumed(name, cancel); }); });
+    }
+}
+
 void SimulatedShards::startEntry(Entry& started)
 {
     ++started.incarnation;
@@ -148,7 +167,10 @@
 void SimulatedShards::recordAnswer(const JobOwner::Answer& answer, size_t number)
 {
     this->answersByJob.insert_or_assign(answer.job, answer);
-    this->entryByJob.erase(answer.job);
+    auto connection = this->entryByJob.find(answer.job);
+    if (connection == this->entryByJob.end() || connection->second != number)
+        return;
+    this->entryByJob.erase(connection);
     if (this->callersRetryUnknownJobs && answer.kind == JobOwner::Answer::Kind::Unknown)
         this->submitAgain(answer.job, number);
 }
--- a/Tests/LibScheduler/TestRunEnds.cpp
+++ b/Tests/LibScheduler/TestRunEnds.cpp
@@ -198,6 +198,90 @@
     BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
 }
 
+// The claims of the first dispatcher are outdated: it has had no runs, so that it has not asked since, and another one has claimed
+// the target and started the task there.
+BOOST_AUTO_TEST_CASE(dispatcher_with_outdated_claims_waits_for_the_runs_of_the_one_that_gave_the_job_up)
+{
+    SimulatedFleet fleet(2);
+    fleet.addTarget("target-a", 32);
+    fleet.addTarget("target-b", 28);
+    fleet.report();
+    fleet.runTime = 2s;
+    fleet.injectFault = [](size_t dispatcher, const TargetInstance& instance, bool) { return SimulatedFleet::OrderFault { 1ms, false, dispatcher == 1 && instance.identity == "target-b" }; };
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.run(1s);
+    fleet.dispatchers[1]->activate(secondFence, fleet.now);
+    fleet.run(700ms);
+    fleet.submit(1, makeJob("job", 1, 27));
+    fleet.run(100ms);
+    BOOST_REQUIRE(!fleet.targets.at("target-a").running().empty());
+    fleet.dispatchers[1]->deactivate();
+    auto resubmission = makeJob("job", 1, 27);
+    resubmission.firstRunNumber = 1001;
+    resubmission.untilEarlierRunsEnd = 1250;
+    fleet.submit(0, resubmission);
+    fleet.run(3s);
+    BOOST_TEST(fleet.maximumConcurrentRuns() == 1U);
+}
+
+// The new process reads the end of the lease on a clock that starts again, and grants its longest lease from its own start order.
+BOOST_AUTO_TEST_CASE(run_on_a_target_that_restarted_unnoticed_ends_in_time_for_its_job)
+{
+    SimulatedFleet fleet(1);
+    auto& target = fleet.addTarget("target-a", 32);
+    target.state = Membership::TargetState::Leaving;
+    fleet.report();
+    fleet.runTime = 5s;
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    fleet.run(1s);
+    fleet.entriesRenew = false;
+    fleet.stopsAreLost = true;
+    fleet.submit(0, makeJob("job", 1, 27));
+    auto lastExtendedAt = fleet.now;
+    fleet.run(600ms);
+    target.restart();
+    auto report = target.report();
+    report.incarnation = "1";
+    report.sequence = 2;
+    report.state = Membership::TargetState::Serving;
+    fleet.report(report);
+    fleet.run(20ms);
+    BOOST_TEST(target.starts == 1U);
+    fleet.run(std::chrono::duration_cast<Milliseconds>(lastExtendedAt + 1050ms - fleet.now));
+    BOOST_TEST(target.running().empty());
+}
+
+// The earlier dispatcher of the shard had a target that belongs to another shard now, which has got a dispatcher of its own.
+BOOST_AUTO_TEST_CASE(dispatcher_waits_for_runs_on_a_target_that_no_longer_belongs_to_its_shard)
+{
+    RunningTask task(2s);
+    task.fleet.dispatchers[0]->deactivate();
+    task.fleet.dispatchers[1]->activate(secondFence, task.fleet.now, [other = task.target](const auto& report) { return report.identity != other; });
+    auto resubmission = makeJob("job", 1, 27);
+    resubmission.firstRunNumber = 1001;
+    resubmission.untilEarlierRunsEnd = 1250;
+    task.fleet.submit(1, resubmission);
+    task.fleet.run(3s);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
+
+// The earlier dispatcher has not been told of the removal, and the target has not ended.
+BOOST_AUTO_TEST_CASE(new_dispatcher_waits_for_the_runs_of_a_target_whose_removal_the_earlier_one_missed)
+{
+    RunningTask task(10s);
+    task.fleet.dispatchers[1]->onTargetGone(task.target, "1", task.fleet.now);
+    task.fleet.run(2500ms);
+    BOOST_REQUIRE(!task.runningTarget().running().empty());
+    task.fleet.dispatchers[0]->deactivate();
+    task.fleet.dispatchers[1]->activate(secondFence, task.fleet.now);
+    auto resubmission = makeJob("job", 1, 27);
+    resubmission.firstRunNumber = 1001;
+    resubmission.untilEarlierRunsEnd = 1250;
+    task.fleet.submit(1, resubmission);
+    task.fleet.run(3s);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
+
 // The hosts that take reports have forgotten the target, which is cut off from them. A third member still knows it.
 BOOST_AUTO_TEST_CASE(dispatcher_that_asked_the_other_candidates_waits_for_a_target_that_no_longer_reports)
 {
--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -178,6 +178,59 @@
     }
 }
 
+// The entry host is paused for less than the entry lease when its callers lose their connections, and extends the lease of their job
+// when it resumes, before it sees that they are gone.
+BOOST_AUTO_TEST_CASE(run_ends_before_resubmission_although_its_entry_host_resumes_after_the_loss_of_the_connection)
+{
+    for (int pause = 0; pause < 700; pause += 50) {
+        SimulatedShards shards(2, 4, 1, 2);
+        shards.lostStopPercent = 100;
+        shards.run(600ms);
+        shards.runTime = 6s;
+        shards.submit(makeUrgentJob("job", 2, 30));
+        shards.run(100ms);
+        if (pause > 0)
+            shards.pauseProcess(SimulatedShards::entry, Milliseconds(pause));
+        shards.loseCallers(0, 100ms);
+        shards.run(4s);
+        BOOST_TEST(shards.startsOn(1) == 2U, "paused for " << pause << " ms");
+        BOOST_TEST(shards.maximumConcurrentRuns() <= 1U, "paused for " << pause << " ms");
+    }
+}
+
+// The entry host is not paused, but sees late that its callers are gone: it checks a bounded number of connections at a time.
+BOOST_AUTO_TEST_CASE(run_ends_before_resubmission_although_its_entry_host_sees_the_loss_of_the_connection_late)
+{
+    for (int detectionDelay = 0; detectionDelay <= 600; detectionDelay += 50) {
+        SimulatedShards shards(2, 4, 1, 2);
+        shards.lostStopPercent = 100;
+        shards.run(600ms);
+        shards.runTime = 6s;
+        shards.submit(makeUrgentJob("job", 2, 30));
+        shards.run(100ms);
+        shards.loseCallers(0, Milliseconds(detectionDelay));
+        shards.run(4s);
+        BOOST_TEST(shards.maximumConcurrentRuns() <= 1U, "seen after " << detectionDelay << " ms");
+    }
+}
+
+// The dispatcher is replaced while the entry host is paused; the callers have submitted the job again by the time it resumes.
+BOOST_AUTO_TEST_CASE(entry_host_that_resumes_does_not_hand_a_job_over_to_a_new_dispatcher)
+{
+    SimulatedShards shards(2, 4, 1, 2);
+    shards.run(600ms);
+    shards.runTime = 3s;
+    shards.submit(makeUrgentJob("job", 2, 30));
+    shards.run(100ms);
+    shards.pauseProcess(SimulatedShards::entry, 1500ms);
+    shards.loseCallers(0, 100ms);
+    shards.run(300ms);
+    shards.replaceDispatcher(0, 300ms);
+    shards.run(4s);
+    BOOST_TEST(shards.startsOn(1) == 2U);
+    BOOST_TEST(shards.maximumConcurrentRuns() <= 1U);
+}
+
 BOOST_AUTO_TEST_CASE(random_losses_of_entry_hosts_and_stop_orders_never_run_a_task_twice_at_once)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
