LibScheduler: Hand no job over after a pause of its entry host

What callers saw: two runs of one task (shown on the fake clock; that the users' report was this is not shown).

Cause: an entry host that was paused handed nothing over that its dispatcher had dropped, but it did hand a job over where the dispatcher was replaced or silent, or had never had the job. By then the caller may have lost its connection and submitted the job through another entry host and another shard, which runs it at once.

--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/JobOwner.cpp
@@ -88,6 +88,22 @@
     job.dispatcher.clear();
 }
 
+// Withdraws the jobs that a dispatcher has and that match the condition. After a pause of this process, the caller of a job may have
+// submitted it again through another entry host, so that such a job is answered instead of being handed over again.
+void JobOwner::withdrawJobs(const std::function<bool(const Job&)>& matches)
+{
+    for (auto position = this->jobs.begin(); position != this->jobs.end();) {
+        auto& job = position->second;
+        if (job.dispatcher.empty() || !matches(job)) {
+            ++position;
+            continue;
+        }
+        bool hasPaused = job.hasPausedSinceHandover;
+        this->withdrawFromDispatcher(job);
+        position = hasPaused ? this->finishWithAnswer(position, Answer::Kind::Unknown, "entry-paused") : std::next(position);
+    }
+}
+
 void JobOwner::updateDispatchers(const std::vector<ShardDispatcher>& currentDispatchers, std::string ownShard, Instant now)
 {
     auto changed = this->directory.updateDispatchers(currentDispatchers, std::move(ownShard), now);
@@ -95,12 +111,10 @@
         return;
     for (const auto& shard : changed) {
         const auto* dispatcher = this->directory.find(shard);
+        this->withdrawJobs([&](const Job& job) { return job.shard == shard; });
         for (auto& [name, job] : this->jobs) {
-            if (job.dispatcher.empty() || job.shard != shard)
-                continue;
-            this->withdrawFromDispatcher(job);
             // The successor can adopt the runs on the targets of the shard.
-            if (dispatcher)
+            if (dispatcher && job.dispatcher.empty() && job.handoverCount > 0 && job.shard == shard)
                 this->handOverTo(job, *dispatcher, now);
         }
     }
@@ -118,9 +132,9 @@
             silent.insert(dispatcher.address);
     }
     this->effects.suspectedDispatchers.assign(silent.begin(), silent.end());
+    if (anyFresh)
+        this->withdrawJobs([&](const Job& job) { return silent.contains(job.dispatcher); });
     for (auto& [name, job] : this->jobs) {
-        if (anyFresh && silent.contains(job.dispatcher))
-            this->withdrawFromDispatcher(job);
         if (job.dispatcher.empty())
             this->handOver(job, {}, now);
     }
@@ -251,8 +265,15 @@
 void JobOwner::onPause(Instant now)
 {
     this->directory.resetSilenceTimeouts(now);
-    for (auto& [name, job] : this->jobs)
+    // Jobs that no dispatcher has would be handed over now, although their callers may have submitted them elsewhere meanwhile.
+    for (auto position = this->jobs.begin(); position != this->jobs.end();) {
+        auto& job = position->second;
         job.hasPausedSinceHandover = true;
+        if (job.dispatcher.empty())
+            position = this->finishWithAnswer(position, job.handoverCount == 0 ? Answer::Kind::Refused : Answer::Kind::Unknown, "entry-paused");
+        else
+            ++position;
+    }
     this->nextRenewal = now;
 }
 
--- a/Libraries/LibScheduler/JobOwner.h
+++ b/Libraries/LibScheduler/JobOwner.h
@@ -3,6 +3,7 @@
 #include <LibScheduler/DispatcherDirectory.h>
 #include <LibScheduler/TaskScheduler.h>
 #include <LibScheduler/Types.h>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -136,6 +137,7 @@
     void handOver(Job&, const std::vector<std::string>& excludedShards, Instant now);
     void handOverTo(Job&, const DispatcherDirectory::KnownDispatcher&, Instant now);
     void withdrawFromDispatcher(Job&);
+    void withdrawJobs(const std::function<bool(const Job&)>& matches);
     void reassignJobs(Instant now);
     void sendRenewals(Instant now);
     void expireJobs(Instant now);
--- a/Tests/LibScheduler/TestJobOwner.cpp
+++ b/Tests/LibScheduler/TestJobOwner.cpp
@@ -205,3 +205,15 @@
     BOOST_REQUIRE(renewals.size() == 1U);
     BOOST_TEST(renewals.front().jobs.empty());
 }
+
+BOOST_FIXTURE_TEST_CASE(job_that_no_dispatcher_has_is_not_handed_over_after_a_pause, Fixture)
+{
+    this->add("job");
+    this->owner.onPause(this->now);
+    this->updateDispatchers({ { "", "a" } });
+    this->owner.tick(this->now);
+    auto effects = this->owner.takeEffects();
+    BOOST_TEST(effects.handovers.empty());
+    BOOST_REQUIRE(effects.answers.size() == 1U);
+    BOOST_TEST((effects.answers.front().kind == Kind::Refused));
+}
