LibScheduler: Extend no lease on a target while a run there is being stopped

What callers saw: two runs of one task (shown on the fake clock).

Cause: the time that a run may last is bounded from the last message of the entry host, a caller counts from the loss of its connection. An entry host that sees the loss late, after a short pause or because it checks many connections, extends the lease once more before it cancels the job; where the stop orders are lost as well, the run then outlived the 1,300 ms after which the caller submits the job again.

Change: the leases of a target are not extended while a run there is being stopped, so that the run ends at most 612 ms after the stop was ordered. Runs start there meanwhile if the present lease is long enough.

--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -124,14 +124,15 @@
 
 // Returns until when all runs that may be on the target may continue, but no later than `maximumLease` from now. While the target
 // is not claimed, or has runs that are not adopted, nothing is known of the leases of their jobs. A target that has not answered
-// gets no lease, since its runs could not be taken as ended for as long as an order with a lease may reach it.
+// gets no lease, since its runs could not be taken as ended for as long as an order with a lease may reach it. Nor does a target with a
+// run that is being stopped, so that the run ends soon even if the stop order is lost.
 Instant TargetSession::permittedLeaseEnd(Instant now) const
 {
     if (this->phase != Phase::Claimed || this->unansweredHolds > 0)
         return now;
     auto end = now + this->options.maximumLease;
     for (const auto& [id, run] : this->knownRuns)
-        end = std::min(end, run.jobLease ? this->latestRunEnd(*run.jobLease) : now);
+        end = std::min(end, run.jobLease && run.state != RunState::Stopping ? this->latestRunEnd(*run.jobLease) : now);
     return end;
 }
 
@@ -188,7 +189,9 @@
 bool TargetSession::canLease(const JobLease& lease, Instant now) const
 {
     auto latestEnd = this->latestRunEnd(lease);
-    return this->leasesExpireAt() <= latestEnd && std::min(this->permittedLeaseEnd(now), latestEnd) >= now + this->options.maximumLease / 2;
+    auto sufficient = this->options.maximumLease / 2;
+    bool isSufficient = this->untilLeaseEnd(now) >= sufficient || std::min(this->permittedLeaseEnd(now), latestEnd) >= now + sufficient;
+    return this->unansweredHolds == 0 && isSufficient && this->leasesExpireAt() <= latestEnd;
 }
 
 TargetSession::OpenHold TargetSession::makeHold(Milliseconds wait, Instant now)
