LibScheduler: Measure messages of each incarnation by themselves

Cause: a change of the sender's incarnation, also back to an earlier one, began the measurement anew, so that a message of a process that has ended counted as on time whatever its age, and so did the next one of the present process.

Change: the fastest messages are kept by name and incarnation, and forgotten two minutes after the last one.

Test: late_message_of_an_earlier_incarnation_is_not_on_time failed before (0 ms instead of 1,900 ms).

--- a/Libraries/LibScheduler/TransitTimes.cpp
+++ b/Libraries/LibScheduler/TransitTimes.cpp
@@ -5,16 +5,26 @@
 
 // The length limits the effect of clock drift: clocks whose rates differ by 2 % diverge by 200 ms in one window.
 static constexpr Milliseconds windowLength { 10'000 };
+// Longer than a message may be held up on a connection that is kept.
+static constexpr Milliseconds senderRetention { 120'000 };
+
+void TransitTimes::forgetSilentSenders(Instant now)
+{
+    if (now < this->nextCleanup)
+        return;
+    this->nextCleanup = now + windowLength;
+    std::erase_if(this->senders, [&](const auto& entry) { return now - entry.second.lastHeardAt > senderRetention; });
+}
 
 Milliseconds TransitTimes::excessTransitTime(const std::string& name, uint64_t incarnation, Milliseconds sentAt, Instant now)
 {
     auto difference = std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()) - sentAt;
-    auto [position, isNew] = this->senders.try_emplace(name);
-    auto& sender = position->second;
-    if (isNew || sender.incarnation != incarnation) {
-        sender = Sender { incarnation, now, difference, difference };
+    this->forgetSilentSenders(now);
+    auto [position, isNew] = this->senders.try_emplace({ name, incarnation }, Sender { now, now, difference, difference });
+    if (isNew)
         return Milliseconds(0);
-    }
+    auto& sender = position->second;
+    sender.lastHeardAt = now;
     if (now - sender.windowStart > windowLength) {
         sender.previousMinimumDifference = sender.minimumDifference;
         sender.minimumDifference = difference;
--- a/Libraries/LibScheduler/TransitTimes.h
+++ b/Libraries/LibScheduler/TransitTimes.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace Sassafrasshift::Scheduler {
 
@@ -11,19 +12,23 @@
 class TransitTimes {
 public:
     /// Records a message, and returns how much longer it was in transit than the fastest one from its sender in the current and
-    /// the previous window. A sender with a new incarnation is treated as a new sender. `sentAt` is on the sender's clock.
+    /// the previous window. Each incarnation of a sender is a sender of its own. `sentAt` is on the sender's clock.
     [[nodiscard]] Milliseconds excessTransitTime(const std::string& sender, uint64_t incarnation, Milliseconds sentAt, Instant now);
 
 private:
     struct Sender {
-        uint64_t incarnation { 0 };
         Instant windowStart {};
+        Instant lastHeardAt {};
         /// The smallest difference between time of receipt and time of sending in the current window, and in the previous one.
         Milliseconds minimumDifference { 0 };
         Milliseconds previousMinimumDifference { 0 };
     };
 
-    std::map<std::string, Sender> senders;
+    void forgetSilentSenders(Instant now);
+
+    /// By name and incarnation. Messages of an earlier incarnation may arrive after those of a later one.
+    std::map<std::pair<std::string, uint64_t>, Sender> senders;
+    Instant nextCleanup {};
 };
 
 }
