LibScheduler: Wait for the runs of earlier dispatchers although all targets are claimed

Cause: a dispatcher that takes over waits until the runs of the earlier one have ended, but it skipped the wait once all targets that it knew were claimed. It does not know all that the earlier one had: hosts that take reports forget a target that is cut off from them for 8 s, members that were started since have never heard of it, a target may have belonged to another shard, or its removal may have reached only one of the two. And a claim that is not renewed does not show that no other dispatcher has claimed the target since.

Change: the wait is never skipped. Runs that are found are adopted at once, as before; tasks that had not been started wait.

--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -92,7 +92,7 @@
     void onStopAnswer(const TargetInstance&, const RunId&, const OrderAnswer&, Instant now);
     /// Handles the timeouts of targets and, at longer intervals, the entry leases, objectives and deadlines of jobs.
     void tick(Instant now);
-    /// Sets whether reports were received from all targets on which an earlier dispatcher may have started runs.
+    /// Sets whether the reports of all targets of the shard were received. Until then, no job is refused for lack of capacity.
     void setKnowsAllTargets(bool knows) { this->knowsAllTargets = knows; }
     /// To be called after a pause of this process. No run is started before the targets have reported their runs again.
     void onPause(Instant now);
@@ -233,7 +233,6 @@
     [[nodiscard]] bool isSelected(const Membership::TargetReport& report) const { return !this->selector || this->selector(report); }
     void releaseUnselectedTargets();
     void removeExpiredOutcomes(Instant now);
-    [[nodiscard]] bool allTargetsClaimed() const;
     [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&, Instant now) const;
     [[nodiscard]] Milliseconds expectedWait(const Submission&) const;
     [[nodiscard]] static double remainingWork(const Job&);
--- a/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
@@ -7,15 +7,11 @@
 // A target whose measured slowness is higher than this gets no tasks until the slowness has decayed.
 static constexpr double maximumUsableSlowness { 2.5 };
 
-// Returns whether the runs on all targets of the shard are known here.
-bool TaskScheduler::allTargetsClaimed() const
-{
-    return this->knowsAllTargets && std::all_of(this->targets.begin(), this->targets.end(), [](const auto& entry) { return entry.second.session.knowsAllRuns(); });
-}
-
+// That all known targets have been claimed does not prove that the runs of an earlier dispatcher are known: that one may have had
+// other targets, or may have claimed targets again since.
 bool TaskScheduler::mayStartTasks(const Job& job, Instant now) const
 {
-    return now >= job.otherShardRunsEndAt && (now >= job.earlierRunsEndAt || this->allTargetsClaimed()) && now < job.deadline && now - job.lease->lastExtendedAt < this->options.entryLease;
+    return now >= job.otherShardRunsEndAt && now >= job.earlierRunsEndAt && now < job.deadline && now - job.lease->lastExtendedAt < this->options.entryLease;
 }
 
 // Returns whether the last run of a waiting task may continue although its leases have expired here. Another dispatcher that has
--- a/Libraries/LibScheduler/Types.h
+++ b/Libraries/LibScheduler/Types.h
@@ -58,13 +58,12 @@
     Milliseconds::rep untilDeadline { 0 };
     /// The time within which the job should end. Of jobs with equal priority, the one with the earlier objective is served first.
     Milliseconds::rep untilObjective { 0 };
-    /// How long runs that an unreachable dispatcher of the same shard started may continue. No task is started before then,
-    /// unless all targets of the shard have been claimed and have reported their runs.
+    /// How long runs that an earlier dispatcher of the same shard started may continue. No task is started before then; runs that
+    /// are found on targets are adopted.
     Milliseconds::rep untilEarlierRunsEnd { 0 };
     /// Greater than the number of any run that an earlier dispatcher may have started.
     uint64_t firstRunNumber { 1 };
-    /// How long runs on targets of other shards may continue. No task is started before then, because this dispatcher cannot
-    /// ask those targets.
+    /// How long runs on targets of other shards may continue. No task is started before then.
     Milliseconds::rep untilOtherShardRunsEnd { 0 };
     /// The time of sending on the clock of the entry host, and the incarnation of that host.
     Milliseconds::rep sentAt { 0 };
