--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -183,7 +183,7 @@
     case Kind::RunUnexpected:
         return "run-unexpected";
     case Kind::RunStopped:
-        return "run-stopped";
+        return "stop-finished";
     case Kind::JobRefused:
         return "job-refused";
     case Kind::JobFailed:
