--- a/Tests/LibScheduler/TestTargetSession.cpp
+++ b/Tests/LibScheduler/TestTargetSession.cpp
@@ -15,7 +15,7 @@
 
 std::shared_ptr<const JobLease> makeJobLease(Instant now)
 {
-    return std::make_shared<const JobLease>(now);
+    return std::make_shared<const JobLease>(JobLease { now });
 }
 
 /// A session with a claimed target, driven by hand.
