LibScheduler: Accept outcomes of dispatchers of an earlier version

While hosts are updated one after the other, a dispatcher that names no handover in its outcomes would have had its refusals ignored until the deadline. Test: refusal_by_a_dispatcher_of_an_earlier_version_is_accepted failed before.

--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/JobOwner.cpp
@@ -211,8 +211,9 @@
     auto position = this->jobs.find(outcome.job);
     if (position == this->jobs.end() || position->second.dispatcher != from)
         return;
-    // After the last handover, the dispatcher may have started tasks even if it refused or failed the job before.
-    bool isLastHandover = outcome.firstRunNumber == position->second.submission.firstRunNumber;
+    // After the last handover, the dispatcher may have started tasks even if it refused or failed the job before. Dispatchers of an
+    // earlier version name no handover.
+    bool isLastHandover = outcome.firstRunNumber == 0 || outcome.firstRunNumber == position->second.submission.firstRunNumber;
     if (!isLastHandover && outcome.end != JobEnd::Completed)
         return;
     switch (outcome.end) {
--- a/Tests/LibScheduler/TestJobOwner.cpp
+++ b/Tests/LibScheduler/TestJobOwner.cpp
@@ -217,3 +217,13 @@
     BOOST_REQUIRE(effects.answers.size() == 1U);
     BOOST_TEST((effects.answers.front().kind == Kind::Refused));
 }
+
+BOOST_FIXTURE_TEST_CASE(refusal_by_a_dispatcher_of_an_earlier_version_is_accepted, Fixture)
+{
+    this->updateDispatchers({ { "", "a" } });
+    this->add("job");
+    (void)this->owner.takeEffects();
+    JobOutcome refusal { "job", JobEnd::Refused, "overloaded", 700 };
+    this->owner.onOutcome("a", refusal, this->now);
+    BOOST_TEST(this->owner.takeEffects().answers.size() == 1U);
+}
