LibScheduler: Answer a job that is submitted again from its recorded outcome

Cause: a dispatcher kept the outcome of an ended job for 10 s, but only for the entry host that had it. When the answer to the caller was lost (entry killed, connection reset) and the caller submitted the job again through another entry host, the record was erased and all tasks ran again. Done tasks of a dropped job ran again as well, and a refusal of such a job said that it had not run.

Ruled out: keeping outcomes at entry hosts, since the caller's next connection goes to another one.

Change: FinishedJobs keeps the outcome, a fingerprint of the work and the done tasks. The same work gets the same outcome at once; a dropped job goes on with the tasks that are not done; a refusal carries the number of earlier starts, and an entry host then answers that the job may have run. Other work under the same name runs as before. The record is that of one dispatcher: another shard, or a successor, does not have it.

--- a/Libraries/LibScheduler/Decision.h
+++ b/Libraries/LibScheduler/Decision.h
@@ -30,6 +30,8 @@
         RunStopped,
         JobRefused,
         JobFailed,
+        /// A caller has submitted a job again that had ended, and gets the same answer.
+        JobAnsweredAgain,
         /// The entry host cancelled the job, no longer listed it in a renewal or became silent, or the deadline of the job passed.
         JobDropped,
     };
--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/JobOwner.cpp
@@ -238,11 +238,12 @@
     auto& job = position->second;
     job.refusedBy.push_back(job.shard);
     job.dispatcher.clear();
+    job.hasRunBefore = job.hasRunBefore || outcome.starts > 0;
     if (job.refusedBy.size() < this->options.maximumRefusals)
         this->handOver(job, job.refusedBy, now);
     if (!job.dispatcher.empty())
         return;
-    bool mayHaveRun = !job.earlierShards.empty();
+    bool mayHaveRun = !job.earlierShards.empty() || job.hasRunBefore;
     this->finishWithAnswer(position, mayHaveRun ? Answer::Kind::Unknown : Answer::Kind::Refused, outcome.reason, mayHaveRun ? Milliseconds(0) : Milliseconds(outcome.retryAfterMilliseconds));
 }
 
--- a/Libraries/LibScheduler/JobOwner.h
+++ b/Libraries/LibScheduler/JobOwner.h
@@ -125,6 +125,8 @@
         Instant earlierRunsEndAt {};
         /// The shards of the earlier dispatchers.
         std::set<std::string> earlierShards;
+        /// Whether a dispatcher has refused the job, but knows of runs of an earlier submission of it.
+        bool hasRunBefore { false };
         /// The shards whose dispatcher has refused the job.
         std::vector<std::string> refusedBy;
         uint32_t handoverCount { 0 };
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -18,6 +18,7 @@
 
 TaskScheduler::TaskScheduler(Options options)
     : options(options)
+    , finishedJobs(options.outcomeRetention)
 {
 }
 
@@ -140,17 +141,35 @@
         // The entry host withdrew the job in between, and another dispatcher may rely on the end of the runs here.
         this->dropJob(submission.job, "the entry host handed the job over again", now);
     }
-    uint64_t firstRunNumber = submission.firstRunNumber;
-    auto finishedEarlier = this->finishedJobs.find(submission.job);
-    if (finishedEarlier != this->finishedJobs.end()) {
-        firstRunNumber = std::max(firstRunNumber, finishedEarlier->second.nextRunNumber);
-        this->finishedJobs.erase(finishedEarlier);
-    }
-    if (auto refusal = this->refusalFor(submission, now)) {
+    if (this->answerAgain(entry, submission))
+        return;
+    const auto* earlier = this->finishedJobs.find(submission.job);
+    if (auto refusal = this->refusalFor(submission)) {
+        if (earlier)
+            refusal->starts = earlier->outcome.starts;
         this->recordDecision(Decision::Kind::JobRefused, {}, RunId { TaskId { submission.job, 0, 0, 0 }, 0 }, refusal->reason);
         this->effects.notices.push_back(Notice { entry, *refusal });
         return;
     }
+    this->enqueue(entry, submission, earlier, now);
+    this->finishedJobs.remove(submission.job);
+}
+
+// Sends the outcome of a job again that has ended here, since the answer to an earlier submission was lost. Returns whether it has.
+bool TaskScheduler::answerAgain(const std::string& entry, const Submission& submission)
+{
+    const auto* finished = this->finishedJobs.find(submission.job);
+    if (!finished || !finished->isFinal() || finished->fingerprint != JobFingerprint::of(submission))
+        return false;
+    const auto& outcome = this->finishedJobs.readdress(submission.job, entry, submission.firstRunNumber);
+    this->recordDecision(Decision::Kind::JobAnsweredAgain, {}, RunId { TaskId { submission.job, 0, 0, 0 }, 0 }, "the job has ended before: " + outcome.reason);
+    this->effects.notices.push_back(Notice { entry, outcome });
+    return true;
+}
+
+void TaskScheduler::enqueue(const std::string& entry, const Submission& submission, const FinishedJob* earlier, Instant now)
+{
+    auto firstRunNumber = std::max(submission.firstRunNumber, earlier ? earlier->nextRunNumber : 0);
     Job job;
     job.submission = submission;
     job.entry = entry;
@@ -162,7 +181,15 @@
     job.expectedRunTime = this->speeds.expectedOnFastestKind(submission.queue, Milliseconds(submission.estimateMilliseconds));
     job.rank = Rank { false, submission.priority, now + Milliseconds(submission.untilObjective), this->arrivals++ };
     job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, firstRunNumber, {}, 0, {}, 0 });
-    job.waiting = submission.taskCount;
+    if (earlier) {
+        job.earlierStarts = earlier->outcome.starts;
+        for (size_t index = 0; index < job.tasks.size() && earlier->fingerprint == JobFingerprint::of(submission); ++index) {
+            if (earlier->doneTasks[index])
+                job.tasks[index].state = TaskState::Done;
+        }
+    }
+    job.done = static_cast<size_t>(std::count_if(job.tasks.begin(), job.tasks.end(), [](const auto& task) { return task.state == TaskState::Done; }));
+    job.waiting = job.tasks.size() - job.done;
     auto& inserted = this->jobs.emplace(submission.job, std::move(job)).first->second;
     this->jobsByRank.emplace(inserted.rank, &inserted);
     this->adoptRuns(inserted, now);
@@ -219,6 +246,7 @@
     task.target = session.target().identity;
     task.run = id.number;
     --job.waiting;
+    ++job.earlierStarts;
 }
 
 void TaskScheduler::cancel(const std::string& entry, const std::string& name, Instant now)
@@ -253,9 +281,9 @@
             }
             continue;
         }
-        auto position = this->finishedJobs.find(name);
-        if (position != this->finishedJobs.end() && position->second.entry == entry)
-            this->effects.notices.push_back(Notice { entry, position->second.outcome });
+        const auto* finished = this->finishedJobs.find(name);
+        if (finished && finished->entry == entry)
+            this->effects.notices.push_back(Notice { entry, finished->outcome });
         else
             unknown.push_back(name);
     }
@@ -279,10 +307,11 @@
 void TaskScheduler::dropJob(const std::string& name, std::string cause, Instant now)
 {
     this->recordDecision(Decision::Kind::JobDropped, {}, RunId { TaskId { name, 0, 0, 0 }, 0 }, std::move(cause));
-    this->removeJob(name, now);
+    this->removeJob(name, {}, JobOutcome { name, JobEnd::Refused, "dropped" }, now);
 }
 
-void TaskScheduler::removeJob(const std::string& name, Instant now)
+// Forgets an open job, but for what a later submission of it needs. The entry is empty if none is to learn the outcome.
+void TaskScheduler::removeJob(const std::string& name, const std::string& entry, JobOutcome outcome, Instant now)
 {
     auto position = this->jobs.find(name);
     if (position == this->jobs.end())
@@ -290,12 +319,17 @@
     auto& job = position->second;
     if (job.done < job.tasks.size())
         this->stopRuns(name, now);
-    FinishedJob record { {}, JobOutcome { name, JobEnd::Refused, "dropped" }, now, 1 };
-    for (const auto& task : job.tasks)
-        record.nextRunNumber = std::max(record.nextRunNumber, task.nextRunNumber);
+    outcome.starts = job.earlierStarts + job.starts;
+    FinishedJob finished { entry, std::move(outcome), now, 1, JobFingerprint::of(job.submission), {} };
+    for (const auto& task : job.tasks) {
+        finished.nextRunNumber = std::max(finished.nextRunNumber, task.nextRunNumber);
+        finished.doneTasks.push_back(task.state == TaskState::Done);
+    }
+    if (!entry.empty())
+        this->effects.notices.push_back(Notice { entry, finished.outcome });
     this->jobsByRank.erase(job.rank);
     this->jobs.erase(position);
-    this->finishedJobs.insert_or_assign(name, std::move(record));
+    this->finishedJobs.add(name, std::move(finished));
 }
 
 void TaskScheduler::finishJob(const std::string& name, JobEnd end, std::string reason, Instant now)
@@ -303,13 +337,9 @@
     const auto& job = this->jobs.at(name);
     if (end != JobEnd::Completed)
         this->recordDecision(end == JobEnd::Failed ? Decision::Kind::JobFailed : Decision::Kind::JobRefused, {}, RunId { TaskId { name, 0, 0, 0 }, 0 }, reason);
-    JobOutcome outcome { name, end, std::move(reason), 0, job.waitTime.count(), job.starts, job.submission.firstRunNumber };
+    JobOutcome outcome { name, end, std::move(reason), 0, job.waitTime.count(), 0, job.submission.firstRunNumber };
     auto entry = job.entry;
-    this->effects.notices.push_back(Notice { entry, outcome });
-    this->removeJob(name, now);
-    auto& record = this->finishedJobs.at(name);
-    record.entry = entry;
-    record.outcome = std::move(outcome);
+    this->removeJob(name, entry, std::move(outcome), now);
 }
 
 // Asks the entry host of a job whose run has lapsed whether it still has the job here. The numbers start at the current time, so that
@@ -433,7 +463,7 @@
     if (now < this->nextOutcomeCleanup)
         return;
     this->nextOutcomeCleanup = now + outcomeCleanupInterval;
-    std::erase_if(this->finishedJobs, [&](const auto& entry) { return now - entry.second.finishedAt > this->options.outcomeRetention; });
+    this->finishedJobs.removeExpired(now);
 }
 
 void TaskScheduler::tick(Instant now)
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibScheduler/Decision.h>
+#include <LibScheduler/FinishedJobs.h>
 #include <LibScheduler/SpeedEstimator.h>
 #include <LibScheduler/TargetSession.h>
 #include <LibScheduler/TargetSpeed.h>
@@ -68,7 +69,8 @@
     [[nodiscard]] std::vector<Membership::TargetReport> knownReports() const;
 
     /// Queues or refuses a job. If the job is open here from another entry host, it now belongs to this one. If it is open from the
-    /// same one, that has withdrawn the job and handed it over again: its runs are stopped, and it is queued like a new job.
+    /// same one, that has withdrawn the job and handed it over again: its runs are stopped, and it is queued like a new job. If the
+    /// job has ended here recently, its outcome is sent again; if it was dropped, its done tasks are not run again.
     void submit(const std::string& entry, const Submission&, Instant now);
     /// Drops a job, unless it belongs to another entry host.
     void cancel(const std::string& entry, const std::string& job, Instant now);
@@ -166,8 +168,9 @@
         /// The numbers of tasks that are waiting and done.
         size_t waiting { 0 };
         size_t done { 0 };
-        /// The number of runs started here.
+        /// The number of runs started here for this submission, and of known runs of earlier submissions and dispatchers.
         uint32_t starts { 0 };
+        uint32_t earlierStarts { 0 };
         /// The time from the arrival of the job to the first of these starts.
         Milliseconds waitTime { 0 };
     };
@@ -196,16 +199,6 @@
     /// Caches the expected run time of a job's tasks by target kind, so that each kind is looked up once per placement.
     class ExpectedRunTimes;
 
-    /// The outcome of a job that ended or was dropped, kept for `outcomeRetention`.
-    struct FinishedJob {
-        /// Empty if the job was dropped.
-        std::string entry;
-        JobOutcome outcome;
-        Instant finishedAt {};
-        /// The lowest run number that may be used if the job is submitted again.
-        uint64_t nextRunNumber { 1 };
-    };
-
     void placeWaitingTasks(Instant now);
     void placeTasks(Job&, Instant now);
     [[nodiscard]] TargetSession* chooseTarget(const Job&, ExpectedRunTimes&, Instant now);
@@ -216,12 +209,14 @@
     void observeRun(const Job&, Target&, Milliseconds duration, Instant now);
     void onRunEnded(Target&, const TargetSession::Event&, Instant now);
     void onRunDiscovered(TargetSession&, const RunId&, Instant now);
+    [[nodiscard]] bool answerAgain(const std::string& entry, const Submission&);
+    void enqueue(const std::string& entry, const Submission&, const FinishedJob* earlier, Instant now);
     void takeOver(Job&, const std::string& entry, const Submission&, Instant now);
     void adoptRuns(Job&, Instant now);
     void adoptRun(Job&, Task&, TargetSession&, const RunId&, Instant now);
     void finishJob(const std::string& job, JobEnd, std::string reason, Instant now);
     void dropJob(const std::string& job, std::string cause, Instant now);
-    void removeJob(const std::string& job, Instant now);
+    void removeJob(const std::string& job, const std::string& entry, JobOutcome, Instant now);
     void recordDecision(Decision::Kind, const std::string& target, const RunId&, std::string cause, std::optional<RunEvidence> = {});
     void stopRuns(const std::string& job, Instant now);
     void requestRenewal(const Job&, Task&, Instant now);
@@ -233,7 +228,7 @@
     [[nodiscard]] bool isSelected(const Membership::TargetReport& report) const { return !this->selector || this->selector(report); }
     void releaseUnselectedTargets();
     void removeExpiredOutcomes(Instant now);
-    [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&, Instant now) const;
+    [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&) const;
     [[nodiscard]] Milliseconds expectedWait(const Submission&) const;
     [[nodiscard]] static double remainingWork(const Job&);
     Target* findTarget(const TargetInstance&);
@@ -251,7 +246,7 @@
     std::unordered_map<std::string, Job> jobs;
     /// The queue: all open jobs in the order in which they are served.
     std::map<Rank, Job*> jobsByRank;
-    std::unordered_map<std::string, FinishedJob> finishedJobs;
+    FinishedJobs finishedJobs;
     bool knowsAllTargets { true };
     uint64_t lastRenewalRequest { 0 };
     /// The number of jobs queued so far.
--- a/Libraries/LibScheduler/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerAdmission.cpp
@@ -68,7 +68,7 @@
 }
 
 // Returns the refusal of a job that must not be admitted, or nothing if the job is admitted.
-std::optional<JobOutcome> TaskScheduler::refusalFor(const Submission& submission, Instant) const
+std::optional<JobOutcome> TaskScheduler::refusalFor(const Submission& submission) const
 {
     JobOutcome outcome { submission.job, JobEnd::Refused, "overloaded", minimumRetryAfter.count(), 0, 0, submission.firstRunNumber };
     if (this->jobs.size() >= this->options.maximumJobs)
--- a/Libraries/LibScheduler/Types.h
+++ b/Libraries/LibScheduler/Types.h
@@ -117,8 +117,10 @@
     std::string reason;
     /// If the job was refused, how long the caller should wait before it retries.
     Milliseconds::rep retryAfterMilliseconds { 0 };
-    /// For logs: the time from the arrival of the job to its first start, and the total number of starts.
+    /// For logs: the time from the arrival of the job to its first start.
     Milliseconds::rep waitedMilliseconds { 0 };
+    /// The number of runs of the job that the dispatcher knows of, those of earlier submissions included. A refused job has none for
+    /// this submission.
     uint32_t starts { 0 };
     /// The `firstRunNumber` of the submission, which differs with each handover of the job by its entry host.
     uint64_t firstRunNumber { 0 };
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -188,6 +188,8 @@
         return "job-refused";
     case Kind::JobFailed:
         return "job-failed";
+    case Kind::JobAnsweredAgain:
+        return "job-answered-again";
     case Kind::JobDropped:
         return "job-dropped";
     }
--- /dev/null
+++ b/Tests/LibScheduler/TestResubmission.cpp
@@ -0,0 +1,157 @@
+#include "SimulatedTargets.h"
+#include <LibScheduler/JobOwner.h>
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace Sassafrasshift;
+using namespace Sassafrasshift::Scheduler;
+using namespace std::chrono_literals;
+
+// Callers submit a job again whose answer was lost, usually through another entry host.
+namespace {
+
+constexpr const char* otherEntry = "other-entry";
+
+struct Fixture {
+    SimulatedFleet fleet { 1 };
+
+    Fixture()
+    {
+        this->fleet.addTarget("target-a", 64);
+        this->fleet.report();
+        this->fleet.dispatchers[0]->activate(10, this->fleet.now);
+    }
+
+    TaskScheduler& dispatcher() { return *this->fleet.dispatchers[0]; }
+    uint64_t starts() { return this->fleet.targets.at("target-a").starts; }
+    bool hasOutcome(const std::string& job, Milliseconds limit)
+    {
+        return this->fleet.runUntil([&] { return this->fleet.outcome(job) != nullptr; }, limit);
+    }
+
+    // Submits a job through the other entry host, and returns the outcome that this host gets at once, if any.
+    std::optional<JobOutcome> submitAgain(const Submission& submission)
+    {
+        this->dispatcher().submit(otherEntry, submission, this->fleet.now);
+        auto effects = this->dispatcher().takeEffects(this->fleet.now);
+        BOOST_TEST(effects.orders.starts.empty());
+        auto notice = std::find_if(effects.notices.begin(), effects.notices.end(), [](const auto& sent) { return sent.entry == otherEntry; });
+        return notice == effects.notices.end() ? std::nullopt : std::optional(notice->outcome);
+    }
+
+    // Runs two of the four tasks of a job, then drops it while the other two run.
+    void dropHalfDoneJob()
+    {
+        this->fleet.submit(0, makeJob("job", 4, 27));
+        this->fleet.run(50ms);
+        this->fleet.runTime = 30s;
+        this->fleet.run(200ms);
+        BOOST_TEST(this->starts() == 4U);
+        this->dispatcher().cancel("entry", "job", this->fleet.now);
+        this->fleet.owner.erase("job");
+        this->fleet.runTime = 100ms;
+        BOOST_TEST(this->fleet.runUntil([&] { return this->fleet.targets.at("target-a").running().empty(); }, 500ms));
+        this->fleet.run(500ms);
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(job_that_has_completed_is_answered_again_without_running_again, Fixture)
+{
+    this->fleet.submit(0, makeJob("job", 2, 27));
+    BOOST_TEST(this->hasOutcome("job", 2s));
+    this->fleet.run(1300ms);
+    auto outcome = this->submitAgain(makeJob("job", 2, 27));
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->end == JobEnd::Completed));
+    this->fleet.run(500ms);
+    BOOST_TEST(this->starts() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(job_that_has_failed_is_answered_again_without_running_again, Fixture)
+{
+    this->fleet.tasksFail = true;
+    this->fleet.submit(0, makeJob("job", 1, 27));
+    BOOST_TEST(this->hasOutcome("job", 5s));
+    auto startsBefore = this->starts();
+    auto outcome = this->submitAgain(makeJob("job", 1, 27));
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->end == JobEnd::Failed));
+    this->fleet.run(500ms);
+    BOOST_TEST(this->starts() == startsBefore);
+}
+
+// The entry host may lose this answer, too, and then gets it with its next renewal.
+BOOST_FIXTURE_TEST_CASE(outcome_of_a_job_that_was_answered_again_belongs_to_the_later_submission, Fixture)
+{
+    this->fleet.submit(0, makeJob("job", 1, 27));
+    BOOST_TEST(this->hasOutcome("job", 2s));
+    auto again = makeJob("job", 1, 27);
+    again.firstRunNumber = 1001;
+    BOOST_TEST(this->submitAgain(again).has_value());
+    BOOST_TEST(this->dispatcher().renew(otherEntry, { "job" }, this->fleet.now).empty());
+    auto effects = this->dispatcher().takeEffects(this->fleet.now);
+    BOOST_REQUIRE(effects.notices.size() == 1U);
+    BOOST_TEST(effects.notices.front().entry == otherEntry);
+    BOOST_TEST(effects.notices.front().outcome.firstRunNumber == 1001U);
+}
+
+BOOST_FIXTURE_TEST_CASE(other_work_under_the_name_of_an_ended_job_is_run, Fixture)
+{
+    this->fleet.submit(0, makeJob("job", 1, 27));
+    BOOST_TEST(this->hasOutcome("job", 2s));
+    auto other = makeJob("job", 1, 27);
+    other.payload = "other work";
+    this->dispatcher().submit("entry", other, this->fleet.now);
+    this->fleet.run(500ms);
+    BOOST_TEST(this->starts() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(done_tasks_of_a_dropped_job_are_not_run_again, Fixture)
+{
+    this->dropHalfDoneJob();
+    this->fleet.submit(0, makeJob("job", 4, 27));
+    BOOST_TEST(this->hasOutcome("job", 2s));
+    BOOST_TEST((this->fleet.outcome("job")->end == JobEnd::Completed));
+    BOOST_TEST(this->starts() == 6U);
+}
+
+BOOST_FIXTURE_TEST_CASE(refusal_of_a_job_that_has_run_before_says_so, Fixture)
+{
+    this->dropHalfDoneJob();
+    // No further target has the capacity, so that the job is refused.
+    auto again = makeJob("job", 4, 27);
+    again.untilDeadline = 10;
+    auto outcome = this->submitAgain(again);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->end == JobEnd::Refused));
+    BOOST_TEST(outcome->starts > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(caller_of_a_refused_job_that_has_run_before_is_not_told_that_it_has_not_run)
+{
+    Instant now { std::chrono::hours(1) };
+    JobOwner owner({}, Random(1));
+    owner.updateDispatchers({ { "east", "a" } }, "east", now);
+    owner.add(makeJob("job", 1, 1), now + 2s, now + 500ms, now);
+    owner.onOutcome("a", JobOutcome { "job", JobEnd::Refused, "overloaded", 700, 0, 2, 1 }, now);
+    auto effects = owner.takeEffects();
+    BOOST_REQUIRE(effects.answers.size() == 1U);
+    BOOST_TEST((effects.answers.front().kind == JobOwner::Answer::Kind::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(job_that_has_run_before_and_is_refused_by_all_shards_is_not_called_not_run)
+{
+    Instant now { std::chrono::hours(1) };
+    JobOwner owner({}, Random(1));
+    owner.updateDispatchers({ { "east", "a" }, { "west", "b" } }, "east", now);
+    for (const auto* address : { "a", "b" })
+        owner.onRenewalAnswer(address, {}, { PoolLoad { "pool", 1000, 0 } }, now);
+    owner.add(makeJob("job", 1, 1), now + 2s, now + 500ms, now);
+    owner.onOutcome("a", JobOutcome { "job", JobEnd::Refused, "overloaded", 700, 0, 2, 1 }, now);
+    owner.onOutcome("b", JobOutcome { "job", JobEnd::Refused, "overloaded", 700, 0, 0, 1001 }, now);
+    auto effects = owner.takeEffects();
+    BOOST_REQUIRE(effects.answers.size() == 1U);
+    BOOST_TEST((effects.answers.front().kind == JobOwner::Answer::Kind::Unknown));
+}
