LibScheduler, LibMembership: Keep what targets said of their end, and use what late lists prove

A target that had left was in use again after a restart. Cause: the end of a target was told to dispatchers, not to the other hosts that accept reports. One that had heard of the target before listed it for up to 8 s, and an entry host that started meanwhile took it as capacity and sent it orders. Ruled out: shorter retention, since a target reports every 1.5 s and may change the host. Change: TargetRegistry holds the latest reports and the ends, for dispatchers and for hosts that accept reports alike; changed reports and ends are passed on to all of them. Shown by: Tests/Cluster/run.py, restart_entries_after_an_executor_left; with the program of the commit before: an executor that had left was used after a restart.

Work that had run was run again after lost answers. Cause: a target that was silent until its leases had expired lists a run as done later; rows of runs that were taken as lapsed were ignored. Change: such a row ends the task; a run that was started meanwhile is stopped. Shown by: two cases in TestRunEnds.cpp that fail on the code before.

--- a/Libraries/LibScheduler/Decision.h
+++ b/Libraries/LibScheduler/Decision.h
@@ -24,6 +24,8 @@
         /// A run ended without completing: its lease expired, or its target was lost.
         RunLost,
         RunAdopted,
+        /// A run that was taken as lost has completed.
+        RunFoundDone,
         /// A target reported a run of a task that is done or has another run.
         RunUnexpected,
         /// A run to which a stop order was sent has ended.
--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -357,8 +357,11 @@
     for (const auto& ended : list.ended) {
         this->lastEndSeen = std::max(this->lastEndSeen, std::min(ended.sequence, list.lastReadableEnd));
         auto position = this->knownRuns.find(ended.run);
-        if (position == this->knownRuns.end())
+        if (position == this->knownRuns.end()) {
+            if (ended.end == RunEnd::Done)
+                this->addEvent(Event::Kind::FoundDone, ended.run);
             continue;
+        }
         if (ended.end == RunEnd::Failed)
             this->countFailure(now);
         else if (ended.end == RunEnd::Done)
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -101,6 +101,8 @@
             Fenced,
             /// A start order was not answered.
             StartUnanswered,
+            /// The target lists a run as done that is not known here, or was taken as ended when its leases expired.
+            FoundDone,
         };
         Kind kind { Kind::Ended };
         RunId run;
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -13,8 +13,6 @@
 static constexpr uint64_t staleRunNumberStep { 100 };
 // For how long after a target has announced its end an earlier dispatcher may keep runs there alive, because it has not been told.
 static constexpr Milliseconds removalNoticeTime { 2000 };
-// How long the report of a removed target is kept, so that an earlier report of it that arrives late is recognized.
-static constexpr Milliseconds removedReportRetention { 10'000 };
 
 TaskScheduler::TaskScheduler(Options options)
     : options(options)
@@ -32,7 +30,7 @@
             target.session.reclaim(token, now);
         return;
     }
-    for (const auto& [identity, known] : this->reports) {
+    for (const auto& [identity, known] : this->reports.entries()) {
         bool isGone = known.removedAt && now - *known.removedAt >= removalNoticeTime;
         if (isGone || !this->isSelected(known.report))
             continue;
@@ -52,20 +50,10 @@
     this->effects = {};
 }
 
-bool TaskScheduler::isOutdated(const KnownReport& known, const TargetReport& report)
-{
-    if (report.incarnation != known.report.incarnation)
-        return report.incarnation < known.report.incarnation;
-    return known.removedAt ? report.sequence <= known.report.sequence : report.sequence < known.report.sequence;
-}
-
 void TaskScheduler::onReport(const TargetReport& report, Instant now)
 {
-    auto known = this->reports.find(report.identity);
-    if (known != this->reports.end() && isOutdated(known->second, report))
-        return;
-    this->reports.insert_or_assign(report.identity, KnownReport { report, {} });
-    if (this->isActive())
+    auto update = this->reports.update(report, now);
+    if (update != Membership::TargetRegistry::Update::Outdated && this->isActive())
         this->applyReport(report, now);
 }
 
@@ -87,14 +75,10 @@
 
 void TaskScheduler::onTargetGone(const std::string& identity, const std::string& incarnation, Instant now)
 {
-    auto known = this->reports.find(identity);
-    if (known != this->reports.end() && !incarnation.empty() && incarnation < known->second.report.incarnation) {
-        this->recordDecision(Decision::Kind::RemovalIgnored, identity, {}, "incarnation " + incarnation + " has ended, and incarnation " + known->second.report.incarnation + " is known");
+    if (!this->reports.remove(identity, incarnation, now)) {
+        this->recordDecision(Decision::Kind::RemovalIgnored, identity, {}, "incarnation " + incarnation + " has ended, and incarnation " + this->reports.entries().at(identity).report.incarnation + " is known");
         return;
     }
-    if (known != this->reports.end())
-        known->second.removedAt = now;
-    std::erase_if(this->reports, [&](const auto& entry) { return entry.second.removedAt && now - *entry.second.removedAt > removedReportRetention; });
     for (auto position = this->targets.lower_bound(TargetKey { identity, {} }); position != this->targets.end() && position->first.identity == identity; ++position) {
         auto& session = position->second.session;
         if (incarnation.empty() || session.target().incarnation <= incarnation)
@@ -105,16 +89,6 @@
     this->needsPlacement = true;
 }
 
-std::vector<TargetReport> TaskScheduler::knownReports() const
-{
-    std::vector<TargetReport> present;
-    for (const auto& [identity, known] : this->reports) {
-        if (!known.removedAt)
-            present.push_back(known.report);
-    }
-    return present;
-}
-
 void TaskScheduler::removeGoneTargets()
 {
     std::erase_if(this->targets, [](const auto& entry) { return entry.second.session.isGone(); });
@@ -174,6 +148,7 @@
     job.submission = submission;
     job.entry = entry;
     job.arrivedAt = now;
+    job.firstRunNumber = firstRunNumber;
     job.lease = std::make_shared<JobLease>(JobLease { now });
     job.deadline = now + Milliseconds(submission.untilDeadline);
     job.earlierRunsEndAt = now + Milliseconds(submission.untilEarlierRunsEnd);
@@ -385,6 +360,33 @@
         this->finishJob(event.run.task.job, JobEnd::Failed, "task-failed", now);
 }
 
+// Called when a target lists a run as done that had been taken as ended without success, since the target was silent until its leases
+// had expired. The task is done: it is not started again, and a run that was started meanwhile is stopped.
+void TaskScheduler::onRunFoundDone(const std::string& target, const RunId& id, Instant now)
+{
+    auto position = this->jobs.find(id.task.job);
+    if (position == this->jobs.end() || id.task.index >= position->second.tasks.size() || id.number < position->second.firstRunNumber)
+        return;
+    auto& job = position->second;
+    auto& task = job.tasks[id.task.index];
+    if (task.state == TaskState::Done)
+        return;
+    this->recordDecision(Decision::Kind::RunFoundDone, target, id, "the target listed the run as done after its leases had expired");
+    if (task.state == TaskState::Placed)
+        this->stopRun(task.target, RunId { id.task, task.run }, now);
+    else
+        --job.waiting;
+    task.state = TaskState::Done;
+    if (++job.done == job.tasks.size())
+        this->finishJob(id.task.job, JobEnd::Completed, "completed", now);
+}
+
+void TaskScheduler::stopRun(const std::string& target, const RunId& id, Instant now)
+{
+    for (auto position = this->targets.lower_bound(TargetKey { target, {} }); position != this->targets.end() && position->first.identity == target; ++position)
+        position->second.session.stop(id, now);
+}
+
 void TaskScheduler::recordDecision(Decision::Kind kind, const std::string& target, const RunId& run, std::string cause, std::optional<RunEvidence> evidence)
 {
     this->effects.decisions.push_back(Decision { kind, target, run.task.job, run.task.index, run.number, std::move(cause), std::move(evidence) });
@@ -402,6 +404,9 @@
         case Kind::Discovered:
             this->onRunDiscovered(target.session, event.run, now);
             break;
+        case Kind::FoundDone:
+            this->onRunFoundDone(identity, event.run, now);
+            break;
         case Kind::Retired:
             this->recordDecision(Decision::Kind::TargetRetired, identity, {}, "the target is said to have ended or moved; incarnation " + target.session.target().incarnation + " has " + std::to_string(event.openRuns) + " runs, whose leases end in " + std::to_string(event.untilLeaseEnd.count()) + " ms");
             break;
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibMembership/TargetRegistry.h>
 #include <LibScheduler/Decision.h>
 #include <LibScheduler/FinishedJobs.h>
 #include <LibScheduler/SpeedEstimator.h>
@@ -66,7 +67,7 @@
     void onTargetGone(const std::string& identity, const std::string& incarnation, Instant now);
 
     /// The reports of all targets that have not announced their end, of this shard and of others.
-    [[nodiscard]] std::vector<Membership::TargetReport> knownReports() const;
+    [[nodiscard]] std::vector<Membership::TargetReport> knownReports() const { return this->reports.presentReports(); }
 
     /// Queues or refuses a job. If the job is open here from another entry host, it now belongs to this one. If it is open from the
     /// same one, that has withdrawn the job and handed it over again: its runs are stopped, and it is queued like a new job. If the
@@ -154,6 +155,8 @@
         std::string entry;
         Rank rank;
         Instant arrivedAt {};
+        /// The number of the first run that may be started here for this submission.
+        uint64_t firstRunNumber { 1 };
         std::shared_ptr<JobLease> lease;
         /// The highest number of a renewal request to which the entry host has answered that it still has the job here.
         uint64_t lastAnsweredRequest { 0 };
@@ -183,12 +186,6 @@
         friend auto operator<=>(const TargetKey&, const TargetKey&) = default;
     };
 
-    struct KnownReport {
-        Membership::TargetReport report;
-        /// When the target announced its end, if it did.
-        std::optional<Instant> removedAt;
-    };
-
     struct Target {
         TargetSession session;
         TargetSpeed speed;
@@ -209,6 +206,8 @@
     void observeRun(const Job&, Target&, Milliseconds duration, Instant now);
     void onRunEnded(Target&, const TargetSession::Event&, Instant now);
     void onRunDiscovered(TargetSession&, const RunId&, Instant now);
+    void onRunFoundDone(const std::string& target, const RunId&, Instant now);
+    void stopRun(const std::string& target, const RunId&, Instant now);
     [[nodiscard]] bool answerAgain(const std::string& entry, const Submission&);
     void enqueue(const std::string& entry, const Submission&, const FinishedJob* earlier, Instant now);
     void takeOver(Job&, const std::string& entry, const Submission&, Instant now);
@@ -232,7 +231,6 @@
     [[nodiscard]] Milliseconds expectedWait(const Submission&) const;
     [[nodiscard]] static double remainingWork(const Job&);
     Target* findTarget(const TargetInstance&);
-    [[nodiscard]] static bool isOutdated(const KnownReport&, const Membership::TargetReport&);
     void applyReport(const Membership::TargetReport&, Instant now);
     void removeGoneTargets();
 
@@ -242,7 +240,7 @@
     TargetSelector selector;
     std::map<TargetKey, Target> targets;
     /// The latest report of each target. Also collected while inactive, so that dispatching can start immediately.
-    std::map<std::string, KnownReport> reports;
+    Membership::TargetRegistry reports;
     std::unordered_map<std::string, Job> jobs;
     /// The queue: all open jobs in the order in which they are served.
     std::map<Rank, Job*> jobsByRank;
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -138,6 +138,18 @@
     this->cluster->mergeRecords(gossip.members, this->loop->now());
 }
 
+void ClusterDaemon::handle(const std::string& from, const ReportNotice& notice)
+{
+    this->control->onMessage(from, notice);
+    this->dispatch->onMessage(from, notice);
+}
+
+void ClusterDaemon::handle(const std::string& from, const TargetGone& gone)
+{
+    this->control->onMessage(from, gone);
+    this->dispatch->onMessage(from, gone);
+}
+
 template <typename Message>
 void ClusterDaemon::handle(const std::string& from, const Message& message)
 {
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -41,6 +41,8 @@
     void deliver(const std::string& from, const ClusterMessage&);
     void send(const std::string& address, const ClusterMessage&);
     void handle(const std::string& from, const Gossip&);
+    void handle(const std::string& from, const ReportNotice&);
+    void handle(const std::string& from, const TargetGone&);
     template <typename Message>
     void handle(const std::string& from, const Message&);
     void tick();
--- a/Services/sassafrasshiftd/Cluster/ControlApi.cpp
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.cpp
@@ -97,13 +97,11 @@
         return refuse(exchange, 400, report.error().detail);
     }
     auto now = this->context.now();
-    auto& known = this->targets[identity];
-    bool isOutdated = known.report.incarnation > report->incarnation || (known.report.incarnation == report->incarnation && known.report.sequence > report->sequence);
-    if (isOutdated)
+    auto update = this->reports.update(*report, now);
+    if (update == Membership::TargetRegistry::Update::Outdated)
         return respond(exchange, 200);
-    bool isUnchanged = known.report.incarnation == report->incarnation && known.report.address == report->address && known.report.state == report->state && known.report.pool == report->pool;
+    bool isUnchanged = update == Membership::TargetRegistry::Update::Repeated;
     bool isLeaving = report->state == Membership::TargetState::Leaving;
-    known = KnownTarget { *report, now };
     if (!isUnchanged)
         this->forwardReport(*report);
     auto dispatcher = this->context.dispatcherFor(report->failureDomain);
@@ -149,9 +147,9 @@
     if (!member)
         return;
     TargetListResponse response { request.number, {} };
-    for (const auto& [identity, target] : this->targets) {
-        if (this->mayDispatch(*member, target.report))
-            response.reports.push_back(target.report);
+    for (auto& report : this->reports.presentReports()) {
+        if (this->mayDispatch(*member, report))
+            response.reports.push_back(std::move(report));
     }
     // A candidate for dispatching keeps the reports of targets that the hosts which accept reports have not heard of for a while.
     for (auto& report : this->scheduler.knownReports()) {
@@ -163,15 +161,26 @@
 
 void ControlApi::removeTarget(const Exchange& exchange, const std::string& identity)
 {
-    auto known = this->targets.find(identity);
-    auto incarnation = known == this->targets.end() ? std::string {} : known->second.report.incarnation;
+    const auto* known = this->reports.find(identity);
+    auto incarnation = known ? known->incarnation : std::string {};
     Telemetry::log(LogLevel::Information, "target-removed", "a target announced that it ends", { { "target", identity }, { "incarnation", incarnation } });
-    this->targets.erase(identity);
     for (const auto* member : this->context.cluster.liveMembers(this->context.now()))
         this->context.send(member->address, TargetGone { identity, incarnation });
     respond(exchange, 200);
 }
 
+// Other hosts that accept reports may have an earlier report of the target, and would pass it on to members that start later.
+void ControlApi::onMessage(const std::string&, const ReportNotice& notice)
+{
+    if (this->acceptsReports())
+        this->reports.update(notice.report, this->context.now());
+}
+
+void ControlApi::onMessage(const std::string&, const TargetGone& gone)
+{
+    this->reports.remove(gone.identity, gone.incarnation, this->context.now());
+}
+
 // All members that may become the dispatcher of a target are informed of it, so that a new dispatcher can start immediately.
 bool ControlApi::mayDispatch(const Membership::MemberRecord& member, const TargetReport& report) const
 {
@@ -182,7 +191,8 @@
 void ControlApi::forwardReport(const TargetReport& report)
 {
     for (const auto* member : this->context.cluster.liveMembers(this->context.now())) {
-        if (this->mayDispatch(*member, report))
+        bool isOtherReportHost = !member->isEntry && member->address != this->context.ownAddress();
+        if (isOtherReportHost || this->mayDispatch(*member, report))
             this->context.send(member->address, ReportNotice { report, 0 });
     }
 }
@@ -194,19 +204,14 @@
         if (member->dispatchWeight == 0 || incarnation == member->incarnation)
             continue;
         incarnation = member->incarnation;
-        for (const auto& [identity, target] : this->targets) {
-            if (this->mayDispatch(*member, target.report))
-                this->context.send(member->address, ReportNotice { target.report, 0 });
+        for (const auto& report : this->reports.presentReports()) {
+            if (this->mayDispatch(*member, report))
+                this->context.send(member->address, ReportNotice { report, 0 });
         }
     }
     std::erase_if(this->informedMembers, [&](const auto& entry) { return !this->context.cluster.isAlive(entry.first, now); });
 }
 
-void ControlApi::forgetSilentTargets(Instant now)
-{
-    std::erase_if(this->targets, [&](const auto& entry) { return now - entry.second.reportedAt > reportRetention; });
-}
-
 void ControlApi::tick(Instant now)
 {
     std::erase_if(this->pendingReads, [&](const PendingRead& pendingRead) {
@@ -226,7 +231,7 @@
         return true;
     });
     this->sendTargetsToNewMembers(now);
-    this->forgetSilentTargets(now);
+    this->reports.forgetSilentTargets(reportRetention, now);
 }
 
 }
--- a/Services/sassafrasshiftd/Cluster/ControlApi.h
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.h
@@ -3,6 +3,7 @@
 #include "Cluster/ClusterContext.h"
 #include "Cluster/DocumentLedger.h"
 #include "Cluster/DocumentStore.h"
+#include <LibMembership/TargetRegistry.h>
 #include <LibTransport/HttpServer.h>
 #include <map>
 #include <memory>
@@ -17,14 +18,11 @@
     void handle(const std::shared_ptr<Transport::HttpExchange>&);
     void onMessage(const std::string& from, const ReportAcknowledgment&);
     void onMessage(const std::string& from, const TargetListRequest&);
+    void onMessage(const std::string& from, const ReportNotice&);
+    void onMessage(const std::string& from, const TargetGone&);
     void tick(Instant now);
 
 private:
-    struct KnownTarget {
-        Membership::TargetReport report;
-        Instant reportedAt {};
-    };
-
     /// The report of a leaving target that the dispatcher has not acknowledged yet.
     struct PendingReport {
         std::shared_ptr<Transport::HttpExchange> exchange;
@@ -46,13 +44,14 @@
     [[nodiscard]] bool mayDispatch(const Membership::MemberRecord&, const Membership::TargetReport&) const;
     void forwardReport(const Membership::TargetReport&);
     void sendTargetsToNewMembers(Instant now);
-    void forgetSilentTargets(Instant now);
+    [[nodiscard]] bool acceptsReports() const { return !this->context.settings.controlAddress.empty(); }
 
     ClusterContext& context;
     DocumentLedger& ledger;
     DocumentStore& documents;
     const Scheduler::TaskScheduler& scheduler;
-    std::map<std::string, KnownTarget> targets;
+    /// Of the targets that report to this host or to another one that accepts reports.
+    Membership::TargetRegistry reports;
     std::map<uint64_t, PendingReport> pendingReports;
     std::vector<PendingRead> pendingReads;
     uint64_t nextReportNumber { 1 };
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -180,6 +180,8 @@
         return "run-lost";
     case Kind::RunAdopted:
         return "run-adopted";
+    case Kind::RunFoundDone:
+        return "run-found-done";
     case Kind::RunUnexpected:
         return "run-unexpected";
     case Kind::RunStopped:
--- a/Tests/Cluster/run.py
+++ b/Tests/Cluster/run.py
@@ -7,6 +7,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -159,6 +160,62 @@
     executor.started = 0
 
 
+class LeftExecutor:
+    """An executor that has announced its end, while a process listens at its address. Counts the connections to it."""
+
+    IDENTITY = "i-left"
+    ADDRESS = "127.0.33.9:7600"
+
+    def __init__(self):
+        host, port = self.ADDRESS.split(":")
+        self.connections = 0
+        self.socket = socket.create_server((host, int(port)))
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.socket.accept()
+            except OSError:
+                return
+            self.connections += 1
+            connection.close()
+
+    def report_and_leave(self):
+        """Reports to two hosts in turn, and announces the end to the second one only."""
+        body = {"service": "pool", "addr": self.ADDRESS, "zone": "north", "state": "ready", "capacity": {"cpu": 64000, "mem_mb": 1000, "gpu": 0}, "labels": ["a", "r1"], "born": int(time.time() * 1000)}
+        for sequence, control_address in enumerate(CONTROL_ADDRESSES[:2], start=1):
+            status = send_report(control_address, self.IDENTITY, json.dumps({**body, "sequence": sequence}).encode())
+            assert status == 200, f"the response to a report has status {status}"
+        assert call(CONTROL_ADDRESSES[1], "DELETE", f"/api/instances/{self.IDENTITY}")[0] == 200
+
+    def close(self):
+        self.socket.close()
+
+
+def restart_entries_after_an_executor_left(entries):
+    """Entries that start after an executor has left must not use it, although a host that accepts reports had heard of it last before
+    its end."""
+    left = LeftExecutor()
+    try:
+        left.report_and_leave()
+        for entry in entries:
+            entry.process.kill()
+            entry.process.wait()
+        left.connections = 0
+        for entry in entries:
+            entry.start()
+        wait_until(lambda: all(entry.is_ready() for entry in entries), "all entries are ready again")
+        wait_for_dispatcher(entries)
+        # All hosts that accept reports have told the new dispatcher of their executors by the time that it has started jobs.
+        load = Load(seed=2)
+        load.wait_for_more(20, "the entries were restarted")
+        load.stop()
+        assert left.connections == 0, "an executor that had left was used after a restart"
+    finally:
+        left.close()
+
+
 def run_scenario(folder):
     members = [Member(folder, address, True) for address in CORE_ADDRESSES] + [Member(folder, address, False) for address in ENTRY_ADDRESSES]
     run_log = RunLog()
@@ -170,6 +227,7 @@
         executors = [Executor(run_log, f"i-{i}", EXECUTOR_ADDRESSES[i], CONTROL_ADDRESSES) for i in range(4)]
         entries = [member for member in members if not member.is_core]
         wait_until(lambda: all(member.is_ready() for member in entries), "all entries are ready")
+        restart_entries_after_an_executor_left(entries)
         load = Load(seed=1)
         load.wait_for_more(50, "the start")
 
--- /dev/null
+++ b/Tests/LibMembership/TestTargetRegistry.cpp
@@ -0,0 +1,92 @@
+#include <LibMembership/TargetRegistry.h>
+#include <boost/test/unit_test.hpp>
+
+using namespace Sassafrasshift;
+using namespace Sassafrasshift::Membership;
+using namespace std::chrono_literals;
+
+using Update = TargetRegistry::Update;
+
+namespace {
+
+struct Fixture {
+    Instant now { std::chrono::hours(1) };
+    TargetRegistry registry;
+
+    static TargetReport makeReport(uint64_t sequence, const std::string& incarnation = "1", TargetState state = TargetState::Serving)
+    {
+        TargetReport report;
+        report.identity = "target";
+        report.incarnation = incarnation;
+        report.sequence = sequence;
+        report.state = state;
+        return report;
+    }
+
+    Update update(const TargetReport& report) { return this->registry.update(report, this->now); }
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(reports_are_told_apart_by_what_they_change, Fixture)
+{
+    BOOST_TEST((this->update(makeReport(4)) == Update::Changed));
+    BOOST_TEST((this->update(makeReport(5)) == Update::Repeated));
+    BOOST_TEST((this->update(makeReport(6, "1", TargetState::Leaving)) == Update::Changed));
+    BOOST_TEST((this->update(makeReport(5)) == Update::Outdated));
+    BOOST_TEST((this->update(makeReport(1, "2")) == Update::Changed));
+    BOOST_TEST((this->update(makeReport(7)) == Update::Outdated));
+}
+
+// Another host that takes reports may have heard of the target last, and pass its report on after the target has left.
+BOOST_FIXTURE_TEST_CASE(report_from_before_the_removal_does_not_bring_a_target_back, Fixture)
+{
+    this->update(makeReport(4));
+    BOOST_TEST(this->registry.remove("target", "1", this->now));
+    BOOST_TEST(!this->registry.find("target"));
+    BOOST_TEST(this->registry.presentReports().empty());
+    this->now += 9s;
+    BOOST_TEST((this->update(makeReport(4)) == Update::Outdated));
+    BOOST_TEST(!this->registry.find("target"));
+}
+
+BOOST_FIXTURE_TEST_CASE(later_report_brings_a_removed_target_back, Fixture)
+{
+    this->update(makeReport(4));
+    this->registry.remove("target", {}, this->now);
+    BOOST_TEST((this->update(makeReport(5)) == Update::Changed));
+    BOOST_TEST(this->registry.find("target"));
+    this->registry.remove("target", "1", this->now);
+    BOOST_TEST((this->update(makeReport(1, "2")) == Update::Changed));
+    BOOST_TEST(this->registry.find("target")->incarnation == "2");
+}
+
+BOOST_FIXTURE_TEST_CASE(removal_of_an_earlier_incarnation_has_no_effect, Fixture)
+{
+    this->update(makeReport(1, "2"));
+    BOOST_TEST(!this->registry.remove("target", "1", this->now));
+    BOOST_TEST(this->registry.find("target"));
+}
+
+BOOST_FIXTURE_TEST_CASE(silent_targets_are_forgotten, Fixture)
+{
+    this->update(makeReport(4));
+    this->now += 8s;
+    this->registry.forgetSilentTargets(8s, this->now);
+    BOOST_TEST(this->registry.find("target"));
+    this->now += 1ms;
+    this->registry.forgetSilentTargets(8s, this->now);
+    BOOST_TEST(this->registry.entries().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(removals_are_forgotten_later, Fixture)
+{
+    this->update(makeReport(4));
+    this->registry.remove("target", "1", this->now);
+    this->now += 9s;
+    this->registry.forgetSilentTargets(8s, this->now);
+    BOOST_TEST(this->registry.entries().size() == 1U);
+    this->now += 2s;
+    this->registry.forgetSilentTargets(8s, this->now);
+    BOOST_TEST(this->registry.entries().empty());
+}
--- a/Tests/LibScheduler/TestRunEnds.cpp
+++ b/Tests/LibScheduler/TestRunEnds.cpp
@@ -56,6 +56,43 @@
     BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
 }
 
+// The answers of the target are lost for longer than its leases last.
+static void silenceTarget(RunningTask& task, Milliseconds duration)
+{
+    task.fleet.injectFault = [&task](size_t, const TargetInstance& instance, bool) {
+        return SimulatedFleet::OrderFault { 1ms, instance.identity == task.target };
+    };
+    task.fleet.run(duration);
+    task.fleet.injectFault = {};
+}
+
+BOOST_AUTO_TEST_CASE(run_that_was_done_while_its_target_was_silent_is_not_started_again)
+{
+    RunningTask task(300ms);
+    // The other target is occupied, so that the task waits once its leases have expired.
+    task.fleet.runTime = 30s;
+    task.fleet.submit(0, makeJob("other", 1, 27));
+    task.fleet.run(50ms);
+    silenceTarget(task, 1500ms);
+    BOOST_REQUIRE(task.fleet.runUntil([&] { return task.fleet.outcome("job") != nullptr; }, 1s));
+    BOOST_TEST((task.fleet.outcome("job")->end == JobEnd::Completed));
+    BOOST_TEST(task.starts() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(run_that_was_started_while_the_done_one_was_unknown_is_stopped)
+{
+    RunningTask task(300ms);
+    task.fleet.runTime = 30s;
+    silenceTarget(task, 1500ms);
+    BOOST_TEST(task.starts() == 2U);
+    BOOST_REQUIRE(task.fleet.runUntil([&] { return task.fleet.outcome("job") != nullptr; }, 1s));
+    BOOST_TEST((task.fleet.outcome("job")->end == JobEnd::Completed));
+    task.fleet.run(200ms);
+    for (const auto& [identity, target] : task.fleet.targets)
+        BOOST_TEST(target.running().empty());
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(target_that_reports_again_after_its_removal_keeps_its_runs)
 {
     RunningTask task(2s);
