LibLedger: Stand for election soon after a start

Ruled out: applying what is on a replica's own disk, since it is not known there what was committed.

Change: a replica that has heard no leader since its start sends a pre-vote after a sixth to a half of the election timeout, and again so. Pre-votes change no term, and replicas in contact with a leader ignore them. Elections keep the full timeout, since votes wait for the disk.

--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -31,13 +31,27 @@
 {
     if (stored.snapshot.index > 0)
         this->effects.restoredSnapshot = stored.snapshot;
-    this->resetElectionTimer();
+    this->resetPreVoteTimer();
 }
 
 void Replica::resetElectionTimer()
 {
-    std::uniform_int_distribution<int64_t> extraTimeout(0, this->options.electionTimeout.count() * 1000);
-    this->electionDeadline = this->now + this->options.electionTimeout + Microseconds(extraTimeout(this->random));
+    this->electionDeadline = this->now + this->options.electionTimeout + this->randomUpTo(this->options.electionTimeout);
+}
+
+// A replica that has not heard a leader since its start does not wait for one: a pre-vote changes no term, and replicas in contact
+// with a leader ignore it.
+void Replica::resetPreVoteTimer()
+{
+    if (this->hasHeardLeader)
+        return this->resetElectionTimer();
+    this->electionDeadline = this->now + this->options.electionTimeout / 6 + this->randomUpTo(this->options.electionTimeout / 3);
+}
+
+Microseconds Replica::randomUpTo(Milliseconds limit)
+{
+    std::uniform_int_distribution<int64_t> distribution(0, std::chrono::duration_cast<Microseconds>(limit).count());
+    return Microseconds(distribution(this->random));
 }
 
 std::string Replica::leaderHost() const
@@ -135,7 +149,7 @@
 {
     this->currentRole = Role::PreCandidate;
     this->leaderIdentity.clear();
-    this->resetElectionTimer();
+    this->resetPreVoteTimer();
     this->votesReceived = { this->options.identity };
     if (this->isQuorum(this->votesReceived)) {
         this->startElection();
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -32,7 +32,7 @@
         std::string identity;
         std::string host;
         /// The minimum time without contact from a leader after which a follower starts an election. The actual timeout is
-        /// random between this and twice this.
+        /// random between this and twice this; a replica that has heard no leader since its start waits for a part of it only.
         Milliseconds electionTimeout { 600 };
         Milliseconds heartbeatInterval { 100 };
         /// The leader removes a voter that it has not heard from for this long, so that the voter no longer counts toward the
@@ -140,6 +140,8 @@
     void followLeader(const std::string& identity);
     /// Whether operations have waited to be stored for longer than an election timeout: the disk is full or stalled.
     [[nodiscard]] bool isStorageBlocked() const;
+    void resetPreVoteTimer();
+    [[nodiscard]] Microseconds randomUpTo(Milliseconds limit);
     void startPreVote();
     void startElection();
     void becomeLeader();
--- a/Tests/LibLedger/SimulatedHosts.cpp
+++ b/Tests/LibLedger/SimulatedHosts.cpp
@@ -5,7 +5,6 @@
 namespace Sassafrasshift::Ledger {
 
 static constexpr Milliseconds tickInterval { 20 };
-static constexpr Milliseconds electionTimeout { 300 };
 static constexpr Milliseconds heartbeatInterval { 75 };
 static constexpr Milliseconds lostVoterTimeout { 4000 };
 static constexpr Milliseconds resendInterval { 300 };
--- a/Tests/LibLedger/SimulatedHosts.h
+++ b/Tests/LibLedger/SimulatedHosts.h
@@ -65,6 +65,7 @@
 class SimulatedHosts {
 public:
     static constexpr size_t maximumUnstoredBytes = 2 * 1024 * 1024;
+    static constexpr Milliseconds electionTimeout { 300 };
 
     SimulatedHosts(uint64_t seed, size_t count);
     ~SimulatedHosts();
