LibMembership: Send all records to a member that knows far fewer

Cause: members of a large cluster that start together learn of each other in gossip rounds of 250 ms, and a candidate waited for the claim delay again whenever its view of the shards changed.

Change: a gossip message says how many members its sender knows; a recipient that knows at least twice as many replies with all records. The claim delay counts from the first contact with another member, since it waits for claims to arrive. The failure domains that dispatch are kept instead of collected for each question.

--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -12,6 +12,7 @@
     , random(random)
     , startedAt(now)
 {
+    this->updateDispatchingDomains();
 }
 
 Milliseconds Cluster::interval() const
@@ -62,6 +63,13 @@
     return records;
 }
 
+bool Cluster::shouldSendAllRecords(size_t membersKnownToSender, Instant now) const
+{
+    // Members whose views differ by less than this factor converge within a few rounds.
+    static constexpr size_t knowledgeRatio = 2;
+    return membersKnownToSender > 0 && membersKnownToSender * knowledgeRatio <= this->liveMembers(now).size();
+}
+
 // The highest value of a counter in a record. Members derive higher values from it, which must not overflow.
 static constexpr uint64_t maximumCounter = uint64_t { 1 } << 53;
 // Epochs count seconds, and leave room in a fencing token for the bits that identify the claimant.
@@ -96,7 +104,9 @@
         else
             this->mergePeerRecord(record, now);
     }
-    std::erase_if(this->peers, [&](const auto& entry) { return now - entry.second.lastHeartbeatAt > this->options.recordRetention; });
+    auto expired = std::erase_if(this->peers, [&](const auto& entry) { return now - entry.second.lastHeartbeatAt > this->options.recordRetention; });
+    if (expired > 0)
+        this->updateDispatchingDomains();
     if (this->peers.size() + 1 >= this->options.shardedClusterSize)
         this->adoptLayout(DispatchLayout::FailureDomains);
 }
@@ -118,14 +128,30 @@
 void Cluster::mergePeerRecord(const MemberRecord& record, Instant now)
 {
     auto [position, isNew] = this->peers.try_emplace(record.address, Peer { record, now, now, {} });
+    if (!this->firstContactAt)
+        this->firstContactAt = now;
     if (isNew)
-        return;
+        return this->updateDispatchingDomains();
     auto& peer = position->second;
     if (std::tie(record.incarnation, record.heartbeat) <= std::tie(peer.record.incarnation, peer.record.heartbeat))
         return;
     bool isSameProcess = record.incarnation == peer.record.incarnation;
     bool wasAlive = isSameProcess && this->isAlive(record.address, now);
+    bool hasMoved = std::tie(record.failureDomain, record.dispatchWeight) != std::tie(peer.record.failureDomain, peer.record.dispatchWeight);
     peer = Peer { record, now, wasAlive ? peer.aliveSince : now, isSameProcess ? peer.suspectedUntil : Instant {} };
+    if (hasMoved)
+        this->updateDispatchingDomains();
+}
+
+void Cluster::updateDispatchingDomains()
+{
+    this->dispatchingDomains.clear();
+    if (this->ownRecord.dispatchWeight > 0)
+        this->dispatchingDomains.insert(this->ownRecord.failureDomain);
+    for (const auto& [address, peer] : this->peers) {
+        if (peer.record.dispatchWeight > 0)
+            this->dispatchingDomains.insert(peer.record.failureDomain);
+    }
 }
 
 bool Cluster::isAlive(const std::string& address, Instant now) const
@@ -182,17 +208,11 @@
 {
     if (this->ownRecord.layout == DispatchLayout::WholeCluster)
         return {};
-    std::set<std::string> shards;
-    if (this->ownRecord.dispatchWeight > 0)
-        shards.insert(this->ownRecord.failureDomain);
-    for (const auto& [address, peer] : this->peers) {
-        if (peer.record.dispatchWeight > 0)
-            shards.insert(peer.record.failureDomain);
-    }
-    if (shards.empty())
+    const auto& domains = this->dispatchingDomains;
+    if (domains.empty())
         return failureDomain;
-    auto position = shards.lower_bound(failureDomain);
-    return position == shards.end() ? *shards.begin() : *position;
+    auto position = domains.lower_bound(failureDomain);
+    return position == domains.end() ? *domains.begin() : *position;
 }
 
 std::vector<std::string> Cluster::targetListHosts(Instant now) const
@@ -254,33 +274,31 @@
         && dispatcher.dispatchWeight * this->options.takeoverWeightRatio <= this->ownRecord.dispatchWeight && this->isBestCandidate(now);
 }
 
+// A shard that is known to have had a dispatcher is claimed immediately. Otherwise the claim of another member may not have arrived
+// yet.
+bool Cluster::mayClaim(const std::string& shard, Instant now) const
+{
+    if (this->peers.empty())
+        return now - this->startedAt >= this->options.isolatedClaimDelay;
+    bool hasHeardOthers = this->firstContactAt && now - *this->firstContactAt >= this->options.claimDelay;
+    return hasHeardOthers || (this->claimedShards.contains(shard) && now - this->startedAt >= this->options.claimDelay);
+}
+
 void Cluster::updateClaim(Instant now, uint64_t epochFloor)
 {
     auto shard = this->ownShard();
     if (this->ownRecord.dispatchShard != shard) {
         this->ownRecord.dispatchShard = shard;
         this->ownRecord.dispatchEpoch = 0;
-        this->candidateSince.reset();
     }
     const auto* current = this->dispatcher(shard, now);
     if (current == &this->ownRecord)
         return;
     if (this->ownRecord.state != HostState::Serving || (current && !this->shouldReplace(*current, now))) {
         this->ownRecord.dispatchEpoch = 0;
-        this->candidateSince.reset();
-        return;
-    }
-    if (!this->isBestCandidate(now)) {
-        this->candidateSince.reset();
         return;
     }
-    if (!this->candidateSince)
-        this->candidateSince = now;
-    // A shard that is known to have had a dispatcher is claimed immediately. Otherwise the claim of another member may not have
-    // arrived yet.
-    auto delay = this->peers.empty() ? this->options.isolatedClaimDelay : this->options.claimDelay;
-    bool mayClaim = this->claimedShards.contains(shard) || now - *this->candidateSince >= delay;
-    if (mayClaim && now - this->startedAt >= delay)
+    if (this->isBestCandidate(now) && this->mayClaim(shard, now))
         this->raiseEpoch(std::max(this->highestEpoch, epochFloor));
 }
 
--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -77,7 +77,7 @@
         int failureIntervals { 7 };
         /// The record of a member is removed when its heartbeat has not increased for this long.
         Milliseconds recordRetention { 120'000 };
-        /// How long a candidate waits for the claims of others before it claims a shard that it has seen no claim to.
+        /// How long a candidate must have heard from other members before it claims a shard that it has seen no claim to.
         Milliseconds claimDelay { 300 };
         /// Replaces `claimDelay` while the member knows no other member: the others may still be starting.
         Milliseconds isolatedClaimDelay { 1500 };
@@ -99,6 +99,9 @@
     [[nodiscard]] std::vector<std::string> nextGossipRecipients(Instant now);
     /// The content of a gossip message: the records of this member and of all other live members.
     [[nodiscard]] std::vector<MemberRecord> liveRecords(Instant now) const;
+    /// Whether the sender of a gossip message, which knows that many live members, is to be sent the records of all members at once.
+    /// That is so if it knows far fewer than this member, as after its start. Zero if the sender did not say how many it knows.
+    [[nodiscard]] bool shouldSendAllRecords(size_t membersKnownToSender, Instant now) const;
     /// Merges records from a gossip message; for each member the newest one is kept. Records with counters far out of range, or
     /// with unknown enumerators, are ignored.
     void mergeRecords(const std::vector<MemberRecord>&, Instant now);
@@ -156,8 +159,10 @@
     [[nodiscard]] Milliseconds interval() const;
     [[nodiscard]] Milliseconds failureTimeout() const { return this->interval() * this->options.failureIntervals; }
     [[nodiscard]] bool isBestCandidate(Instant now) const;
+    [[nodiscard]] bool mayClaim(const std::string& shard, Instant now) const;
     [[nodiscard]] bool shouldReplace(const MemberRecord& dispatcher, Instant now) const;
     void adoptLayout(DispatchLayout);
+    void updateDispatchingDomains();
     void mergePeerRecord(const MemberRecord&, Instant now);
     void mergeOwnRecord(const MemberRecord&);
 
@@ -166,10 +171,13 @@
     Options options;
     Random random;
     std::map<std::string, Peer> peers;
+    /// The failure domains in which a member has a dispatch weight.
+    std::set<std::string> dispatchingDomains;
     uint64_t highestEpoch { 0 };
     /// The shards for which this member has seen or made a claim.
     std::set<std::string> claimedShards;
-    std::optional<Instant> candidateSince;
+    /// When this member first learned of another one.
+    std::optional<Instant> firstContactAt;
     Instant startedAt;
 };
 
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -134,8 +134,11 @@
 
 void ClusterDaemon::handle(const std::string& from, const Gossip& gossip)
 {
+    auto now = this->loop->now();
     this->dispatch->observeTransitTime(from, gossip);
-    this->cluster->mergeRecords(gossip.members, this->loop->now());
+    this->cluster->mergeRecords(gossip.members, now);
+    if (this->cluster->shouldSendAllRecords(gossip.knownMembers, now))
+        this->send(from, this->makeGossip(this->cluster->liveRecords(now)));
 }
 
 void ClusterDaemon::handle(const std::string& from, const ReportNotice& notice)
@@ -168,7 +171,8 @@
 Gossip ClusterDaemon::makeGossip(std::vector<Membership::MemberRecord> records) const
 {
     auto sentAt = std::chrono::duration_cast<Milliseconds>(this->loop->now().time_since_epoch()).count();
-    return Gossip { std::move(records), sentAt, this->cluster->self().incarnation };
+    auto knownMembers = static_cast<uint32_t>(this->cluster->liveMembers(this->loop->now()).size());
+    return Gossip { std::move(records), sentAt, this->cluster->self().incarnation, knownMembers };
 }
 
 void ClusterDaemon::gossip(Instant now)
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -18,8 +18,10 @@
     /// The time of sending by the clock of the sender, in milliseconds. Only times of the same incarnation are comparable.
     Milliseconds::rep sentAt { 0 };
     uint64_t senderIncarnation { 0 };
+    /// The number of members that the sender considers alive; zero if it does not say.
+    uint32_t knownMembers { 0 };
 
-    CODEC_FIELDS(members, sentAt, senderIncarnation);
+    CODEC_FIELDS(members, sentAt, senderIncarnation, knownMembers);
 };
 
 /// Asks the dispatcher to cancel a job.
--- a/Tests/LibMembership/TestCluster.cpp
+++ b/Tests/LibMembership/TestCluster.cpp
@@ -35,7 +35,10 @@
     {
         for (auto end = this->now + duration; this->now < end; this->now += 10ms) {
             for (auto& [address, member] : this->members) {
+                auto epoch = member->self().dispatchEpoch;
                 member->updateClaim(this->now, 0);
+                if (member->self().dispatchEpoch != epoch)
+                    this->broadcast(*member);
                 if (this->now < this->nextGossip[address])
                     continue;
                 this->nextGossip[address] = this->now + member->gossipInterval();
@@ -43,12 +46,30 @@
                 auto liveRecords = member->liveRecords(this->now);
                 for (const auto& to : recipients) {
                     if (this->members.contains(to) && !this->isCut(address, to))
-                        this->members.at(to)->mergeRecords(liveRecords, this->now);
+                        this->exchange(*member, *this->members.at(to), liveRecords);
                 }
             }
         }
     }
 
+    // Sends a new claim to all members at once.
+    void broadcast(Cluster& sender)
+    {
+        sender.incrementHeartbeat();
+        for (const auto* recipient : sender.liveMembers(this->now)) {
+            if (recipient != &sender.self() && this->members.contains(recipient->address) && !this->isCut(sender.self().address, recipient->address))
+                this->members.at(recipient->address)->mergeRecords({ sender.self() }, this->now);
+        }
+    }
+
+    // Delivers a gossip message, and the reply that the recipient may send.
+    void exchange(Cluster& sender, Cluster& recipient, const std::vector<MemberRecord>& records)
+    {
+        recipient.mergeRecords(records, this->now);
+        if (recipient.shouldSendAllRecords(records.size(), this->now) && !this->isCut(recipient.self().address, sender.self().address))
+            sender.mergeRecords(recipient.liveRecords(this->now), this->now);
+    }
+
     std::string dispatcherAt(const std::string& address)
     {
         const auto& member = *this->members.at(address);
@@ -302,6 +323,87 @@
     BOOST_TEST(this->dispatcherAt("west-5") == "west-1");
 }
 
+namespace {
+
+// Starts six failure domains with a seed each within 360 ms, as after a loss of power everywhere, and returns the time from the last
+// start until all members know the dispatchers of all domains.
+Milliseconds timeFromStartToDispatchers(int entriesPerDomain, unsigned seed)
+{
+    static constexpr Milliseconds startSpread { 360 };
+    static constexpr Milliseconds limit { 5000 };
+    static constexpr int domains = 6;
+    Network network;
+    std::vector<std::string> seeds { "seed-0", "seed-1", "seed-2" };
+    Random random(seed);
+    std::multimap<Milliseconds, std::function<void()>> starts;
+    for (int domain = 0; domain < domains; ++domain) {
+        auto name = std::to_string(domain);
+        auto schedule = [&](const std::string& address, uint32_t weight, bool isEntry) {
+            starts.emplace(Milliseconds(random() % static_cast<uint64_t>(startSpread.count())), [&network, &seeds, name, address, weight, isEntry] { network.add(address, seeds, weight, isEntry, name); });
+        };
+        schedule("seed-" + name, 0, false);
+        for (int i = 0; i < entriesPerDomain; ++i)
+            schedule(name + "-" + std::to_string(i), i % 4 == 0 ? 300 : 90, true);
+    }
+    Milliseconds elapsed { 0 };
+    for (const auto& [startAt, start] : starts) {
+        network.run(startAt - elapsed);
+        elapsed = startAt;
+        start();
+    }
+    auto lastStart = network.now;
+    auto knowsAll = [&](const auto& entry) { return entry.second->dispatchers(network.now).size() == domains; };
+    while (network.now - lastStart < limit && !std::all_of(network.members.begin(), network.members.end(), knowsAll))
+        network.run(10ms);
+    return std::chrono::duration_cast<Milliseconds>(network.now - lastStart);
+}
+
+// The mean over several orders in which the hosts start.
+Milliseconds meanTimeToDispatchers(int entriesPerDomain, unsigned schedules)
+{
+    Milliseconds sum { 0 };
+    for (unsigned seed = 1; seed <= schedules; ++seed)
+        sum += timeFromStartToDispatchers(entriesPerDomain, seed);
+    return sum / schedules;
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(members_that_start_together_find_their_dispatchers_as_fast_in_a_large_cluster)
+{
+    auto small = meanTimeToDispatchers(4, 12);
+    auto medium = meanTimeToDispatchers(16, 12);
+    auto large = meanTimeToDispatchers(49, 2);
+    BOOST_TEST_MESSAGE("30 members: " << small.count() << " ms, 102: " << medium.count() << " ms, 300: " << large.count() << " ms");
+    // The last member that starts waits for the claim delay at most, and hears of the claims within a gossip round.
+    static constexpr Cluster::Options options;
+    auto limit = options.claimDelay + options.largeClusterInterval;
+    BOOST_TEST(small.count() <= limit.count());
+    BOOST_TEST(medium.count() <= limit.count());
+    BOOST_TEST(large.count() <= limit.count());
+}
+
+BOOST_FIXTURE_TEST_CASE(member_that_starts_learns_all_members_from_one_reply, LargeCluster)
+{
+    this->run(4s);
+    this->add("west-8", this->seeds, 90, true, "west");
+    this->run(10ms);
+    BOOST_TEST(this->members.at("west-8")->liveMembers(this->now).size() == this->members.size());
+    BOOST_TEST(this->dispatcherAt("west-8") == "west-1");
+}
+
+// Senders of an earlier version do not say how many members they know.
+BOOST_FIXTURE_TEST_CASE(only_a_member_that_knows_far_less_is_sent_all_records, LargeCluster)
+{
+    this->run(4s);
+    const auto& member = *this->members.at("west-5");
+    auto known = member.liveMembers(this->now).size();
+    BOOST_TEST(member.shouldSendAllRecords(1, this->now));
+    BOOST_TEST(!member.shouldSendAllRecords(known, this->now));
+    BOOST_TEST(!member.shouldSendAllRecords(known * 3 / 4, this->now));
+    BOOST_TEST(!member.shouldSendAllRecords(0, this->now));
+}
+
 // Hosts that accept reports forget targets that they do not hear; the candidates for dispatching keep them.
 BOOST_AUTO_TEST_CASE(new_dispatcher_asks_the_other_candidates_of_its_shard_for_targets)
 {
