LibScheduler: Restart runs that stand still, and count only targets that answer

The measure of slow targets sees a long task only after four times its run time.

Targets that do not answer no longer count as capacity for admission and for the choice of shard, so that what they cannot serve is refused at once. A refusal because of the deadline says when to come back.

--- a/Libraries/LibScheduler/Decision.h
+++ b/Libraries/LibScheduler/Decision.h
@@ -28,6 +28,8 @@
         RunFoundDone,
         /// A target reported a run of a task that is done or has another run.
         RunUnexpected,
+        /// A run makes no progress, and is stopped so that its task can be started elsewhere.
+        RunStalled,
         /// A run to which a stop order was sent has ended.
         RunStopped,
         JobRefused,
--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -101,6 +101,11 @@
         && this->report.state == Membership::TargetState::Serving;
 }
 
+bool TargetSession::isSilent() const
+{
+    return this->unansweredHolds >= failureThreshold;
+}
+
 uint32_t TargetSession::countRuns(const std::string& job) const
 {
     uint32_t count = 0;
@@ -377,6 +382,8 @@
     for (const auto& id : running) {
         auto [position, isNew] = this->knownRuns.try_emplace(id);
         position->second.lastReportedRunningAt = now;
+        if (auto progress = list.progress.find(id); progress != list.progress.end())
+            position->second.progress.observe(progress->second, now);
         if (!position->second.knownStartedAt)
             position->second.knownStartedAt = now;
         if (!isNew)
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -4,6 +4,7 @@
 #include <LibScheduler/JobLease.h>
 #include <LibScheduler/OrderAnswer.h>
 #include <LibScheduler/RunEvidence.h>
+#include <LibScheduler/StallDetector.h>
 #include <LibScheduler/Types.h>
 #include <map>
 #include <memory>
@@ -72,6 +73,7 @@
         std::optional<Instant> knownStartedAt;
         /// When the target last reported that the run was running.
         Instant lastReportedRunningAt {};
+        StallDetector progress;
         /// When the target confirmed the stop order: the run cannot start any more, or is being stopped.
         std::optional<Instant> stopConfirmedAt;
         std::optional<Instant> stopSentAt;
@@ -166,6 +168,8 @@
     [[nodiscard]] const Membership::TargetReport& target() const { return this->report; }
     [[nodiscard]] const std::map<RunId, Run>& runs() const { return this->knownRuns; }
     [[nodiscard]] bool isClaimed() const { return this->phase == Phase::Claimed; }
+    /// Whether the target has not answered consecutive hold orders.
+    [[nodiscard]] bool isSilent() const;
     [[nodiscard]] bool isFenced() const { return this->phase == Phase::Fenced; }
     /// Whether all runs on the target are known, also those that other dispatchers have started.
     [[nodiscard]] bool knowsAllRuns() const { return this->phase == Phase::Claimed || (this->phase == Phase::Retired && this->hasRunList); }
--- a/Libraries/LibScheduler/TargetSpeed.cpp
+++ b/Libraries/LibScheduler/TargetSpeed.cpp
@@ -13,6 +13,8 @@
 // A single task may exceed its expected run time by up to this factor on a target that is not slow.
 static constexpr double estimateErrorFactor { 4 };
 static constexpr double maximumSlowness { 20 };
+// A target on which a run has stalled is tried again after a few seconds.
+static constexpr double stalledSlowness { 5 };
 
 double TargetSpeed::slowness(Instant now) const
 {
@@ -35,6 +37,11 @@
         this->raiseTo(std::min(ratio, maximumSlowness), now);
 }
 
+void TargetSpeed::observeStall(Instant now)
+{
+    this->raiseTo(stalledSlowness, now);
+}
+
 void TargetSpeed::raiseTo(double floor, Instant now)
 {
     if (this->slowness(now) >= floor)
--- a/Libraries/LibScheduler/TargetSpeed.h
+++ b/Libraries/LibScheduler/TargetSpeed.h
@@ -13,6 +13,9 @@
     /// Records that a run is still running after `elapsed`, where `expected` is the usual run time on the kind.
     void observeUnfinished(Milliseconds elapsed, Milliseconds expected, Instant now);
 
+    /// Records that a run makes no progress.
+    void observeStall(Instant now);
+
     /// The current run time relative to the usual one of the kind, at least 1.
     [[nodiscard]] double slowness(Instant now) const;
 
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -155,7 +155,7 @@
     job.otherShardRunsEndAt = now + Milliseconds(submission.untilOtherShardRunsEnd);
     job.expectedRunTime = this->speeds.expectedOnFastestKind(submission.queue, Milliseconds(submission.estimateMilliseconds));
     job.rank = Rank { false, submission.priority, now + Milliseconds(submission.untilObjective), this->arrivals++ };
-    job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, firstRunNumber, {}, 0, {}, 0 });
+    job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, 0, firstRunNumber, {}, 0, {}, 0 });
     if (earlier) {
         job.earlierStarts = earlier->outcome.starts;
         for (size_t index = 0; index < job.tasks.size() && earlier->fingerprint == JobFingerprint::of(submission); ++index) {
@@ -307,12 +307,12 @@
     this->finishedJobs.add(name, std::move(finished));
 }
 
-void TaskScheduler::finishJob(const std::string& name, JobEnd end, std::string reason, Instant now)
+void TaskScheduler::finishJob(const std::string& name, JobEnd end, std::string reason, Instant now, Milliseconds retryAfter)
 {
     const auto& job = this->jobs.at(name);
     if (end != JobEnd::Completed)
         this->recordDecision(end == JobEnd::Failed ? Decision::Kind::JobFailed : Decision::Kind::JobRefused, {}, RunId { TaskId { name, 0, 0, 0 }, 0 }, reason);
-    JobOutcome outcome { name, end, std::move(reason), 0, job.waitTime.count(), 0, job.submission.firstRunNumber };
+    JobOutcome outcome { name, end, std::move(reason), retryAfter.count(), job.waitTime.count(), 0, job.submission.firstRunNumber };
     auto entry = job.entry;
     this->removeJob(name, entry, std::move(outcome), now);
 }
@@ -499,6 +499,7 @@
         this->dropJob(name, "the entry lease expired or the deadline of the job passed", now);
     this->releaseUnselectedTargets();
     this->observeUnfinishedRuns(now);
+    this->restartStalledRuns(now);
     this->demoteLateJobs(now);
     this->refuseJobsMissingDeadline(now);
     this->removeExpiredOutcomes(now);
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -128,6 +128,8 @@
     struct Task {
         TaskState state { TaskState::Waiting };
         uint32_t failures { 0 };
+        /// How many runs of the task were stopped because they made no progress.
+        uint32_t restarts { 0 };
         uint64_t nextRunNumber { 1 };
         /// The target and the number of the last run.
         std::string target;
@@ -213,7 +215,7 @@
     void takeOver(Job&, const std::string& entry, const Submission&, Instant now);
     void adoptRuns(Job&, Instant now);
     void adoptRun(Job&, Task&, TargetSession&, const RunId&, Instant now);
-    void finishJob(const std::string& job, JobEnd, std::string reason, Instant now);
+    void finishJob(const std::string& job, JobEnd, std::string reason, Instant now, Milliseconds retryAfter = Milliseconds(0));
     void dropJob(const std::string& job, std::string cause, Instant now);
     void removeJob(const std::string& job, const std::string& entry, JobOutcome, Instant now);
     void recordDecision(Decision::Kind, const std::string& target, const RunId&, std::string cause, std::optional<RunEvidence> = {});
@@ -223,6 +225,10 @@
     void demoteLateJobs(Instant now);
     void refuseJobsMissingDeadline(Instant now);
     void observeUnfinishedRuns(Instant now);
+    void restartStalledRuns(Instant now);
+    [[nodiscard]] static bool shouldRestart(const Job&, const Task&, const TargetSession::Run&, Instant now);
+    [[nodiscard]] Task* findTask(const RunId&, const std::string& target);
+    [[nodiscard]] static bool countsAsCapacity(const TargetSession&);
     [[nodiscard]] double usableCapacity() const;
     [[nodiscard]] bool isSelected(const Membership::TargetReport& report) const { return !this->selector || this->selector(report); }
     void releaseUnselectedTargets();
--- a/Libraries/LibScheduler/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerAdmission.cpp
@@ -19,14 +19,19 @@
     return static_cast<double>(job.waiting) * static_cast<double>(job.submission.needs.milliCores) * toMilliseconds(job.expectedRunTime);
 }
 
-// Returns the usable capacity of all serving targets that are not fenced, in thousandths of a core.
+// A target that does not answer finishes nothing that could be counted on.
+bool TaskScheduler::countsAsCapacity(const TargetSession& session)
+{
+    return session.target().state == TargetState::Serving && !session.isFenced() && !session.isRetired() && !session.isSilent();
+}
+
+// Returns the usable capacity of all targets that count, in thousandths of a core.
 double TaskScheduler::usableCapacity() const
 {
     double capacity = 0;
     for (const auto& [key, target] : this->targets) {
-        const auto& report = target.session.target();
-        if (report.state == TargetState::Serving && !target.session.isFenced() && !target.session.isRetired())
-            capacity += static_cast<double>(report.capacity.milliCores);
+        if (countsAsCapacity(target.session))
+            capacity += static_cast<double>(target.session.target().capacity.milliCores);
     }
     return capacity * usableCapacityShare;
 }
@@ -38,7 +43,7 @@
     std::map<std::string, double> capacity;
     for (const auto& [key, target] : this->targets) {
         const auto& report = target.session.target();
-        if (report.state == TargetState::Serving && !target.session.isFenced() && !target.session.isRetired())
+        if (countsAsCapacity(target.session))
             capacity[report.pool] += static_cast<double>(report.capacity.milliCores) * usableCapacityShare;
     }
     std::map<std::string, double> openWork;
@@ -115,17 +120,17 @@
 {
     auto capacity = this->knowsAllTargets ? this->usableCapacity() : 0;
     double workAhead = 0;
-    std::vector<std::string> missingDeadline;
+    std::vector<std::pair<std::string, Milliseconds>> missingDeadline;
     for (const auto& [rank, entry] : this->jobsByRank) {
         const auto& job = *entry;
         auto wait = capacity > 0 ? Milliseconds(static_cast<Milliseconds::rep>(workAhead / capacity)) : Milliseconds(0);
         if (job.starts == 0 && job.waiting == job.tasks.size() && now + wait + job.expectedRunTime + deadlineMargin >= job.deadline)
-            missingDeadline.push_back(job.submission.job);
+            missingDeadline.emplace_back(job.submission.job, wait);
         else
             workAhead += remainingWork(job);
     }
-    for (const auto& name : missingDeadline)
-        this->finishJob(name, JobEnd::Refused, "deadline", now);
+    for (const auto& [name, wait] : missingDeadline)
+        this->finishJob(name, JobEnd::Refused, "deadline", now, std::clamp(wait, minimumRetryAfter, maximumRetryAfter));
 }
 
 }
--- a/Libraries/LibScheduler/Types.h
+++ b/Libraries/LibScheduler/Types.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <limits>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -180,6 +181,8 @@
     /// The highest sequence number before the first end that could not be read. Later ends must not be acknowledged, since
     /// the target would forget the unreadable one.
     uint64_t lastReadableEnd { std::numeric_limits<uint64_t>::max() };
+    /// How far running runs are done, in percent; without the runs of which the target does not say it.
+    std::map<RunId, int> progress;
 
     friend auto operator<=>(const RunList&, const RunList&) = default;
 };
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -184,6 +184,8 @@
         return "run-found-done";
     case Kind::RunUnexpected:
         return "run-unexpected";
+    case Kind::RunStalled:
+        return "run-stalled";
     case Kind::RunStopped:
         return "stop-finished";
     case Kind::JobRefused:
--- a/Tests/LibScheduler/SimulatedTargets.cpp
+++ b/Tests/LibScheduler/SimulatedTargets.cpp
@@ -1,6 +1,7 @@
 #include "SimulatedTargets.h"
 #include <algorithm>
 #include <type_traits>
+#include <utility>
 
 namespace Sassafrasshift::Scheduler {
 
@@ -40,12 +41,15 @@
     auto& highestEnded = this->highestEndedRuns[id.task];
     highestEnded = std::max(highestEnded, id.number);
     this->runs.erase(id);
+    this->runTimes.erase(id);
     this->needs.erase(id);
 }
 
 void SimulatedTarget::advance(Instant now)
 {
-    this->lastAdvancedAt = now;
+    auto elapsed = now - std::exchange(this->lastAdvancedAt, now);
+    for (auto& [id, endsAt] : this->runs)
+        endsAt += this->tasksStandStill ? elapsed : Instant::duration(0);
     auto running = this->runs;
     for (const auto& [id, endsAt] : running) {
         if (now >= endsAt)
@@ -61,6 +65,7 @@
 void SimulatedTarget::restart()
 {
     this->runs.clear();
+    this->runTimes.clear();
     this->needs.clear();
     this->ended.clear();
     this->highestEndedRuns.clear();
@@ -100,8 +105,10 @@
     RunList list;
     list.clock = this->clock(now);
     list.incarnation = this->incarnation;
-    for (const auto& [id, endsAt] : this->runs)
+    for (const auto& [id, endsAt] : this->runs) {
         list.running.push_back(id);
+        list.progress.emplace(id, static_cast<int>(100 - 100 * (endsAt - now) / this->runTimes.at(id)));
+    }
     list.ended = this->ended;
     if (this->hasUnreadableRow)
         makeFirstRowsUnreadable(list);
@@ -124,6 +131,7 @@
     this->extendLease(order.leaseEnd, now);
     this->runs.emplace(order.run, now + runTime);
     this->needs.emplace(order.run, wanted);
+    this->runTimes.emplace(order.run, runTime);
     this->failing[order.run] = fails;
     ++this->starts;
     Catalog::Resources used { 0, 0, 0 };
--- a/Tests/LibScheduler/SimulatedTargets.h
+++ b/Tests/LibScheduler/SimulatedTargets.h
@@ -40,6 +40,8 @@
     uint64_t holds { 0 };
     /// Whether the first row of each list of runs cannot be read.
     bool hasUnreadableRow { false };
+    /// Whether runs make no progress.
+    bool tasksStandStill { false };
 
 private:
     [[nodiscard]] int64_t clock(Instant now) const;
@@ -48,6 +50,7 @@
 
     std::map<RunId, Instant> runs;
     std::map<RunId, Catalog::Resources> needs;
+    std::map<RunId, Milliseconds> runTimes;
     std::map<RunId, bool> failing;
     /// For each task, the highest number of a run that has ended or was stopped. Runs up to this number are refused as stale.
     std::map<TaskId, uint64_t> highestEndedRuns;
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -104,12 +104,25 @@
     BOOST_TEST(list.clock == 9);
     BOOST_TEST(list.incarnation == "3");
     BOOST_TEST((list.running.front() == RunId { { "job", 0, 0, 1 }, 2 }));
+    BOOST_TEST(list.progress.at(list.running.front()) == 41);
     BOOST_TEST(list.ended.at(0).sequence == 58U);
     BOOST_TEST((list.ended.at(0).end == RunEnd::Done));
     BOOST_TEST((list.ended.at(1).end == RunEnd::Failed));
     BOOST_TEST(std::holds_alternative<Unanswered>(Platform::decodeHoldAnswer(HttpResponse { 200, {}, R"({"running":7})" })));
 }
 
+// The progress is not needed to know which runs there are.
+BOOST_AUTO_TEST_CASE(row_with_an_odd_progress_is_a_run_of_unknown_progress)
+{
+    for (const auto* progress : { R"("41")", "-1", "101", "1e30", "null", "[]", "41.5" }) {
+        auto body = std::string(R"({"clock_ms":9,"running":[["job.0.0.1",2,"",)") + progress + R"(]],"ended":[]})";
+        auto list = std::get<RunList>(Platform::decodeHoldAnswer(HttpResponse { 200, {}, body }));
+        BOOST_TEST(list.isComplete, progress);
+        BOOST_TEST(list.running.size() == 1U, progress);
+        BOOST_TEST(list.progress.empty(), progress);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refusal_with_a_reason_that_is_no_string_ends_no_process)
 {
     for (const auto* body : { R"({"reason":7})", R"({"reason":null})", R"({"reason":["fence"]})", R"([])", "\xff" })
