LibMembership: Gossip faster after a start, and claim sooner

Change: a member gossips at the interval of a small cluster for 1 s after its start, replies go to members that know fewer than nine tenths, and the claim delay is 200 ms.

--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -20,6 +20,11 @@
     return this->peers.size() + 1 < this->options.largeClusterSize ? this->options.smallClusterInterval : this->options.largeClusterInterval;
 }
 
+Milliseconds Cluster::gossipInterval(Instant now) const
+{
+    return now - this->startedAt < this->options.startupTime ? this->options.smallClusterInterval : this->interval();
+}
+
 std::vector<std::string> Cluster::nextGossipRecipients(Instant now)
 {
     this->incrementHeartbeat();
@@ -65,9 +70,9 @@
 
 bool Cluster::shouldSendAllRecords(size_t membersKnownToSender, Instant now) const
 {
-    // Members whose views differ by less than this factor converge within a few rounds.
-    static constexpr size_t knowledgeRatio = 2;
-    return membersKnownToSender > 0 && membersKnownToSender * knowledgeRatio <= this->liveMembers(now).size();
+    // Views that differ by less converge in the usual rounds.
+    static constexpr size_t sufficientPercent = 90;
+    return membersKnownToSender > 0 && membersKnownToSender * 100 < this->liveMembers(now).size() * sufficientPercent;
 }
 
 // The highest value of a counter in a record. Members derive higher values from it, which must not overflow.
--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -69,6 +69,8 @@
         /// The time between two gossip rounds of a member, in a small and in a large cluster.
         Milliseconds smallClusterInterval { 100 };
         Milliseconds largeClusterInterval { 250 };
+        /// For how long after its start a member of a large cluster gossips at the interval of a small one.
+        Milliseconds startupTime { 1000 };
         /// The smallest number of members for which the large-cluster interval applies.
         size_t largeClusterSize { 20 };
         /// The smallest number of members for which each failure domain has its own dispatcher.
@@ -78,7 +80,7 @@
         /// The record of a member is removed when its heartbeat has not increased for this long.
         Milliseconds recordRetention { 120'000 };
         /// How long a candidate must have heard from other members before it claims a shard that it has seen no claim to.
-        Milliseconds claimDelay { 300 };
+        Milliseconds claimDelay { 200 };
         /// Replaces `claimDelay` while the member knows no other member: the others may still be starting.
         Milliseconds isolatedClaimDelay { 1500 };
         /// A member takes over from a dispatcher whose weight is at most its own weight divided by this.
@@ -91,8 +93,9 @@
 
     Cluster(MemberRecord self, std::vector<std::string> seeds, Options, Random, Instant now);
 
-    /// The time between two gossip rounds. It is longer in a large cluster, since each message carries the records of all members.
-    [[nodiscard]] Milliseconds gossipInterval() const { return this->interval(); }
+    /// The time until the next gossip round. It is longer in a large cluster, since each message carries the records of all members,
+    /// but not soon after the start of this process.
+    [[nodiscard]] Milliseconds gossipInterval(Instant now) const;
     /// Increments this member's heartbeat counter, so that other members accept its current record as newer.
     void incrementHeartbeat() { ++this->ownRecord.heartbeat; }
     /// Selects the recipients of the next gossip message, and increments this member's heartbeat counter.
@@ -100,7 +103,7 @@
     /// The content of a gossip message: the records of this member and of all other live members.
     [[nodiscard]] std::vector<MemberRecord> liveRecords(Instant now) const;
     /// Whether the sender of a gossip message, which knows that many live members, is to be sent the records of all members at once.
-    /// That is so if it knows far fewer than this member, as after its start. Zero if the sender did not say how many it knows.
+    /// That is so if it knows clearly fewer than this member, as after its start. Zero if the sender did not say how many it knows.
     [[nodiscard]] bool shouldSendAllRecords(size_t membersKnownToSender, Instant now) const;
     /// Merges records from a gossip message; for each member the newest one is kept. Records with counters far out of range, or
     /// with unknown enumerators, are ignored.
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -181,7 +181,7 @@
     bool changed = self.dispatchEpoch != this->gossipedEpoch || self.configurationVersion != this->gossipedVersion;
     if (now < this->nextGossip && !changed)
         return;
-    this->nextGossip = now + this->cluster->gossipInterval();
+    this->nextGossip = now + this->cluster->gossipInterval(now);
     auto recipients = this->cluster->nextGossipRecipients(now);
     if (self.dispatchEpoch != this->gossipedEpoch)
         this->broadcast(this->makeGossip({ self }), now);
--- a/Tests/LibMembership/TestCluster.cpp
+++ b/Tests/LibMembership/TestCluster.cpp
@@ -41,7 +41,7 @@
                     this->broadcast(*member);
                 if (this->now < this->nextGossip[address])
                     continue;
-                this->nextGossip[address] = this->now + member->gossipInterval();
+                this->nextGossip[address] = this->now + member->gossipInterval(this->now);
                 auto recipients = member->nextGossipRecipients(this->now);
                 auto liveRecords = member->liveRecords(this->now);
                 for (const auto& to : recipients) {
@@ -400,7 +400,7 @@
     auto known = member.liveMembers(this->now).size();
     BOOST_TEST(member.shouldSendAllRecords(1, this->now));
     BOOST_TEST(!member.shouldSendAllRecords(known, this->now));
-    BOOST_TEST(!member.shouldSendAllRecords(known * 3 / 4, this->now));
+    BOOST_TEST(!member.shouldSendAllRecords(known * 95 / 100, this->now));
     BOOST_TEST(!member.shouldSendAllRecords(0, this->now));
 }
 
