LibTransport, LibScheduler: Bound what one message or one job can do to a process

Two faults of the kind in which one message takes more than itself down.

A message of a kind that only a later version knows made a host refuse the whole batch, with all other messages in it, while hosts are replaced one by one.

A job may name 100,000 tasks (about 9 MB in its dispatcher), and 20,000 jobs may be open: a dozen such jobs used up the memory of a host with 120 MB, were handed over to its successor, and so on. The number of tasks of open jobs is now limited; more are refused with a time to come back. Shown by: number_of_tasks_of_open_jobs_is_limited.

--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -45,6 +45,7 @@
     this->fence = 0;
     this->targets.clear();
     this->jobs.clear();
+    this->openTasks = 0;
     this->jobsByRank.clear();
     this->finishedJobs.clear();
     this->effects = {};
@@ -166,6 +167,7 @@
     job.done = static_cast<size_t>(std::count_if(job.tasks.begin(), job.tasks.end(), [](const auto& task) { return task.state == TaskState::Done; }));
     job.waiting = job.tasks.size() - job.done;
     auto& inserted = this->jobs.emplace(submission.job, std::move(job)).first->second;
+    this->openTasks += inserted.tasks.size();
     this->jobsByRank.emplace(inserted.rank, &inserted);
     this->adoptRuns(inserted, now);
     this->needsPlacement = true;
@@ -303,6 +305,7 @@
     if (!entry.empty())
         this->effects.notices.push_back(Notice { entry, finished.outcome });
     this->jobsByRank.erase(job.rank);
+    this->openTasks -= job.tasks.size();
     this->jobs.erase(position);
     this->finishedJobs.add(name, std::move(finished));
 }
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -31,8 +31,9 @@
         Milliseconds maximumTransitTime { 250 };
         /// How long the outcome of a job is kept, in case the notice to its entry host was lost.
         Milliseconds outcomeRetention { 10'000 };
-        /// Jobs beyond this number of open jobs are refused.
+        /// Jobs beyond this number of open jobs are refused, and jobs whose tasks would exceed this number of tasks of open jobs.
         size_t maximumJobs { 20'000 };
+        size_t maximumTasks { 200'000 };
     };
 
     /// Notifies an entry host of the outcome of a job.
@@ -248,6 +249,8 @@
     /// The latest report of each target. Also collected while inactive, so that dispatching can start immediately.
     Membership::TargetRegistry reports;
     std::unordered_map<std::string, Job> jobs;
+    /// The number of tasks of all open jobs.
+    size_t openTasks { 0 };
     /// The queue: all open jobs in the order in which they are served.
     std::map<Rank, Job*> jobsByRank;
     FinishedJobs finishedJobs;
--- a/Libraries/LibScheduler/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerAdmission.cpp
@@ -76,7 +76,7 @@
 std::optional<JobOutcome> TaskScheduler::refusalFor(const Submission& submission) const
 {
     JobOutcome outcome { submission.job, JobEnd::Refused, "overloaded", minimumRetryAfter.count(), 0, 0, submission.firstRunNumber };
-    if (this->jobs.size() >= this->options.maximumJobs)
+    if (this->jobs.size() >= this->options.maximumJobs || this->openTasks + submission.taskCount > this->options.maximumTasks)
         return outcome;
     bool anyTarget = false;
     for (const auto& [key, target] : this->targets) {
--- a/Libraries/LibTransport/Codec.h
+++ b/Libraries/LibTransport/Codec.h
@@ -26,7 +26,10 @@
     value.visitCodecFields(AnyVisitor {});
 };
 
-// Decodes an object as the alternative with the wanted index; an index that does not exist is a type error.
+// A message of a kind that this version does not know.
+struct UnknownAlternative : msgpack::type_error { };
+
+// Decodes an object as the alternative with the wanted index. Throws UnknownAlternative if there is no such index.
 template <typename Variant, size_t index = 0>
 Variant convertAlternative(size_t wantedIndex, const msgpack::object& object)
 {
@@ -35,7 +38,7 @@
             return Variant(std::in_place_index<index>, object.as<std::variant_alternative_t<index, Variant>>());
         return convertAlternative<Variant, index + 1>(wantedIndex, object);
     } else {
-        throw msgpack::type_error();
+        throw UnknownAlternative();
     }
 }
 
@@ -168,22 +171,35 @@
     return encodeValue(message);
 }
 
-/// Decodes a concatenation of outputs of encodeMessage(). Fails with Reason::InvalidInput, and without any message, if one
-/// of them is malformed.
+/// The messages of a batch.
 template <typename Variant>
-[[nodiscard]] ErrorOr<std::vector<Variant>> decodeMessages(std::string_view bytes)
-{
+struct DecodedMessages {
     std::vector<Variant> messages;
+    /// The number of messages of kinds that only later versions know. Hosts of two versions run beside each other while they are
+    /// replaced one by one.
+    size_t unknownKinds { 0 };
+};
+
+/// Decodes a concatenation of outputs of encodeMessage(). Fails with Reason::InvalidInput, and without any message, if one of a known
+/// kind is malformed.
+template <typename Variant>
+[[nodiscard]] ErrorOr<DecodedMessages<Variant>> decodeMessages(std::string_view bytes)
+{
+    DecodedMessages<Variant> decoded;
     size_t offset = 0;
     try {
         while (offset < bytes.size()) {
             auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, unpackLimitFor(bytes));
-            messages.push_back(handle.get().template as<Variant>());
+            try {
+                decoded.messages.push_back(handle.get().template as<Variant>());
+            } catch (const Detail::UnknownAlternative&) {
+                ++decoded.unknownKinds;
+            }
         }
     } catch (const std::exception& error) {
         return tl::unexpected(Error::notRun(Reason::InvalidInput, std::string("malformed message: ") + error.what()));
     }
-    return messages;
+    return decoded;
 }
 
 }
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -25,6 +25,7 @@
 static constexpr Milliseconds shutdownReserve { 300 };
 // Epochs count seconds since 2020, so that they stay below 2^29 until 2037.
 static constexpr WallTime epochOrigin { std::chrono::sys_days { std::chrono::year { 2020 } / 1 / 1 } };
+static constexpr Milliseconds unknownMessageLogInterval { 10'000 };
 static constexpr size_t maximumRequestBody = 8 * 1024 * 1024;
 
 ClusterDaemon::ClusterDaemon(const Settings::ClusterSettings& settings, std::string settingsFile)
@@ -101,14 +102,26 @@
     this->loop->run();
 }
 
-bool ClusterDaemon::receive(const std::string& from, const std::string& batch)
+// The log gets at most one line per interval, since a member of a later version repeats its messages.
+void ClusterDaemon::logUnknownMessages(const std::string& from, size_t count)
 {
-    auto messages = Transport::decodeMessages<ClusterMessage>(batch);
-    if (!messages)
+    this->metrics.count("peer_messages_of_unknown_kind_total", count);
+    if (this->loop->now() < this->nextUnknownMessageLog)
+        return;
+    this->nextUnknownMessageLog = this->loop->now() + unknownMessageLogInterval;
+    Telemetry::log(LogLevel::Warning, "messages-unknown", "a member sent messages of a kind that this version does not know; they are ignored", { { "from", from }, { "messages", std::to_string(count) } });
+}
+
+bool ClusterDaemon::receive(const std::string& from, const std::string& bytes)
+{
+    auto batch = Transport::decodeMessages<ClusterMessage>(bytes);
+    if (!batch)
         return false;
     this->detectPause(this->loop->now());
     this->cluster->clearSuspicion(from);
-    for (const auto& message : *messages)
+    if (batch->unknownKinds > 0)
+        this->logUnknownMessages(from, batch->unknownKinds);
+    for (const auto& message : batch->messages)
         this->deliver(from, message);
     return true;
 }
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -37,7 +37,8 @@
     [[nodiscard]] ErrorOr<void> start();
     [[nodiscard]] ErrorOr<void> openServers();
     /// Delivers a batch of messages from a peer. Returns false if the batch cannot be decoded.
-    [[nodiscard]] bool receive(const std::string& from, const std::string& batch);
+    [[nodiscard]] bool receive(const std::string& from, const std::string& bytes);
+    void logUnknownMessages(const std::string& from, size_t count);
     void deliver(const std::string& from, const ClusterMessage&);
     void send(const std::string& address, const ClusterMessage&);
     void handle(const std::string& from, const Gossip&);
@@ -82,6 +83,7 @@
     std::unique_ptr<Transport::Timer> tickTimer;
     std::function<Signals()> pollSignals;
     Instant lastActiveAt {};
+    Instant nextUnknownMessageLog {};
     Instant nextGossip {};
     Instant nextSettingsCheck {};
     /// The epoch and the configuration version in the last gossip message; a change is gossiped immediately.
--- a/Services/sassafrasshiftd/PeerNetwork.cpp
+++ b/Services/sassafrasshiftd/PeerNetwork.cpp
@@ -57,12 +57,14 @@
     return network;
 }
 
-bool PeerNetwork::receive(const std::string& sender, const std::string& batch)
+bool PeerNetwork::receive(const std::string& sender, const std::string& bytes)
 {
-    auto messages = Transport::decodeMessages<PeerMessage>(batch);
-    if (!messages)
+    auto batch = Transport::decodeMessages<PeerMessage>(bytes);
+    if (!batch)
         return false;
-    for (const auto& message : *messages)
+    if (batch->unknownKinds > 0)
+        Telemetry::log(Telemetry::LogLevel::Warning, "messages-unknown", "a host sent messages of a kind that this version does not know; they are ignored", { { "from", sender }, { "messages", std::to_string(batch->unknownKinds) } });
+    for (const auto& message : batch->messages)
         this->handler(sender, message);
     return true;
 }
--- a/Services/sassafrasshiftd/PeerNetwork.h
+++ b/Services/sassafrasshiftd/PeerNetwork.h
@@ -29,7 +29,7 @@
 private:
     PeerNetwork(Transport::EventLoop&, const Settings::DaemonSettings&, Telemetry::Metrics&, Handler);
 
-    [[nodiscard]] bool receive(const std::string& sender, const std::string& batch);
+    [[nodiscard]] bool receive(const std::string& sender, const std::string& bytes);
 
     Transport::EventLoop& loop;
     const Settings::DaemonSettings& settings;
--- a/Tests/LibScheduler/TestTaskScheduler.cpp
+++ b/Tests/LibScheduler/TestTaskScheduler.cpp
@@ -536,3 +536,28 @@
     // The target is asked again from time to time, not with each answer.
     BOOST_TEST(fleet.targets.at("target-a").holds < 5U);
 }
+
+// A caller may ask for as many tasks as a description can name. A few such jobs must not use up the memory of every dispatcher that
+// they are handed over to.
+BOOST_AUTO_TEST_CASE(number_of_tasks_of_open_jobs_is_limited)
+{
+    static constexpr uint32_t manyTasks = 100'000;
+    auto fleet = makeFleet(1, { 64 });
+    fleet.dispatchers[0]->activate(firstFence, fleet.now);
+    auto submit = [&](const std::string& name) {
+        auto job = makeJob(name, manyTasks, 27);
+        job.estimateMilliseconds = 1;
+        fleet.submit(0, job);
+    };
+    for (int i = 0; i < 30; ++i)
+        submit("large-" + std::to_string(i));
+    BOOST_TEST(fleet.dispatchers[0]->openJobs() == TaskScheduler::Options {}.maximumTasks / manyTasks);
+    fleet.run(2ms);
+    BOOST_REQUIRE(fleet.outcome("large-29"));
+    BOOST_TEST(fleet.outcome("large-29")->reason == "overloaded");
+    BOOST_TEST(fleet.outcome("large-29")->retryAfterMilliseconds > 0);
+    // The limit counts open jobs only.
+    fleet.dispatchers[0]->cancel("entry", "large-0", fleet.now);
+    submit("later");
+    BOOST_TEST(fleet.dispatchers[0]->openJobs() == TaskScheduler::Options {}.maximumTasks / manyTasks);
+}
