--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -157,15 +157,9 @@
     job.expectedRunTime = this->speeds.expectedOnFastestKind(submission.queue, Milliseconds(submission.estimateMilliseconds));
     job.rank = Rank { false, submission.priority, now + Milliseconds(submission.untilObjective), this->arrivals++ };
     job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, 0, firstRunNumber, {}, 0, {}, 0 });
-    if (earlier) {
-        job.earlierStarts = earlier->outcome.starts;
-        for (size_t index = 0; index < job.tasks.size() && earlier->fingerprint == JobFingerprint::of(submission); ++index) {
-            if (earlier->doneTasks[index])
-                job.tasks[index].state = TaskState::Done;
-        }
-    }
-    job.done = static_cast<size_t>(std::count_if(job.tasks.begin(), job.tasks.end(), [](const auto& task) { return task.state == TaskState::Done; }));
-    job.waiting = job.tasks.size() - job.done;
+    job.waiting = job.tasks.size();
+    if (earlier)
+        restoreProgress(job, *earlier);
     auto& inserted = this->jobs.emplace(submission.job, std::move(job)).first->second;
     this->openTasks += inserted.tasks.size();
     this->jobsByRank.emplace(inserted.rank, &inserted);
@@ -173,6 +167,21 @@
     this->needsPlacement = true;
 }
 
+// Marks the tasks as done that were done when the job was dropped.
+void TaskScheduler::restoreProgress(Job& job, const FinishedJob& earlier)
+{
+    job.earlierStarts = earlier.outcome.starts;
+    if (earlier.fingerprint != JobFingerprint::of(job.submission))
+        return;
+    for (size_t index = 0; index < job.tasks.size(); ++index) {
+        if (!earlier.doneTasks[index])
+            continue;
+        job.tasks[index].state = TaskState::Done;
+        ++job.done;
+        --job.waiting;
+    }
+}
+
 // Called when the caller has submitted the job again through another entry host.
 void TaskScheduler::takeOver(Job& job, const std::string& entry, const Submission& submission, Instant now)
 {
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -213,6 +213,7 @@
     void stopRun(const std::string& target, const RunId&, Instant now);
     [[nodiscard]] bool answerAgain(const std::string& entry, const Submission&);
     void enqueue(const std::string& entry, const Submission&, const FinishedJob* earlier, Instant now);
+    static void restoreProgress(Job&, const FinishedJob&);
     void takeOver(Job&, const std::string& entry, const Submission&, Instant now);
     void adoptRuns(Job&, Instant now);
     void adoptRun(Job&, Task&, TargetSession&, const RunId&, Instant now);
