LibLedger, LibScheduler: Refuse what no correct process sends, and keep jobs of one name apart

The random schedules check that no message of a correct replica is refused.

A job was known by its name alone: a caller of another queue who used the name of an open job got the other job's answer, saw its state and could cancel it. Entry hosts now compare the queue, dispatchers the fingerprint of the work. Shown by: other_work_under_the_name_of_an_open_job_is_refused and Tests/Cluster/run.py, use_a_job_name_in_two_queues.

--- a/Libraries/LibDurableState/DurableState.cpp
+++ b/Libraries/LibDurableState/DurableState.cpp
@@ -28,6 +28,11 @@
     return Transport::encodeValue(this->content);
 }
 
+bool DurableState::canRestore(const std::string& state) const
+{
+    return Transport::decodeValue<Content>(state).has_value();
+}
+
 void DurableState::restore(const std::string& state)
 {
     auto restored = Transport::decodeValue<Content>(state);
--- a/Libraries/LibDurableState/DurableState.h
+++ b/Libraries/LibDurableState/DurableState.h
@@ -88,6 +88,7 @@
 
     std::string apply(Ledger::Index, const std::string& command) override;
     [[nodiscard]] std::string save() const override;
+    [[nodiscard]] bool canRestore(const std::string& state) const override;
     void restore(const std::string& state) override;
 
     [[nodiscard]] const PublishedConfiguration& configuration() const { return this->content.configuration; }
--- a/Libraries/LibLedger/Node.cpp
+++ b/Libraries/LibLedger/Node.cpp
@@ -66,10 +66,19 @@
 {
     if (this->unstoredByteCount >= this->options.maximumUnstoredBytes && addsToLog(message))
         return;
-    this->core.receive(message, this->environment.clock->now());
+    bool isAccepted = this->canRestore(message) && this->core.receive(message, this->environment.clock->now());
+    if (!isAccepted && this->environment.messageRefused)
+        this->environment.messageRefused(message);
     this->scheduleProcessing();
 }
 
+// A snapshot replaces the log before its state is restored.
+bool Node::canRestore(const Message& message) const
+{
+    const auto* request = std::get_if<SnapshotRequest>(&message.body);
+    return !request || this->stateMachine.canRestore(request->snapshot.state);
+}
+
 void Node::propose(std::string command, Completion completion)
 {
     // While the disk of the leader is full, the disks of the other voters commit the command.
--- a/Libraries/LibLedger/Node.h
+++ b/Libraries/LibLedger/Node.h
@@ -23,6 +23,8 @@
         std::function<void(const Error&)> storageFailed;
         /// Called with true when the disk is full, and with false when there is room again. May be empty.
         std::function<void(bool full)> storageFullChanged {};
+        /// Called with a message that no correct replica sends; it has no effect. May be empty.
+        std::function<void(const Message&)> messageRefused {};
     };
 
     struct Options {
@@ -76,6 +78,7 @@
         size_t bytes;
     };
 
+    [[nodiscard]] bool canRestore(const Message&) const;
     void scheduleProcessing();
     /// Carries out the effects that the replica has accumulated.
     void processEffects();
--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -1,4 +1,5 @@
 #include <LibBase/Try.h>
+#include <LibLedger/MessageValidation.h>
 #include <LibLedger/Replica.h>
 #include <LibTransport/Codec.h>
 #include <algorithm>
@@ -107,12 +108,39 @@
     return !this->pendingTickets.empty() && this->now >= this->pendingTickets.front().issuedAt + this->options.electionTimeout;
 }
 
-void Replica::receive(const Message& message, Instant time)
+bool Replica::receive(const Message& message, Instant time)
 {
     this->now = time;
     if (message.to != this->options.identity || message.group != this->options.group)
-        return;
-    std::visit([&](const auto& body) { this->handle(message, body); }, message.body);
+        return true;
+    if (!isWellFormed(message))
+        return false;
+    return std::visit([&](const auto& body) {
+        if constexpr (requires { this->contradictsLog(body); }) {
+            if (this->contradictsLog(body))
+                return false;
+        }
+        this->handle(message, body);
+        return true;
+    },
+        message.body);
+}
+
+// A leader of this term or a later one has all committed entries.
+bool Replica::contradictsLog(const AppendRequest& request) const
+{
+    if (request.term < this->hardState.term)
+        return false;
+    return std::any_of(request.entries.begin(), request.entries.end(), [this](const auto& entry) {
+        bool isCommitted = entry.index > this->log.base() && entry.index <= this->committedIndex;
+        return isCommitted && this->log.termAt(entry.index) != entry.term;
+    });
+}
+
+bool Replica::contradictsLog(const AppendResponse& response) const
+{
+    bool isForThisLeader = this->currentRole == Role::Leader && response.term == this->hardState.term;
+    return isForThisLeader && response.accepted && response.matchIndex > this->log.lastIndex();
 }
 
 void Replica::becomeFollower(Term term, std::string leader)
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -64,7 +64,8 @@
 
     /// Runs the timers for elections and heartbeats. Must be called every few milliseconds.
     void tick(Instant now);
-    void receive(const Message&, Instant now);
+    /// Processes a message of another replica. Returns false, without any effect, for a message that no correct replica sends.
+    bool receive(const Message&, Instant now);
 
     /// Appends a command and returns its index. Fails with Reason::NotLeader if this replica is not the leader.
     [[nodiscard]] ErrorOr<Index> propose(std::string payload);
@@ -140,6 +141,9 @@
     void followLeader(const std::string& identity);
     /// Whether operations have waited to be stored for longer than an election timeout: the disk is full or stalled.
     [[nodiscard]] bool isStorageBlocked() const;
+    /// Whether a message contradicts what this replica knows to be committed, or names entries that its leader has not made.
+    [[nodiscard]] bool contradictsLog(const AppendRequest&) const;
+    [[nodiscard]] bool contradictsLog(const AppendResponse&) const;
     void resetPreVoteTimer();
     [[nodiscard]] Microseconds randomUpTo(Milliseconds limit);
     void startPreVote();
--- a/Libraries/LibLedger/StateMachine.h
+++ b/Libraries/LibLedger/StateMachine.h
@@ -16,6 +16,8 @@
 
     /// Returns the encoded state for a snapshot.
     [[nodiscard]] virtual std::string save() const = 0;
+    /// Whether a text can have been returned by save().
+    [[nodiscard]] virtual bool canRestore(const std::string& state) const = 0;
     /// Replaces the state by one that save() returned.
     virtual void restore(const std::string& state) = 0;
 };
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -110,6 +110,8 @@
         bool isSameEntry = job.entry == entry && job.submission.entryIncarnation == submission.entryIncarnation;
         if (isSameEntry && submission.firstRunNumber <= job.submission.firstRunNumber)
             return;
+        if (JobFingerprint::of(job.submission) != JobFingerprint::of(submission))
+            return this->refuse(entry, JobOutcome { submission.job, JobEnd::Refused, "name-in-use", 0, 0, 0, submission.firstRunNumber });
         bool mayRunElsewhere = submission.untilEarlierRunsEnd > 0 || submission.untilOtherShardRunsEnd > 0;
         if (!isSameEntry && !mayRunElsewhere)
             return this->takeOver(job, entry, submission, now);
@@ -122,14 +124,18 @@
     if (auto refusal = this->refusalFor(submission)) {
         if (earlier)
             refusal->starts = earlier->outcome.starts;
-        this->recordDecision(Decision::Kind::JobRefused, {}, RunId { TaskId { submission.job, 0, 0, 0 }, 0 }, refusal->reason);
-        this->effects.notices.push_back(Notice { entry, *refusal });
-        return;
+        return this->refuse(entry, *refusal);
     }
     this->enqueue(entry, submission, earlier, now);
     this->finishedJobs.remove(submission.job);
 }
 
+void TaskScheduler::refuse(const std::string& entry, const JobOutcome& refusal)
+{
+    this->recordDecision(Decision::Kind::JobRefused, {}, RunId { TaskId { refusal.job, 0, 0, 0 }, 0 }, refusal.reason);
+    this->effects.notices.push_back(Notice { entry, refusal });
+}
+
 // Sends the outcome of a job again that has ended here, since the answer to an earlier submission was lost. Returns whether it has.
 bool TaskScheduler::answerAgain(const std::string& entry, const Submission& submission)
 {
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -72,7 +72,8 @@
 
     /// Queues or refuses a job. If the job is open here from another entry host, it now belongs to this one. If it is open from the
     /// same one, that has withdrawn the job and handed it over again: its runs are stopped, and it is queued like a new job. If the
-    /// job has ended here recently, its outcome is sent again; if it was dropped, its done tasks are not run again.
+    /// job has ended here recently, its outcome is sent again; if it was dropped, its done tasks are not run again. Other work under
+    /// the name of an open job is refused.
     void submit(const std::string& entry, const Submission&, Instant now);
     /// Drops a job, unless it belongs to another entry host.
     void cancel(const std::string& entry, const std::string& job, Instant now);
@@ -211,6 +212,7 @@
     void onRunDiscovered(TargetSession&, const RunId&, Instant now);
     void onRunFoundDone(const std::string& target, const RunId&, Instant now);
     void stopRun(const std::string& target, const RunId&, Instant now);
+    void refuse(const std::string& entry, const JobOutcome&);
     [[nodiscard]] bool answerAgain(const std::string& entry, const Submission&);
     void enqueue(const std::string& entry, const Submission&, const FinishedJob* earlier, Instant now);
     static void restoreProgress(Job&, const FinishedJob&);
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -121,6 +121,10 @@
     environment.send = [this](const Ledger::Message& message) { this->context.send(message.toHost, message); };
     environment.post = [this](std::function<void()> function) { this->context.loop.post(std::move(function)); };
     environment.storageFailed = [this](const Error& error) { this->exitOnStorageFailure(error); };
+    environment.messageRefused = [this](const Ledger::Message& message) {
+        this->context.metrics.count("ledger_messages_refused_total");
+        Telemetry::log(LogLevel::Warning, "ledger-message-refused", "another replica sent a message that no correct replica sends; it is ignored", { { "from", message.fromHost } });
+    };
     environment.storageFullChanged = [this](bool full) { this->logStorageFull(full); };
     this->initialized = initialState || this->pendingStore->isInitialized();
     auto stored = initialState ? *initialState : this->pendingStore->recovered();
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -95,11 +95,21 @@
     return {};
 }
 
+// The name of a job is that of its tasks on targets, so that a job of the same name in another queue cannot run beside it; its callers
+// must not get the answer of the other one.
+bool JobEntry::isOpen(const ParsedRequest& parsed) const
+{
+    auto position = this->callers.find(parsed.job);
+    return this->owner.contains(parsed.job) && position != this->callers.end() && position->second.queue == parsed.route->name;
+}
+
 void JobEntry::submit(const Exchange& exchange, const ParsedRequest& parsed)
 {
     auto now = this->context.now();
-    if (this->owner.contains(parsed.job))
+    if (this->isOpen(parsed))
         return this->addCaller(parsed.job, exchange);
+    if (this->owner.contains(parsed.job))
+        return refuse(exchange, 409, "a job of this name is open in another queue");
     if (!Platform::isValidName(parsed.job))
         return refuse(exchange, 400, "the name of the job is too long, or has characters that are not printable ASCII");
     auto description = Platform::decodeJob(exchange->request().body);
@@ -157,14 +167,14 @@
 {
     if (parsed.job.empty())
         return respond(exchange, 200, Platform::encodePendingJobs(this->owner.openJobsInQueue(parsed.route->name)));
-    if (this->owner.contains(parsed.job))
+    if (this->isOpen(parsed))
         return respond(exchange, 200, Platform::encodeRunningState());
     refuse(exchange, 410, "this host has no such job");
 }
 
 void JobEntry::cancel(const Exchange& exchange, const ParsedRequest& parsed)
 {
-    if (!this->owner.contains(parsed.job))
+    if (!this->isOpen(parsed))
         return refuse(exchange, 410, "this host has no such job");
     this->owner.cancel(parsed.job);
     Answer cancelled { parsed.job, Answer::Kind::Refused, "cancelled", Milliseconds(0), {}, 0 };
--- a/Services/sassafrasshiftd/Cluster/JobEntry.h
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.h
@@ -43,6 +43,8 @@
         std::string job;
     };
 
+    /// Whether the job that the request names is open here in the queue of the request.
+    [[nodiscard]] bool isOpen(const ParsedRequest&) const;
     void submit(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
     void readStatus(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
     void cancel(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
--- a/Services/sassafrasshiftd/LedgerService.cpp
+++ b/Services/sassafrasshiftd/LedgerService.cpp
@@ -100,6 +100,9 @@
     environment.send = [this](const Ledger::Message& message) { this->context.send(message.toHost, message); };
     environment.post = [this](std::function<void()> function) { this->context.loop.post(std::move(function)); };
     environment.storageFailed = [this](const Error& error) { this->exitOnStorageFailure(error); };
+    environment.messageRefused = [](const Ledger::Message& message) {
+        Telemetry::log(LogLevel::Warning, "ledger-message-refused", "another replica sent a message that no correct replica sends; it is ignored", { { "from", message.fromHost } });
+    };
     this->initialized = initialState || this->pendingStore->isInitialized();
     auto stored = initialState ? *initialState : this->pendingStore->recovered();
     this->node = std::make_unique<Ledger::Node>(options, std::make_unique<Ledger::StorageThread>(std::move(this->pendingStore)), stored, this->durableState, environment, Random(this->context.random()));
--- a/Tests/Cluster/run.py
+++ b/Tests/Cluster/run.py
@@ -37,9 +37,9 @@
 
 
 def document(version):
-    """A configuration document with one route, from which jobs reach the pool of the executors."""
+    """A configuration document with two routes, from which jobs reach the pool of the executors."""
     return {"version": version, "services": [{"name": "pool"}], "limits": {"max_body_bytes": 100000},
-            "routes": [{"name": "queue", "host": "rota.example", "path_prefix": "/q/", "timeout_ms": 1500, "service": "pool", "priority": 0, "max_attempts": 3, "stretch": 2, "target_latency_ms": 60}]}
+            "routes": [{"name": name, "host": "rota.example", "path_prefix": f"/{name[0]}/", "timeout_ms": 1500, "service": "pool", "priority": 0, "max_attempts": 3, "stretch": 2, "target_latency_ms": 60} for name in ("queue", "other")]}
 
 
 class Member:
@@ -216,6 +216,20 @@
         left.close()
 
 
+def use_a_job_name_in_two_queues(entry):
+    """A caller must not see or cancel the open job of the same name in another queue, nor get its answer."""
+    address, headers = f"{entry.address}:7502", {"host": "rota.example", "deadline-ms": "3000"}
+    body = {"spec": "text", "best_effort": True, "steps": [{"count": 8, "cpu": TASK_CPU, "estimate_ms": 50}]}
+    answers = []
+    caller = threading.Thread(target=lambda: answers.append(call(address, "POST", "/q/shared-name", body, headers)[0]))
+    caller.start()
+    wait_until(lambda: call(address, "GET", "/q/shared-name", headers=headers)[0] == 200, "the job is open")
+    statuses = [call(address, method, "/o/shared-name", body if method == "POST" else None, headers)[0] for method in ("POST", "GET", "DELETE")]
+    assert statuses == [409, 410, 410], f"the responses in the other queue have the statuses {statuses}"
+    caller.join()
+    assert answers == [200], f"the response to the caller has status {answers}"
+
+
 def run_scenario(folder):
     members = [Member(folder, address, True) for address in CORE_ADDRESSES] + [Member(folder, address, False) for address in ENTRY_ADDRESSES]
     run_log = RunLog()
@@ -228,6 +242,7 @@
         entries = [member for member in members if not member.is_core]
         wait_until(lambda: all(member.is_ready() for member in entries), "all entries are ready")
         restart_entries_after_an_executor_left(entries)
+        use_a_job_name_in_two_queues(entries[0])
         load = Load(seed=1)
         load.wait_for_more(50, "the start")
 
--- a/Tests/LibLedger/SimulatedCluster.cpp
+++ b/Tests/LibLedger/SimulatedCluster.cpp
@@ -151,7 +151,8 @@
     auto host = std::find_if(this->hosts.begin(), this->hosts.end(), [&](const auto& candidate) { return candidate.name == message.toHost; });
     if (host == this->hosts.end() || !host->replica)
         return;
-    host->replica->receive(message, this->clock.now());
+    if (!host->replica->receive(message, this->clock.now()))
+        this->fail("a replica has refused a message of another one");
     this->processEffects(*host);
 }
 
--- a/Tests/LibLedger/SimulatedHosts.cpp
+++ b/Tests/LibLedger/SimulatedHosts.cpp
@@ -44,6 +44,11 @@
     return state;
 }
 
+bool CommandList::canRestore(const std::string& state) const
+{
+    return state != SimulatedHosts::unreadableState;
+}
+
 void CommandList::restore(const std::string& state)
 {
     this->applied.clear();
@@ -218,6 +223,7 @@
         });
     };
     environment.storageFailed = [](const Error&) { VERIFY(false); };
+    environment.messageRefused = [this](const Message&) { ++this->refusals; };
     host.state = std::make_unique<CommandList>();
     host.state->restore(host.disk.content.snapshot.state);
     host.proposals = std::make_unique<ProposalQueue>(ProposalQueue::Options { resendInterval, 4096, true });
@@ -233,6 +239,11 @@
     host.proposals.reset();
 }
 
+void SimulatedHosts::deliver(size_t number, const Message& message)
+{
+    this->hosts.at(number)->node->receive(message);
+}
+
 void SimulatedHosts::loseDisk(size_t number)
 {
     auto& host = *this->hosts.at(number);
--- a/Tests/LibLedger/SimulatedHosts.h
+++ b/Tests/LibLedger/SimulatedHosts.h
@@ -41,6 +41,7 @@
 public:
     std::string apply(Index, const std::string& command) override;
     [[nodiscard]] std::string save() const override;
+    [[nodiscard]] bool canRestore(const std::string& state) const override;
     void restore(const std::string& state) override;
 
     [[nodiscard]] const std::set<std::string>& commands() const { return this->applied; }
@@ -66,6 +67,8 @@
 public:
     static constexpr size_t maximumUnstoredBytes = 2 * 1024 * 1024;
     static constexpr Milliseconds electionTimeout { 300 };
+    /// A state that no state machine can restore.
+    static constexpr const char* unreadableState = "unreadable";
 
     SimulatedHosts(uint64_t seed, size_t count);
     ~SimulatedHosts();
@@ -77,6 +80,10 @@
     [[nodiscard]] const std::set<std::string>& commands(size_t host) const;
     /// The node of a running host.
     [[nodiscard]] const Node& node(size_t host) const;
+    /// Delivers a message that no host has sent.
+    void deliver(size_t host, const Message&);
+    /// The number of messages that nodes have refused.
+    [[nodiscard]] size_t refusedMessages() const { return this->refusals; }
     /// The number of the host that leads, if there is one.
     [[nodiscard]] std::optional<size_t> leader() const;
 
@@ -107,6 +114,7 @@
     Random random;
     std::vector<std::unique_ptr<Host>> hosts;
     uint64_t nextCommand { 1 };
+    size_t refusals { 0 };
 };
 
 }
--- a/Tests/LibScheduler/TestResubmission.cpp
+++ b/Tests/LibScheduler/TestResubmission.cpp
@@ -108,6 +108,20 @@
     BOOST_TEST(this->starts() == 2U);
 }
 
+// Its caller would get the answer of the other job.
+BOOST_FIXTURE_TEST_CASE(other_work_under_the_name_of_an_open_job_is_refused, Fixture)
+{
+    this->fleet.submit(0, makeJob("job", 1, 27));
+    this->fleet.run(50ms);
+    auto other = makeJob("job", 1, 27);
+    other.queue = "other queue";
+    auto outcome = this->submitAgain(other);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->end == JobEnd::Refused));
+    BOOST_TEST(this->hasOutcome("job", 2s));
+    BOOST_TEST((this->fleet.outcome("job")->end == JobEnd::Completed));
+}
+
 BOOST_FIXTURE_TEST_CASE(done_tasks_of_a_dropped_job_are_not_run_again, Fixture)
 {
     this->dropHalfDoneJob();
