LibScheduler, sassafrasshiftd: Record what tells the causes of two runs apart

No decision changes.

Entry: the time between the reading of the clock that a lease is counted from and the stamp of the message is a histogram, and a line message-stamped-late above 50 ms. job-handed-over says why, from which shard and dispatcher and to which.

Dispatcher: the excess transit time of submissions and renewals, and the time between the check and the use of a message, are histograms. Ignored submissions say by how much they were late; ignored renewals get a line as well. New decisions: run-outlived (a run that was taken as ended when its leases had expired is listed as running), run-found-late (the same for a start that was never confirmed and that still counts as open), and job-taken-over. job-refused says of how many runs the entry is told, and how many targets have. A job that is dropped for another handover names both entries.

Lines stay bounded: 300 a second for each of the two roles of a process. The budget of the dispatcher now refills by time; before, it did so only while it dispatched, and the line of an ignored submission and that of a handover were not bounded at all.

--- a/Libraries/LibScheduler/Decision.h
+++ b/Libraries/LibScheduler/Decision.h
@@ -28,12 +28,18 @@
         RunFoundDone,
         /// A target reported a run of a task that is done or has another run.
         RunUnexpected,
+        /// A target reported a run as running that was taken as ended because its leases had expired.
+        RunOutlived,
+        /// A run whose start was never confirmed was found running after the leases that were asked for had expired.
+        RunFoundLate,
         /// A run makes no progress, and is stopped so that its task can be started elsewhere.
         RunStalled,
         /// A run to which a stop order was sent has ended.
         RunStopped,
         JobRefused,
         JobFailed,
+        /// The caller submitted an open job again through another entry host, which owns it now.
+        JobTakenOver,
         /// A caller has submitted a job again that had ended, and gets the same answer.
         JobAnsweredAgain,
         /// The entry host cancelled the job, no longer listed it in a renewal or became silent, or the deadline of the job passed.
@@ -48,8 +54,16 @@
     uint64_t run { 0 };
     /// A short explanation of the decision.
     std::string cause;
-    /// For ended runs.
+    /// For ended runs, and for those that were taken as ended.
     std::optional<RunEvidence> evidence;
+    /// For `RunOutlived`: the time since the run was taken as ended. For `RunFoundLate`: the time since the leases expired.
+    std::optional<Milliseconds> sinceEnd {};
+    /// For `JobTakenOver`, and for `JobDropped` if another handover replaces the job.
+    std::string formerEntry {};
+    std::string entry {};
+    /// For `JobRefused`: the number of runs of which the entry host is told, and of those that targets still have.
+    std::optional<uint32_t> knownRuns {};
+    uint32_t runsOnTargets { 0 };
 
     friend auto operator<=>(const Decision&, const Decision&) = default;
 };
--- /dev/null
+++ b/Libraries/LibScheduler/HandoverCause.cpp
@@ -0,0 +1,22 @@
+#include <LibScheduler/HandoverCause.h>
+
+namespace Sassafrasshift::Scheduler {
+
+std::string_view toText(HandoverCause::Kind kind)
+{
+    switch (kind) {
+    case HandoverCause::Kind::First:
+        return "first";
+    case HandoverCause::Kind::DispatcherChanged:
+        return "dispatcher-changed";
+    case HandoverCause::Kind::DispatcherSilent:
+        return "dispatcher-silent";
+    case HandoverCause::Kind::UnknownThere:
+        return "unknown-there";
+    case HandoverCause::Kind::Refused:
+        return "refused";
+    }
+    return "unknown";
+}
+
+}
--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/JobOwner.cpp
@@ -74,7 +74,7 @@
     job.handedOverAt = now;
     job.lastExtensionSentAt = now;
     job.hasPausedSinceHandover = false;
-    this->effects.handovers.push_back(Handover { dispatcher.address, submission });
+    this->effects.handovers.push_back(Handover { dispatcher.address, submission, dispatcher.shard, job.nextHandover, now });
 }
 
 // Cancels the job at its dispatcher, which may have started runs that continue for some time.
@@ -88,9 +88,14 @@
     job.dispatcher.clear();
 }
 
+void JobOwner::noteLastDispatcher(Job& job, HandoverCause::Kind cause)
+{
+    job.nextHandover = HandoverCause { cause, job.shard, job.dispatcher, {}, 0 };
+}
+
 // Withdraws the jobs that a dispatcher has and that match the condition. After a pause of this process, the caller of a job may have
 // submitted it again through another entry host, so that such a job is answered instead of being handed over again.
-void JobOwner::withdrawJobs(const std::function<bool(const Job&)>& matches)
+void JobOwner::withdrawJobs(HandoverCause::Kind cause, const std::function<bool(const Job&)>& matches)
 {
     for (auto position = this->jobs.begin(); position != this->jobs.end();) {
         auto& job = position->second;
@@ -99,6 +104,7 @@
             continue;
         }
         bool hasPaused = job.hasPausedSinceHandover;
+        noteLastDispatcher(job, cause);
         this->withdrawFromDispatcher(job);
         position = hasPaused ? this->finishWithAnswer(position, Answer::Kind::Unknown, "entry-paused") : std::next(position);
     }
@@ -111,7 +117,7 @@
         return;
     for (const auto& shard : changed) {
         const auto* dispatcher = this->directory.find(shard);
-        this->withdrawJobs([&](const Job& job) { return job.shard == shard; });
+        this->withdrawJobs(HandoverCause::Kind::DispatcherChanged, [&](const Job& job) { return job.shard == shard; });
         for (auto& [name, job] : this->jobs) {
             // The successor can adopt the runs on the targets of the shard.
             if (dispatcher && job.dispatcher.empty() && job.handoverCount > 0 && job.shard == shard)
@@ -133,7 +139,7 @@
     }
     this->effects.suspectedDispatchers.assign(silent.begin(), silent.end());
     if (anyFresh)
-        this->withdrawJobs([&](const Job& job) { return silent.contains(job.dispatcher); });
+        this->withdrawJobs(HandoverCause::Kind::DispatcherSilent, [&](const Job& job) { return silent.contains(job.dispatcher); });
     for (auto& [name, job] : this->jobs) {
         if (job.dispatcher.empty())
             this->handOver(job, {}, now);
@@ -146,7 +152,7 @@
     std::map<std::string, Renewal> renewals;
     for (const auto& [shard, dispatcher] : this->directory.dispatchers()) {
         auto kind = this->directory.isFresh(dispatcher, now) ? TaskScheduler::RenewalKind::ExtendLease : TaskScheduler::RenewalKind::QueryOnly;
-        renewals.emplace(dispatcher.address, Renewal { dispatcher.address, {}, kind, 0 });
+        renewals.emplace(dispatcher.address, Renewal { dispatcher.address, {}, kind, 0, now });
     }
     for (auto& [name, job] : this->jobs) {
         auto position = renewals.find(job.dispatcher);
@@ -163,7 +169,7 @@
 void JobOwner::onRenewalRequest(const std::string& from, uint64_t number, Instant now)
 {
     this->directory.onAnswer(from, now);
-    Renewal renewal { from, {}, TaskScheduler::RenewalKind::ExtendLease, number };
+    Renewal renewal { from, {}, TaskScheduler::RenewalKind::ExtendLease, number, now };
     for (auto& [name, job] : this->jobs) {
         if (job.dispatcher != from)
             continue;
@@ -193,6 +199,7 @@
         }
         job.earlierRunsEndAt = std::max(job.earlierRunsEndAt, job.lastExtensionSentAt + this->earlierRunsTimeout());
         job.earlierShards.insert(job.shard);
+        noteLastDispatcher(job, HandoverCause::Kind::UnknownThere);
         if (const auto* dispatcher = this->directory.find(job.shard))
             this->handOverTo(job, *dispatcher, now);
     }
@@ -236,6 +243,9 @@
 void JobOwner::onRefused(Jobs::iterator position, const JobOutcome& outcome, Instant now)
 {
     auto& job = position->second;
+    noteLastDispatcher(job, HandoverCause::Kind::Refused);
+    job.nextHandover.refusal = outcome.reason;
+    job.nextHandover.knownRuns = outcome.starts;
     job.refusedBy.push_back(job.shard);
     job.dispatcher.clear();
     job.hasRunBefore = job.hasRunBefore || outcome.starts > 0;
--- a/Libraries/LibScheduler/JobOwner.h
+++ b/Libraries/LibScheduler/JobOwner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibScheduler/DispatcherDirectory.h>
+#include <LibScheduler/HandoverCause.h>
 #include <LibScheduler/TaskScheduler.h>
 #include <LibScheduler/Types.h>
 #include <functional>
@@ -56,6 +57,10 @@
     struct Handover {
         std::string dispatcher;
         Submission submission;
+        std::string shard;
+        HandoverCause cause;
+        /// The reading of the clock that the waits in the submission and the entry lease are counted from.
+        Instant countedFrom {};
     };
 
     /// Tells a dispatcher to cancel a job.
@@ -71,6 +76,8 @@
         TaskScheduler::RenewalKind kind { TaskScheduler::RenewalKind::ExtendLease };
         /// The number of the request that the renewal answers; zero if it answers none.
         uint64_t answeredRequest { 0 };
+        /// The reading of the clock that the entry lease is counted from.
+        Instant countedFrom {};
     };
 
     struct Effects {
@@ -119,6 +126,8 @@
         std::string shard;
         std::string dispatcher;
         Instant handedOverAt {};
+        /// Why the job is handed over next.
+        HandoverCause nextHandover;
         /// When the last message was sent that extends the entry lease at the dispatcher.
         Instant lastExtensionSentAt {};
         /// When all runs that earlier dispatchers may have started have ended.
@@ -139,7 +148,8 @@
     void handOver(Job&, const std::vector<std::string>& excludedShards, Instant now);
     void handOverTo(Job&, const DispatcherDirectory::KnownDispatcher&, Instant now);
     void withdrawFromDispatcher(Job&);
-    void withdrawJobs(const std::function<bool(const Job&)>& matches);
+    static void noteLastDispatcher(Job&, HandoverCause::Kind);
+    void withdrawJobs(HandoverCause::Kind, const std::function<bool(const Job&)>& matches);
     void reassignJobs(Instant now);
     void sendRenewals(Instant now);
     void expireJobs(Instant now);
--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/TargetSession.cpp
@@ -384,6 +384,8 @@
         position->second.lastReportedRunningAt = now;
         if (auto progress = list.progress.find(id); progress != list.progress.end())
             position->second.progress.observe(progress->second, now);
+        if (!isNew && !position->second.knownStartedAt)
+            this->reportIfFoundLate(id, now);
         if (!position->second.knownStartedAt)
             position->second.knownStartedAt = now;
         if (!isNew)
@@ -413,6 +415,15 @@
         this->finish(this->knownRuns.find(id), {}, RunEndProof::Absent, now);
 }
 
+void TargetSession::reportIfFoundLate(const RunId& id, Instant now)
+{
+    auto expiredAt = this->askedLeasesExpireAt();
+    if (now <= expiredAt)
+        return;
+    this->addEvent(Event::Kind::FoundLate, id);
+    this->events.back().sinceLeaseEnd = std::chrono::duration_cast<Milliseconds>(now - expiredAt);
+}
+
 void TargetSession::onStartAnswer(const RunId& id, const OrderAnswer& answer, Instant now)
 {
     auto position = this->knownRuns.find(id);
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -105,6 +105,8 @@
             StartUnanswered,
             /// The target lists a run as done that is not known here, or was taken as ended when its leases expired.
             FoundDone,
+            /// A run whose start was never confirmed is running after the leases that were asked for have expired.
+            FoundLate,
         };
         Kind kind { Kind::Ended };
         RunId run;
@@ -119,6 +121,8 @@
         /// For `Retired`: how many runs are known, and the time until the latest lease ends.
         size_t openRuns { 0 };
         Milliseconds untilLeaseEnd { 0 };
+        /// For `FoundLate`.
+        Milliseconds sinceLeaseEnd { 0 };
     };
 
     /// The orders to send to the target.
@@ -198,6 +202,7 @@
     [[nodiscard]] Instant latestRunEnd(const JobLease&) const;
     [[nodiscard]] Instant permittedLeaseEnd(Instant now) const;
     [[nodiscard]] Instant leasesExpireAt() const;
+    [[nodiscard]] Instant askedLeasesExpireAt() const;
     [[nodiscard]] int64_t grantLease(Instant now);
     void assumeUnknownLeases(Instant now);
     [[nodiscard]] Milliseconds allowingForDrift(Milliseconds duration) const { return duration * (100 + this->options.clockDriftPercent) / 100; }
@@ -219,6 +224,7 @@
     void onUnknownProcess(Instant now);
     void applyRunList(const RunList&, Instant sentAt, Instant now);
     void applyRunningRuns(const RunList&, Instant sentAt, Instant now);
+    void reportIfFoundLate(const RunId&, Instant now);
     void finish(std::map<RunId, Run>::iterator, std::optional<RunEnd>, RunEndProof, Instant now, bool staleNumber = false);
     void tickRetired(Instant now);
     [[nodiscard]] Milliseconds untilLeaseEnd(Instant now) const;
--- a/Libraries/LibScheduler/TargetSessionLeases.cpp
+++ b/Libraries/LibScheduler/TargetSessionLeases.cpp
@@ -71,6 +71,14 @@
     return std::max(this->unknownLeasesEndAt, this->clockReadAt + remaining + Milliseconds(1));
 }
 
+// Returns when the leases have expired that this session asked for. After a restart of the target their ends on its clock are unknown.
+Instant TargetSession::askedLeasesExpireAt() const
+{
+    if (!this->clock || this->latestLeaseEnd == 0)
+        return this->lastLeaseOrderAt + this->allowingForDrift(this->options.maximumLease);
+    return this->clockReadAt + this->allowingForDrift(Milliseconds(this->latestLeaseEnd - *this->clock));
+}
+
 bool TargetSession::haveLeasesExpired(Instant now) const
 {
     if (now < this->unknownGrantsEndAt)
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -48,6 +48,7 @@
     this->openTasks = 0;
     this->jobsByRank.clear();
     this->finishedJobs.clear();
+    this->lapsedRuns.clear();
     this->effects = {};
 }
 
@@ -116,7 +117,8 @@
         if (!isSameEntry && !mayRunElsewhere)
             return this->takeOver(job, entry, submission, now);
         // The entry host withdrew the job in between, and another dispatcher may rely on the end of the runs here.
-        this->dropJob(submission.job, "the entry host handed the job over again", now);
+        this->recordReplacement(Decision::Kind::JobDropped, job, entry, "the entry host handed the job over again");
+        this->removeDroppedJob(submission.job, now);
     }
     if (this->answerAgain(entry, submission))
         return;
@@ -132,10 +134,33 @@
 
 void TaskScheduler::refuse(const std::string& entry, const JobOutcome& refusal)
 {
-    this->recordDecision(Decision::Kind::JobRefused, {}, RunId { TaskId { refusal.job, 0, 0, 0 }, 0 }, refusal.reason);
+    this->recordRefusal(refusal.job, refusal.reason, refusal.starts);
     this->effects.notices.push_back(Notice { entry, refusal });
 }
 
+uint32_t TaskScheduler::countRunsOnTargets(const std::string& job) const
+{
+    uint32_t count = 0;
+    for (const auto& [key, target] : this->targets)
+        count += target.session.countRuns(job);
+    return count;
+}
+
+void TaskScheduler::recordRefusal(const std::string& job, const std::string& reason, uint32_t knownRuns)
+{
+    this->recordDecision(Decision::Kind::JobRefused, {}, RunId { TaskId { job, 0, 0, 0 }, 0 }, reason);
+    this->effects.decisions.back().knownRuns = knownRuns;
+    this->effects.decisions.back().runsOnTargets = this->countRunsOnTargets(job);
+}
+
+// Records that a job that was open from one entry host is now open from another one, or again from the same one.
+void TaskScheduler::recordReplacement(Decision::Kind kind, const Job& job, const std::string& entry, std::string cause)
+{
+    this->recordDecision(kind, {}, RunId { TaskId { job.submission.job, 0, 0, 0 }, 0 }, std::move(cause));
+    this->effects.decisions.back().formerEntry = job.entry;
+    this->effects.decisions.back().entry = entry;
+}
+
 // Sends the outcome of a job again that has ended here, since the answer to an earlier submission was lost. Returns whether it has.
 bool TaskScheduler::answerAgain(const std::string& entry, const Submission& submission)
 {
@@ -191,6 +216,7 @@
 // Called when the caller has submitted the job again through another entry host.
 void TaskScheduler::takeOver(Job& job, const std::string& entry, const Submission& submission, Instant now)
 {
+    this->recordReplacement(Decision::Kind::JobTakenOver, job, entry, "the caller submitted the job again, which is open here");
     job.entry = entry;
     job.submission.entryIncarnation = submission.entryIncarnation;
     job.submission.firstRunNumber = submission.firstRunNumber;
@@ -299,6 +325,11 @@
 void TaskScheduler::dropJob(const std::string& name, std::string cause, Instant now)
 {
     this->recordDecision(Decision::Kind::JobDropped, {}, RunId { TaskId { name, 0, 0, 0 }, 0 }, std::move(cause));
+    this->removeDroppedJob(name, now);
+}
+
+void TaskScheduler::removeDroppedJob(const std::string& name, Instant now)
+{
     this->removeJob(name, {}, JobOutcome { name, JobEnd::Refused, "dropped" }, now);
 }
 
@@ -328,8 +359,10 @@
 void TaskScheduler::finishJob(const std::string& name, JobEnd end, std::string reason, Instant now, Milliseconds retryAfter)
 {
     const auto& job = this->jobs.at(name);
-    if (end != JobEnd::Completed)
-        this->recordDecision(end == JobEnd::Failed ? Decision::Kind::JobFailed : Decision::Kind::JobRefused, {}, RunId { TaskId { name, 0, 0, 0 }, 0 }, reason);
+    if (end == JobEnd::Failed)
+        this->recordDecision(Decision::Kind::JobFailed, {}, RunId { TaskId { name, 0, 0, 0 }, 0 }, reason);
+    else if (end == JobEnd::Refused)
+        this->recordRefusal(name, reason, job.earlierStarts + job.starts);
     JobOutcome outcome { name, end, std::move(reason), retryAfter.count(), job.waitTime.count(), 0, job.submission.firstRunNumber };
     auto entry = job.entry;
     this->removeJob(name, entry, std::move(outcome), now);
@@ -350,6 +383,8 @@
 {
     if (event.evidence->stopOrders > 0)
         this->recordDecision(Decision::Kind::RunStopped, target.session.target().identity, event.run, "a run that was ordered to stop has ended", event.evidence);
+    if (event.evidence->proof == RunEndProof::LeaseExpired)
+        this->lapsedRuns.add(target.session.target().identity, event.run, *event.evidence, now);
     auto position = this->jobs.find(event.run.task.job);
     if (position == this->jobs.end() || event.run.task.index >= position->second.tasks.size())
         return;
@@ -399,6 +434,33 @@
         this->finishJob(id.task.job, JobEnd::Completed, "completed", now);
 }
 
+// Returns what has become of the task of a run that was taken as ended.
+std::string TaskScheduler::describeTask(const RunId& id) const
+{
+    auto position = this->jobs.find(id.task.job);
+    if (position == this->jobs.end() || id.task.index >= position->second.tasks.size())
+        return "its job is not open here";
+    const auto& task = position->second.tasks[id.task.index];
+    switch (task.state) {
+    case TaskState::Waiting:
+        return "its task waits";
+    case TaskState::Placed:
+        return "its task has run " + std::to_string(task.run) + " on " + task.target;
+    case TaskState::Done:
+        return "its task is done";
+    }
+    return {};
+}
+
+void TaskScheduler::recordIfOutlived(const std::string& target, const RunId& id, Instant now)
+{
+    auto lapsed = this->lapsedRuns.take(target, id, now);
+    if (!lapsed)
+        return;
+    this->recordDecision(Decision::Kind::RunOutlived, target, id, "a run that was taken as ended when its leases had expired is running; " + this->describeTask(id), lapsed->evidence);
+    this->effects.decisions.back().sinceEnd = std::chrono::duration_cast<Milliseconds>(now - lapsed->endedAt);
+}
+
 void TaskScheduler::stopRun(const std::string& target, const RunId& id, Instant now)
 {
     for (auto position = this->targets.lower_bound(TargetKey { target, {} }); position != this->targets.end() && position->first.identity == target; ++position)
@@ -420,8 +482,13 @@
             this->onRunEnded(target, event, now);
             break;
         case Kind::Discovered:
+            this->recordIfOutlived(identity, event.run, now);
             this->onRunDiscovered(target.session, event.run, now);
             break;
+        case Kind::FoundLate:
+            this->recordDecision(Decision::Kind::RunFoundLate, identity, event.run, "a run whose start was never confirmed is running after its leases have expired; " + this->describeTask(event.run));
+            this->effects.decisions.back().sinceEnd = event.sinceLeaseEnd;
+            break;
         case Kind::FoundDone:
             this->onRunFoundDone(identity, event.run, now);
             break;
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -3,6 +3,7 @@
 #include <LibMembership/TargetRegistry.h>
 #include <LibScheduler/Decision.h>
 #include <LibScheduler/FinishedJobs.h>
+#include <LibScheduler/LapsedRuns.h>
 #include <LibScheduler/SpeedEstimator.h>
 #include <LibScheduler/TargetSession.h>
 #include <LibScheduler/TargetSpeed.h>
@@ -210,6 +211,9 @@
     void observeRun(const Job&, Target&, Milliseconds duration, Instant now);
     void onRunEnded(Target&, const TargetSession::Event&, Instant now);
     void onRunDiscovered(TargetSession&, const RunId&, Instant now);
+    void recordIfOutlived(const std::string& target, const RunId&, Instant now);
+    [[nodiscard]] std::string describeTask(const RunId&) const;
+    void recordReplacement(Decision::Kind, const Job&, const std::string& entry, std::string cause);
     void onRunFoundDone(const std::string& target, const RunId&, Instant now);
     void stopRun(const std::string& target, const RunId&, Instant now);
     void refuse(const std::string& entry, const JobOutcome&);
@@ -221,6 +225,9 @@
     void adoptRun(Job&, Task&, TargetSession&, const RunId&, Instant now);
     void finishJob(const std::string& job, JobEnd, std::string reason, Instant now, Milliseconds retryAfter = Milliseconds(0));
     void dropJob(const std::string& job, std::string cause, Instant now);
+    void removeDroppedJob(const std::string& job, Instant now);
+    [[nodiscard]] uint32_t countRunsOnTargets(const std::string& job) const;
+    void recordRefusal(const std::string& job, const std::string& reason, uint32_t knownRuns);
     void removeJob(const std::string& job, const std::string& entry, JobOutcome, Instant now);
     void recordDecision(Decision::Kind, const std::string& target, const RunId&, std::string cause, std::optional<RunEvidence> = {});
     void stopRuns(const std::string& job, Instant now);
@@ -257,6 +264,7 @@
     /// The queue: all open jobs in the order in which they are served.
     std::map<Rank, Job*> jobsByRank;
     FinishedJobs finishedJobs;
+    LapsedRuns lapsedRuns;
     bool knowsAllTargets { true };
     uint64_t lastRenewalRequest { 0 };
     /// The number of jobs queued so far.
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -15,7 +15,7 @@
 // target and forwarded it.
 static constexpr Milliseconds stabilizationTime { 3500 };
 static constexpr Milliseconds stateLogInterval { 1000 };
-static constexpr unsigned logLinesPerInterval = 300;
+static constexpr unsigned logLinesPerSecond = 300;
 static constexpr Scheduler::JobOwner::Options jobOwnerOptions {};
 static constexpr Milliseconds epochRaiseInterval { 200 };
 // The maximum time between two raises, as a multiple of the interval. The back-off prevents two dispatchers that reach the same
@@ -36,6 +36,7 @@
     : context(context)
     , targets(context.loop, client)
     , scheduler(makeOptions(context.settings))
+    , logBudget(logLinesPerSecond)
 {
 }
 
@@ -48,21 +49,41 @@
 }
 
 // Entry hosts rely on the dispatcher ignoring messages that were delayed in transit.
-bool DispatchService::isDelayed(const std::string& from, uint64_t incarnation, Milliseconds::rep sentAt)
+DispatchService::TransitCheck DispatchService::checkTransit(std::string_view metric, const std::string& from, uint64_t incarnation, Milliseconds::rep sentAt)
 {
-    if (this->transitTimes.excessTransitTime(from, incarnation, Milliseconds(sentAt), this->context.now()) <= jobOwnerOptions.scheduler.maximumTransitTime)
-        return false;
-    this->context.metrics.count("held_up_messages_total");
-    return true;
+    auto now = this->context.now();
+    auto excess = this->transitTimes.excessTransitTime(from, incarnation, Milliseconds(sentAt), now);
+    this->context.metrics.observeMilliseconds(metric, toMilliseconds(excess));
+    bool isDelayed = excess > jobOwnerOptions.scheduler.maximumTransitTime;
+    if (isDelayed)
+        this->context.metrics.count("held_up_messages_total");
+    return TransitCheck { now, excess, isDelayed };
+}
+
+void DispatchService::observeUseDelay(const TransitCheck& check, Instant usedAt)
+{
+    this->context.metrics.observeMilliseconds("message_use_delay_milliseconds", toMilliseconds(usedAt - check.checkedAt));
+}
+
+bool DispatchService::mayLog()
+{
+    if (this->logBudget.take(this->context.now()))
+        return true;
+    this->context.metrics.count("log_lines_dropped_total");
+    return false;
 }
 
 void DispatchService::onMessage(const std::string& from, const Scheduler::Submission& submission)
 {
-    if (this->isDelayed(from, submission.entryIncarnation, submission.sentAt)) {
-        Telemetry::log(LogLevel::Warning, "submission-ignored", "the submission was in transit for too long", { { "job", submission.job }, { "entry", from } });
+    auto transit = this->checkTransit("submission_transit_excess_milliseconds", from, submission.entryIncarnation, submission.sentAt);
+    if (transit.isDelayed) {
+        if (this->mayLog())
+            Telemetry::log(LogLevel::Warning, "submission-ignored", "the submission was in transit for too long", { { "job", submission.job }, { "entry", from }, { "excessMs", std::to_string(transit.excess.count()) } });
         return;
     }
-    this->scheduler.submit(from, submission, this->context.now());
+    auto now = this->context.now();
+    this->observeUseDelay(transit, now);
+    this->scheduler.submit(from, submission, now);
     this->scheduleEffects();
 }
 
@@ -79,9 +100,17 @@
 
 void DispatchService::onMessage(const std::string& from, const RenewSubmissions& renewal)
 {
-    if (this->isDelayed(from, renewal.entryIncarnation, renewal.sentAt) || !this->scheduler.isActive())
+    auto transit = this->checkTransit("renewal_transit_excess_milliseconds", from, renewal.entryIncarnation, renewal.sentAt);
+    if (transit.isDelayed) {
+        if (this->mayLog())
+            Telemetry::log(LogLevel::Warning, "renewal-ignored", "the renewal was in transit for too long", { { "entry", from }, { "jobs", std::to_string(renewal.jobs.size()) }, { "excessMs", std::to_string(transit.excess.count()) } });
         return;
-    auto unknown = this->scheduler.renew(from, renewal.jobs, this->context.now(), renewal.kind, renewal.answeredRequest);
+    }
+    if (!this->scheduler.isActive())
+        return;
+    auto now = this->context.now();
+    this->observeUseDelay(transit, now);
+    auto unknown = this->scheduler.renew(from, renewal.jobs, now, renewal.kind, renewal.answeredRequest);
     this->context.send(from, RenewResponse { std::move(unknown), this->scheduler.loads() });
     this->scheduleEffects();
 }
@@ -184,6 +213,10 @@
         return "run-found-done";
     case Kind::RunUnexpected:
         return "run-unexpected";
+    case Kind::RunOutlived:
+        return "run-outlived";
+    case Kind::RunFoundLate:
+        return "run-found-late";
     case Kind::RunStalled:
         return "run-stalled";
     case Kind::RunStopped:
@@ -192,6 +225,8 @@
         return "job-refused";
     case Kind::JobFailed:
         return "job-failed";
+    case Kind::JobTakenOver:
+        return "job-taken-over";
     case Kind::JobAnsweredAgain:
         return "job-answered-again";
     case Kind::JobDropped:
@@ -215,14 +250,21 @@
 {
     auto event = eventName(decision.kind);
     this->context.metrics.count("decisions_total{event=\"" + std::string(event) + "\"}");
-    if (this->remainingLogLines == 0) {
-        this->context.metrics.count("log_lines_dropped_total");
+    if (!this->mayLog())
         return;
-    }
-    --this->remainingLogLines;
     std::vector<Telemetry::EventField> fields { { "job", decision.job }, { "task", std::to_string(decision.task) }, { "run", std::to_string(decision.run) }, { "target", decision.target }, { "epoch", std::to_string(this->activeEpoch) } };
     if (decision.evidence)
         addEvidence(fields, *decision.evidence);
+    if (decision.sinceEnd)
+        fields.push_back({ "sinceEndMs", std::to_string(decision.sinceEnd->count()) });
+    if (!decision.entry.empty()) {
+        fields.push_back({ "formerEntry", decision.formerEntry });
+        fields.push_back({ "entry", decision.entry });
+    }
+    if (decision.knownRuns) {
+        fields.push_back({ "knownRuns", std::to_string(*decision.knownRuns) });
+        fields.push_back({ "runsOnTargets", std::to_string(decision.runsOnTargets) });
+    }
     Telemetry::log(LogLevel::Information, event, decision.cause, fields);
 }
 
@@ -231,7 +273,6 @@
     if (!this->scheduler.isActive() || now < this->nextStateLog)
         return;
     this->nextStateLog = now + stateLogInterval;
-    this->remainingLogLines = logLinesPerInterval;
     auto counts = this->scheduler.countTargets(now);
     Telemetry::log(LogLevel::Information, "dispatch-state", "state of the dispatcher on this member",
         { { "openJobs", std::to_string(this->scheduler.openJobs()) }, { "waitingTasks", std::to_string(this->scheduler.waitingTasks()) }, { "runs", std::to_string(this->scheduler.openRuns()) },
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -4,6 +4,7 @@
 #include <LibScheduler/TargetSurvey.h>
 #include <LibScheduler/TaskScheduler.h>
 #include <LibScheduler/TransitTimes.h>
+#include <LibTelemetry/LogBudget.h>
 #include <platform/TargetClient.h>
 
 namespace Sassafrasshift::Daemon {
@@ -31,8 +32,19 @@
 private:
     /// Activates or deactivates the scheduler when this member's claim or shard has changed.
     void applyClaim(Instant now);
-    /// Whether a message from an entry host was in transit for longer than entry hosts allow for. Counts such messages.
-    [[nodiscard]] bool isDelayed(const std::string& from, uint64_t incarnation, Milliseconds::rep sentAt);
+    /// When a message from an entry host was checked, and how much longer it was in transit than the fastest recent one.
+    struct TransitCheck {
+        Instant checkedAt {};
+        Milliseconds excess { 0 };
+        /// Whether the message was in transit for longer than entry hosts allow for.
+        bool isDelayed { false };
+    };
+    /// Checks a message, and counts the delayed ones.
+    [[nodiscard]] TransitCheck checkTransit(std::string_view metric, const std::string& from, uint64_t incarnation, Milliseconds::rep sentAt);
+    /// Records the time between the check of a message and its use, which is not part of its transit.
+    void observeUseDelay(const TransitCheck&, Instant usedAt);
+    /// Returns whether another line may be written now, and counts the line if not.
+    [[nodiscard]] bool mayLog();
     /// Raises this member's epoch if targets reject its fencing token.
     void raiseEpochIfFenced(Instant now);
     void continueSurvey(Instant now);
@@ -54,8 +66,7 @@
     std::string activeShard;
     Instant nextEpochRaise {};
     Instant nextStateLog {};
-    /// How many decisions may still be logged before the next state line.
-    unsigned remainingLogLines { 100 };
+    Telemetry::LogBudget logBudget;
     /// How far the epoch is raised next. It doubles with each raise while targets stay fenced.
     uint64_t epochRaiseStep { 1 };
     bool effectsScheduled { false };
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -21,6 +21,9 @@
 static constexpr Milliseconds responseMargin { 25 };
 static constexpr Milliseconds maximumDeadline { 60'000 };
 static constexpr size_t maximumOpenJobs = 10'000;
+// Messages that are stamped later than this after the reading that their leases are counted from get a log line.
+static constexpr Milliseconds lateStampThreshold { 50 };
+static constexpr unsigned logLinesPerSecond = 300;
 
 static void respond(const Exchange& exchange, int status, std::string body, Milliseconds retryAfter = Milliseconds(0))
 {
@@ -50,6 +53,7 @@
     : context(context)
     , documents(documents)
     , owner({}, Random(context.random()))
+    , logBudget(logLinesPerSecond)
 {
 }
 
@@ -233,25 +237,59 @@
     cluster.suspect(dispatcher, this->context.now());
 }
 
-static void logRepeatedHandover(const Scheduler::JobOwner::Handover& handover)
+bool JobEntry::mayLog(Instant now)
 {
+    if (this->logBudget.take(now))
+        return true;
+    this->context.metrics.count("log_lines_dropped_total");
+    return false;
+}
+
+void JobEntry::observeStampDelay(const Scheduler::JobOwner::Effects& effects, Instant stampedAt)
+{
+    Milliseconds longestDelay { 0 };
+    size_t lateJobs = 0;
+    auto observe = [&](std::string_view metric, Instant countedFrom, size_t jobs) {
+        auto delay = stampedAt - countedFrom;
+        this->context.metrics.observeMilliseconds(metric, toMilliseconds(delay));
+        longestDelay = std::max(longestDelay, std::chrono::duration_cast<Milliseconds>(delay));
+        if (delay > lateStampThreshold)
+            lateJobs += jobs;
+    };
+    for (const auto& handover : effects.handovers)
+        observe("submission_stamp_delay_milliseconds", handover.countedFrom, 1);
+    for (const auto& renewal : effects.renewals) {
+        if (renewal.kind == Scheduler::TaskScheduler::RenewalKind::ExtendLease)
+            observe("renewal_stamp_delay_milliseconds", renewal.countedFrom, renewal.jobs.size());
+    }
+    if (lateJobs > 0 && this->mayLog(stampedAt))
+        Telemetry::log(LogLevel::Warning, "message-stamped-late", "messages were stamped long after the time that the leases of their jobs are counted from", { { "delayMs", std::to_string(longestDelay.count()) }, { "jobs", std::to_string(lateJobs) } });
+}
+
+void JobEntry::logRepeatedHandover(const Scheduler::JobOwner::Handover& handover, Instant now)
+{
+    if (!this->mayLog(now))
+        return;
     const auto& submission = handover.submission;
     Telemetry::log(LogLevel::Information, "job-handed-over", "the entry host handed a job over to another dispatcher, or again to the same one",
-        { { "job", submission.job }, { "dispatcher", handover.dispatcher }, { "firstRunNumber", std::to_string(submission.firstRunNumber) },
+        { { "job", submission.job }, { "dispatcher", handover.dispatcher }, { "shard", handover.shard }, { "reason", std::string(toText(handover.cause.kind)) },
+            { "formerDispatcher", handover.cause.dispatcher }, { "formerShard", handover.cause.shard }, { "refusal", handover.cause.refusal }, { "knownRuns", std::to_string(handover.cause.knownRuns) }, { "firstRunNumber", std::to_string(submission.firstRunNumber) },
             { "untilEarlierRunsEndMs", std::to_string(submission.untilEarlierRunsEnd) }, { "untilOtherShardRunsEndMs", std::to_string(submission.untilOtherShardRunsEnd) } });
 }
 
 void JobEntry::executeEffects()
 {
     auto effects = this->owner.takeEffects();
-    auto sentAt = std::chrono::duration_cast<Milliseconds>(this->context.now().time_since_epoch()).count();
+    auto stampedAt = this->context.now();
+    auto sentAt = std::chrono::duration_cast<Milliseconds>(stampedAt.time_since_epoch()).count();
+    this->observeStampDelay(effects, stampedAt);
     auto incarnation = this->context.cluster.self().incarnation;
     for (auto& handover : effects.handovers) {
         handover.submission.sentAt = sentAt;
         handover.submission.entryIncarnation = incarnation;
         // The first handover of a job is part of its answer's line; later ones show when earlier runs were taken as ended.
         if (handover.submission.firstRunNumber > 1)
-            logRepeatedHandover(handover);
+            this->logRepeatedHandover(handover, stampedAt);
         this->context.send(handover.dispatcher, handover.submission);
     }
     for (const auto& cancellation : effects.cancellations)
--- a/Services/sassafrasshiftd/Cluster/JobEntry.h
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.h
@@ -3,6 +3,7 @@
 #include "Cluster/ClusterContext.h"
 #include "Cluster/DocumentStore.h"
 #include <LibScheduler/JobOwner.h>
+#include <LibTelemetry/LogBudget.h>
 #include <LibTransport/HttpServer.h>
 #include <memory>
 #include <string>
@@ -55,6 +56,11 @@
     void updateDispatchers(Instant now);
     /// Sends the messages that the job owner has produced, and responds to the callers of finished jobs.
     void executeEffects();
+    void logRepeatedHandover(const Scheduler::JobOwner::Handover&, Instant now);
+    /// Records the time between the reading of the clock that a lease is counted from, and the stamp of the messages that extend it.
+    void observeStampDelay(const Scheduler::JobOwner::Effects&, Instant stampedAt);
+    /// Returns whether another line may be written now, and counts the line if not.
+    [[nodiscard]] bool mayLog(Instant now);
     /// Marks an unresponsive dispatcher as suspected to have failed.
     void suspect(const std::string& dispatcher);
     void respondToCallers(const Scheduler::JobOwner::Answer&);
@@ -66,6 +72,7 @@
     std::unordered_map<std::string, Callers> callers;
     std::vector<Scheduler::ShardDispatcher> dispatchers;
     bool leaving { false };
+    Telemetry::LogBudget logBudget;
 };
 
 }
--- a/Tests/LibScheduler/TestJobOwner.cpp
+++ b/Tests/LibScheduler/TestJobOwner.cpp
@@ -227,3 +227,46 @@
     this->owner.onOutcome("a", refusal, this->now);
     BOOST_TEST(this->owner.takeEffects().answers.size() == 1U);
 }
+
+BOOST_FIXTURE_TEST_CASE(handover_says_why_and_from_which_dispatcher, Fixture)
+{
+    using Cause = HandoverCause::Kind;
+    this->useTwoShards();
+    this->add("job");
+    auto first = this->handovers().at(0);
+    BOOST_TEST((first.cause == HandoverCause {}));
+    BOOST_TEST(first.shard == "east");
+    BOOST_TEST((first.countedFrom == this->now));
+    this->now += 300ms;
+    this->owner.onRenewalAnswer("a", { "job" }, {}, this->now);
+    auto unknown = this->handovers().at(0);
+    BOOST_TEST((unknown.cause == HandoverCause { Cause::UnknownThere, "east", "a", {}, 0 }));
+    BOOST_TEST((unknown.countedFrom == this->now));
+    this->updateDispatchers({ { "east", "c" }, { "west", "b" } });
+    auto changed = this->handovers().at(0);
+    BOOST_TEST(changed.dispatcher == "c");
+    BOOST_TEST((changed.cause == HandoverCause { Cause::DispatcherChanged, "east", "a", {}, 0 }));
+    this->owner.onOutcome("c", JobOutcome { "job", JobEnd::Refused, "overloaded", 700, 0, 3, changed.submission.firstRunNumber }, this->now);
+    auto refused = this->handovers().at(0);
+    BOOST_TEST(refused.shard == "west");
+    BOOST_TEST((refused.cause == HandoverCause { Cause::Refused, "east", "c", "overloaded", 3 }));
+}
+
+BOOST_FIXTURE_TEST_CASE(handover_from_a_silent_dispatcher_says_so, Fixture)
+{
+    this->useTwoShards();
+    this->add("job");
+    BOOST_TEST(this->handovers().at(0).dispatcher == "a");
+    std::vector<JobOwner::Handover> handovers;
+    for (int step = 0; step < 50 && handovers.empty(); ++step) {
+        this->now += 20ms;
+        this->owner.onRenewalAnswer("b", {}, { PoolLoad { "pool", 1000, 0 } }, this->now);
+        this->owner.tick(this->now);
+        auto effects = this->owner.takeEffects();
+        for (const auto& renewal : effects.renewals)
+            BOOST_TEST((renewal.countedFrom == this->now));
+        handovers = effects.handovers;
+    }
+    BOOST_REQUIRE(handovers.size() == 1U);
+    BOOST_TEST((handovers.at(0).cause == HandoverCause { HandoverCause::Kind::DispatcherSilent, "east", "a", {}, 0 }));
+}
--- a/Tests/LibTelemetry/TestTelemetry.cpp
+++ b/Tests/LibTelemetry/TestTelemetry.cpp
@@ -1,3 +1,4 @@
+#include <LibTelemetry/LogBudget.h>
 #include <LibTelemetry/Metrics.h>
 #include <LibTelemetry/TimeLine.h>
 #include <boost/test/unit_test.hpp>
@@ -44,3 +45,13 @@
     // The TYPE line of a metric family is written once, no matter how many label sets the family has.
     BOOST_TEST(text.find("# TYPE sassafrasshift_requests_total") == text.rfind("# TYPE sassafrasshift_requests_total"));
 }
+
+BOOST_AUTO_TEST_CASE(burst_of_events_does_not_fill_the_log)
+{
+    LogBudget budget(2);
+    Instant now { std::chrono::hours(1) };
+    BOOST_TEST(budget.take(now));
+    BOOST_TEST(budget.take(now));
+    BOOST_TEST(!budget.take(now + Milliseconds(999)));
+    BOOST_TEST(budget.take(now + Milliseconds(1000)));
+}
