LibScheduler: Stamp messages of an entry host with the time from which it counts

JobOwner now stamps submissions and renewals itself, with the very reading that it counts from. A halt between reading and sending counts as time in transit, and the dispatcher ignores a message that is too late. ClusterDaemon reads the clock anew before the entry host's part of a tick, so that the dispatcher's part does not make its messages look late.

The test lets an entry host halt within a tick while messages take 240 ms, then loses the answers and the cancellation. It failed before, with two runs at once, for each halt from 50 ms to 300 ms of the renewal that was the last one (6 of 126 cases), and passes with a halt of 0 ms. Ruled out: the wait itself, which holds in the same schedules without a halt.

--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/JobOwner.cpp
@@ -17,6 +17,11 @@
 // While renewals arrive in time, a lease of the maximum length can be granted at any moment.
 static_assert(defaults.renewalInterval + defaults.scheduler.leases.maximumLease * (100 + defaults.scheduler.leases.clockDriftPercent) / 100 < defaults.scheduler.leases.maximumRunTimeAfterExtension);
 
+static Milliseconds::rep toMillisecondsOfClock(Instant time)
+{
+    return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count();
+}
+
 JobOwner::JobOwner(Options options, Random random)
     : options(options)
     , directory(options.directory, random)
@@ -68,13 +73,14 @@
     submission.untilEarlierRunsEnd = isSameShard ? untilRunsEnd : 0;
     submission.untilOtherShardRunsEnd = isSameShard ? 0 : untilRunsEnd;
     submission.firstRunNumber = job.handoverCount * runNumbersPerDispatcher + 1;
+    submission.sentAt = toMillisecondsOfClock(now);
     ++job.handoverCount;
     job.shard = dispatcher.shard;
     job.dispatcher = dispatcher.address;
     job.handedOverAt = now;
     job.lastExtensionSentAt = now;
     job.hasPausedSinceHandover = false;
-    this->effects.handovers.push_back(Handover { dispatcher.address, submission, dispatcher.shard, job.nextHandover, now });
+    this->effects.handovers.push_back(Handover { dispatcher.address, submission, dispatcher.shard, job.nextHandover });
 }
 
 // Cancels the job at its dispatcher, which may have started runs that continue for some time.
@@ -152,7 +158,7 @@
     std::map<std::string, Renewal> renewals;
     for (const auto& [shard, dispatcher] : this->directory.dispatchers()) {
         auto kind = this->directory.isFresh(dispatcher, now) ? TaskScheduler::RenewalKind::ExtendLease : TaskScheduler::RenewalKind::QueryOnly;
-        renewals.emplace(dispatcher.address, Renewal { dispatcher.address, {}, kind, 0, now });
+        renewals.emplace(dispatcher.address, Renewal { dispatcher.address, {}, kind, 0, toMillisecondsOfClock(now) });
     }
     for (auto& [name, job] : this->jobs) {
         auto position = renewals.find(job.dispatcher);
@@ -169,7 +175,7 @@
 void JobOwner::onRenewalRequest(const std::string& from, uint64_t number, Instant now)
 {
     this->directory.onAnswer(from, now);
-    Renewal renewal { from, {}, TaskScheduler::RenewalKind::ExtendLease, number, now };
+    Renewal renewal { from, {}, TaskScheduler::RenewalKind::ExtendLease, number, toMillisecondsOfClock(now) };
     for (auto& [name, job] : this->jobs) {
         if (job.dispatcher != from)
             continue;
--- a/Libraries/LibScheduler/JobOwner.h
+++ b/Libraries/LibScheduler/JobOwner.h
@@ -53,14 +53,13 @@
         friend auto operator<=>(const Answer&, const Answer&) = default;
     };
 
-    /// Submits a job to a dispatcher, for the first time or again.
+    /// Submits a job to a dispatcher, for the first time or again. Its time of sending is that from which the owner counts how long the
+    /// runs of the job may continue, as in a renewal.
     struct Handover {
         std::string dispatcher;
         Submission submission;
         std::string shard;
         HandoverCause cause;
-        /// The reading of the clock that the waits in the submission and the entry lease are counted from.
-        Instant countedFrom {};
     };
 
     /// Tells a dispatcher to cancel a job.
@@ -76,8 +75,9 @@
         TaskScheduler::RenewalKind kind { TaskScheduler::RenewalKind::ExtendLease };
         /// The number of the request that the renewal answers; zero if it answers none.
         uint64_t answeredRequest { 0 };
-        /// The reading of the clock that the entry lease is counted from.
-        Instant countedFrom {};
+        /// The time on the clock of this host from which the owner counts how long the runs of the listed jobs may continue, in
+        /// milliseconds. It is read before the renewal can leave, so that a halt in between counts as time in transit.
+        Milliseconds::rep sentAt { 0 };
     };
 
     struct Effects {
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -245,8 +245,9 @@
         this->reloadSettings(signals.reload);
     this->cluster->updateClaim(now, this->epochFloor());
     this->dispatch->tick(now);
+    // The time that the dispatcher took must not make the messages of the entry look late.
     if (this->jobsServer)
-        this->entry->tick(now);
+        this->entry->tick(this->loop->now());
     this->ledger->tick(now);
     this->control->tick(now);
     this->documents->synchronize(now);
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -21,8 +21,8 @@
 static constexpr Milliseconds responseMargin { 25 };
 static constexpr Milliseconds maximumDeadline { 60'000 };
 static constexpr size_t maximumOpenJobs = 10'000;
-// Messages that are stamped later than this after the reading that their leases are counted from get a log line.
-static constexpr Milliseconds lateStampThreshold { 50 };
+// Messages that leave later than this after the time that their leases are counted from get a log line.
+static constexpr Milliseconds lateSendThreshold { 50 };
 static constexpr unsigned logLinesPerSecond = 300;
 
 static void respond(const Exchange& exchange, int status, std::string body, Milliseconds retryAfter = Milliseconds(0))
@@ -245,25 +245,26 @@
     return false;
 }
 
-void JobEntry::observeStampDelay(const Scheduler::JobOwner::Effects& effects, Instant stampedAt)
+// The time of sending is read before the effects are executed; what passes in between counts as time in transit at the dispatcher.
+void JobEntry::observeSendDelay(const Scheduler::JobOwner::Effects& effects, Instant now)
 {
     Milliseconds longestDelay { 0 };
     size_t lateJobs = 0;
-    auto observe = [&](std::string_view metric, Instant countedFrom, size_t jobs) {
-        auto delay = stampedAt - countedFrom;
+    auto observe = [&](std::string_view metric, Milliseconds::rep sentAt, size_t jobs) {
+        auto delay = now.time_since_epoch() - Milliseconds(sentAt);
         this->context.metrics.observeMilliseconds(metric, toMilliseconds(delay));
         longestDelay = std::max(longestDelay, std::chrono::duration_cast<Milliseconds>(delay));
-        if (delay > lateStampThreshold)
+        if (delay > lateSendThreshold)
             lateJobs += jobs;
     };
     for (const auto& handover : effects.handovers)
-        observe("submission_stamp_delay_milliseconds", handover.countedFrom, 1);
+        observe("submission_send_delay_milliseconds", handover.submission.sentAt, 1);
     for (const auto& renewal : effects.renewals) {
         if (renewal.kind == Scheduler::TaskScheduler::RenewalKind::ExtendLease)
-            observe("renewal_stamp_delay_milliseconds", renewal.countedFrom, renewal.jobs.size());
+            observe("renewal_send_delay_milliseconds", renewal.sentAt, renewal.jobs.size());
     }
-    if (lateJobs > 0 && this->mayLog(stampedAt))
-        Telemetry::log(LogLevel::Warning, "message-stamped-late", "messages were stamped long after the time that the leases of their jobs are counted from", { { "delayMs", std::to_string(longestDelay.count()) }, { "jobs", std::to_string(lateJobs) } });
+    if (lateJobs > 0 && this->mayLog(now))
+        Telemetry::log(LogLevel::Warning, "message-sent-late", "messages left long after the time that the leases of their jobs are counted from", { { "delayMs", std::to_string(longestDelay.count()) }, { "jobs", std::to_string(lateJobs) } });
 }
 
 void JobEntry::logRepeatedHandover(const Scheduler::JobOwner::Handover& handover, Instant now)
@@ -280,22 +281,20 @@
 void JobEntry::executeEffects()
 {
     auto effects = this->owner.takeEffects();
-    auto stampedAt = this->context.now();
-    auto sentAt = std::chrono::duration_cast<Milliseconds>(stampedAt.time_since_epoch()).count();
-    this->observeStampDelay(effects, stampedAt);
+    auto now = this->context.now();
+    this->observeSendDelay(effects, now);
     auto incarnation = this->context.cluster.self().incarnation;
     for (auto& handover : effects.handovers) {
-        handover.submission.sentAt = sentAt;
         handover.submission.entryIncarnation = incarnation;
         // The first handover of a job is part of its answer's line; later ones show when earlier runs were taken as ended.
         if (handover.submission.firstRunNumber > 1)
-            this->logRepeatedHandover(handover, stampedAt);
+            this->logRepeatedHandover(handover, now);
         this->context.send(handover.dispatcher, handover.submission);
     }
     for (const auto& cancellation : effects.cancellations)
         this->context.send(cancellation.dispatcher, CancelSubmission { cancellation.job });
     for (auto& renewal : effects.renewals)
-        this->context.send(renewal.dispatcher, RenewSubmissions { std::move(renewal.jobs), renewal.kind, sentAt, incarnation, renewal.answeredRequest });
+        this->context.send(renewal.dispatcher, RenewSubmissions { std::move(renewal.jobs), renewal.kind, renewal.sentAt, incarnation, renewal.answeredRequest });
     for (const auto& answer : effects.answers)
         this->respondToCallers(answer);
     for (const auto& dispatcher : effects.suspectedDispatchers)
--- a/Services/sassafrasshiftd/Cluster/JobEntry.h
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.h
@@ -58,7 +58,7 @@
     void executeEffects();
     void logRepeatedHandover(const Scheduler::JobOwner::Handover&, Instant now);
     /// Records the time between the reading of the clock that a lease is counted from, and the stamp of the messages that extend it.
-    void observeStampDelay(const Scheduler::JobOwner::Effects&, Instant stampedAt);
+    void observeSendDelay(const Scheduler::JobOwner::Effects&, Instant now);
     /// Returns whether another line may be written now, and counts the line if not.
     [[nodiscard]] bool mayLog(Instant now);
     /// Marks an unresponsive dispatcher as suspected to have failed.
--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -183,37 +183,58 @@
     return shard;
 }
 
+Milliseconds SimulatedShards::transitDelay(const std::string& dispatcher) const
+{
+    auto position = this->transitDelays.find(dispatcher);
+    return position == this->transitDelays.end() ? Milliseconds(1) : position->second;
+}
+
+// Executes what follows the reading of the clock for a message, after the halt that a test has asked for.
+void SimulatedShards::haltWithinMessage(Shard& shard, std::function<void(Shard&)> action)
+{
+    auto halt = this->haltsWithinMessage.extract(shard.address);
+    if (halt.empty())
+        return action(shard);
+    this->pauseProcess(shard.address, halt.mapped());
+    this->runWhenResumed(shard.address, [this, address = shard.address, action = std::move(action)] {
+        if (auto* active = this->find(address))
+            action(*active);
+    });
+}
+
 void SimulatedShards::executeEntryEffects(size_t number)
 {
     const auto& sender = this->entries[number];
     auto effects = sender.owner->takeEffects();
     auto sentAt = this->now;
-    auto clock = std::chrono::duration_cast<Milliseconds>(sentAt.time_since_epoch());
     auto send = [&](const std::string& to, auto execute) {
-        this->schedule(this->now + Milliseconds(1), [this, name = sender.name, to, sentAt, execute] {
+        this->schedule(this->now + this->transitDelay(to), [this, name = sender.name, to, sentAt, execute] {
             this->deliver(name, to, sentAt, [this, to, execute] {
                 if (auto* shard = this->activateShard(to))
                     execute(*shard);
             });
         });
     };
-    auto isDelayed = [this, clock, name = sender.name, incarnation = sender.incarnation](Shard& shard) { return shard.transitTimes.excessTransitTime(name, incarnation, clock, this->now) > JobOwner::Options {}.scheduler.maximumTransitTime; };
+    auto isDelayed = [this, name = sender.name, incarnation = sender.incarnation](Shard& shard, Milliseconds::rep clock) { return shard.transitTimes.excessTransitTime(name, incarnation, Milliseconds(clock), this->now) > JobOwner::Options {}.scheduler.maximumTransitTime; };
     for (const auto& handover : effects.handovers) {
         send(handover.dispatcher, [this, isDelayed, name = sender.name, submission = handover.submission](Shard& shard) {
-            if (!isDelayed(shard))
-                shard.scheduler->submit(name, submission, this->now);
+            if (isDelayed(shard, submission.sentAt))
+                return;
+            this->haltWithinMessage(shard, [this, name, submission](Shard& active) { active.scheduler->submit(name, submission, this->now); });
         });
     }
     for (const auto& cancellation : effects.cancellations)
         send(cancellation.dispatcher, [this, name = sender.name, job = cancellation.job](Shard& shard) { shard.scheduler->cancel(name, job, this->now); });
     for (const auto& renewal : effects.renewals) {
         send(renewal.dispatcher, [this, isDelayed, number, name = sender.name, incarnation = sender.incarnation, renewal](Shard& shard) {
-            if (isDelayed(shard))
+            if (isDelayed(shard, renewal.sentAt))
                 return;
-            auto unknown = shard.scheduler->renew(name, renewal.jobs, this->now, renewal.kind, renewal.answeredRequest);
-            this->deliver(shard.address, name, this->now, [this, number, incarnation, from = shard.address, unknown, loads = shard.scheduler->loads()] {
-                if (auto* active = this->activateEntry(number, incarnation))
-                    active->owner->onRenewalAnswer(from, unknown, loads, this->now);
+            this->haltWithinMessage(shard, [this, number, name, incarnation, renewal](Shard& active) {
+                auto unknown = active.scheduler->renew(name, renewal.jobs, this->now, renewal.kind, renewal.answeredRequest);
+                this->deliver(active.address, name, this->now, [this, number, incarnation, from = active.address, unknown, loads = active.scheduler->loads()] {
+                    if (auto* answered = this->activateEntry(number, incarnation))
+                        answered->owner->onRenewalAnswer(from, unknown, loads, this->now);
+                });
             });
         });
     }
@@ -340,6 +361,7 @@
         this->sendGossip(*active);
         active->owner->updateDispatchers(currentDispatchers, this->shards[number % this->shards.size()].name, this->now);
         active->owner->tick(this->now);
+        this->pauseProcess(active->name, std::exchange(active->haltWithinTick, Milliseconds(0)));
     });
 }
 
--- a/Tests/LibScheduler/SimulatedShards.h
+++ b/Tests/LibScheduler/SimulatedShards.h
@@ -24,6 +24,12 @@
     void cutLink(const std::string& from, const std::string& to) { this->cutLinks.insert({ from, to }); }
     void restoreAllLinks() { this->cutLinks.clear(); }
     void pauseProcess(const std::string& process, Milliseconds);
+    /// From now on, the messages of the entry hosts to a dispatcher take this long.
+    void delayMessagesTo(const std::string& dispatcher, Milliseconds delay) { this->transitDelays[dispatcher] = delay; }
+    /// The entry host stands still for this long after it has read the clock in its next tick, before it sends anything.
+    void haltEntryWithinTick(Milliseconds duration, size_t number = 0) { this->entries[number].haltWithinTick = duration; }
+    /// The dispatcher stands still for this long after it has read the clock for the next message of an entry host.
+    void haltDispatcherWithinMessage(const std::string& dispatcher, Milliseconds duration) { this->haltsWithinMessage[dispatcher] = duration; }
     /// Ends the dispatcher of a shard, and starts another one after the delay.
     void replaceDispatcher(size_t shard, Milliseconds delay);
     /// Ends an entry host, and starts another process there after the delay. Its callers submit their open jobs again through the
@@ -64,6 +70,7 @@
         uint64_t incarnation { 1 };
         Instant startsAt {};
         Instant nextGossip {};
+        Milliseconds haltWithinTick { 0 };
     };
 
     struct Shard {
@@ -95,6 +102,8 @@
     void sendGossip(Entry&);
     void tickEntry(size_t number);
     void executeEntryEffects(size_t number);
+    [[nodiscard]] Milliseconds transitDelay(const std::string& dispatcher) const;
+    void haltWithinMessage(Shard&, std::function<void(Shard&)>);
     void recordAnswer(const JobOwner::Answer&, size_t entry);
     [[nodiscard]] std::optional<Milliseconds> drawStopDelay();
     void executeEffects(Shard&);
@@ -106,6 +115,8 @@
     std::vector<Shard> shards;
     std::set<std::pair<std::string, std::string>> cutLinks;
     std::map<std::string, Instant> pausedUntil;
+    std::map<std::string, Milliseconds> transitDelays;
+    std::map<std::string, Milliseconds> haltsWithinMessage;
     std::map<std::string, Instant> lastActive;
     std::multimap<Instant, std::function<void()>> events;
     std::map<std::string, Submission> submissions;
--- a/Tests/LibScheduler/TestJobOwner.cpp
+++ b/Tests/LibScheduler/TestJobOwner.cpp
@@ -236,12 +236,12 @@
     auto first = this->handovers().at(0);
     BOOST_TEST((first.cause == HandoverCause {}));
     BOOST_TEST(first.shard == "east");
-    BOOST_TEST((first.countedFrom == this->now));
+    BOOST_TEST((Milliseconds(first.submission.sentAt) == this->now.time_since_epoch()));
     this->now += 300ms;
     this->owner.onRenewalAnswer("a", { "job" }, {}, this->now);
     auto unknown = this->handovers().at(0);
     BOOST_TEST((unknown.cause == HandoverCause { Cause::UnknownThere, "east", "a", {}, 0 }));
-    BOOST_TEST((unknown.countedFrom == this->now));
+    BOOST_TEST((Milliseconds(unknown.submission.sentAt) == this->now.time_since_epoch()));
     this->updateDispatchers({ { "east", "c" }, { "west", "b" } });
     auto changed = this->handovers().at(0);
     BOOST_TEST(changed.dispatcher == "c");
@@ -264,7 +264,7 @@
         this->owner.tick(this->now);
         auto effects = this->owner.takeEffects();
         for (const auto& renewal : effects.renewals)
-            BOOST_TEST((renewal.countedFrom == this->now));
+            BOOST_TEST((Milliseconds(renewal.sentAt) == this->now.time_since_epoch()));
         handovers = effects.handovers;
     }
     BOOST_REQUIRE(handovers.size() == 1U);
--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -101,6 +101,32 @@
     }
 }
 
+// A renewal leaves late, and its time in transit is near the limit. Both count toward the time that the runs in the first shard get.
+BOOST_AUTO_TEST_CASE(entry_host_that_halts_before_it_sends_a_renewal_does_not_run_a_task_twice)
+{
+    for (int halt = 0; halt <= 300; halt += 50) {
+        for (int haltDelay = 0; haltDelay <= 340; haltDelay += 20) {
+            SimulatedShards shards(2, 4, 1);
+            shards.lostStopPercent = 100;
+            shards.run(600ms);
+            shards.runTime = 6s;
+            shards.submit(makeUrgentJob("job", 2, 30));
+            shards.run(100ms);
+            shards.delayMessagesTo(shards.dispatcherOf(0), 240ms);
+            shards.run(500ms);
+            shards.cutLink(shards.dispatcherOf(0), SimulatedShards::entry);
+            shards.run(Milliseconds(haltDelay));
+            shards.haltEntryWithinTick(Milliseconds(halt));
+            shards.run(570ms);
+            // The cancellation is lost as well.
+            shards.cutLink(SimulatedShards::entry, shards.dispatcherOf(0));
+            shards.run(4s);
+            BOOST_TEST(shards.startsOn(1) == 2U, "halt of " << halt << " ms after " << haltDelay << " ms");
+            BOOST_TEST(shards.maximumConcurrentRuns() <= 1U, "halt of " << halt << " ms after " << haltDelay << " ms");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(job_is_not_started_again_after_a_pause_of_its_entry_host)
 {
     SimulatedShards shards(1, 4, 1);
