sassafrasshiftd: Look for a pause before messages of a host to itself, and before the entry's part of a tick

Pauses were looked for at the beginning of a tick and of a batch of messages from other members. What the dispatcher on the same host had sent to its entry was delivered without, as was the entry's part of a tick in which the process had stood still before. The entry host then acted as if there had been no pause: it could hand over a job that its caller might have submitted elsewhere.

Found by reading; there is no test program for the daemon, and no run shows it. Not changed: answers of targets and requests of callers, which are handled without looking for a pause too. They hand no job over; a start is bounded by the entry lease, which is compared with a new reading, and by the end of the lease that the order carries.

--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -134,7 +134,10 @@
 void ClusterDaemon::send(const std::string& address, const ClusterMessage& message)
 {
     if (address == this->settings.peerAddress) {
-        this->loop->defer([this, message] { this->deliver(this->settings.peerAddress, message); });
+        this->loop->defer([this, message] {
+            this->detectPause(this->loop->now());
+            this->deliver(this->settings.peerAddress, message);
+        });
         return;
     }
     auto endpoint = Endpoint::parse(address);
@@ -245,9 +248,8 @@
         this->reloadSettings(signals.reload);
     this->cluster->updateClaim(now, this->epochFloor());
     this->dispatch->tick(now);
-    // The time that the dispatcher took must not make the messages of the entry look late.
     if (this->jobsServer)
-        this->entry->tick(this->loop->now());
+        this->tickEntry();
     this->ledger->tick(now);
     this->control->tick(now);
     this->documents->synchronize(now);
@@ -257,6 +259,14 @@
         this->continueShutdown(now);
 }
 
+// Uses a new reading of the clock, so that the time that the dispatcher took does not make the messages of the entry look late.
+void ClusterDaemon::tickEntry()
+{
+    auto now = this->loop->now();
+    this->detectPause(now);
+    this->entry->tick(now);
+}
+
 void ClusterDaemon::applyConnectionTimeouts()
 {
     const auto* table = this->documents->routeTable();
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -47,6 +47,7 @@
     template <typename Message>
     void handle(const std::string& from, const Message&);
     void tick();
+    void tickEntry();
     /// The lowest epoch that a new claim may use.
     [[nodiscard]] uint64_t epochFloor() const;
     void gossip(Instant now);
