LibScheduler: Offer no job to another shard whose name is in use

What callers could see: two runs under the name of one task at the same time, and the answer to one of two jobs of that name given to the callers of both.

Cause: a dispatcher that has other work open under the name of a job refuses it. For the entry host that was a refusal like any other, and it offered the job to the next shard, which knows nothing of the work in the first.

Ruled out: the test on the entry host (409) does not see jobs at other entry hosts. Two submissions of different work under one name whose entry hosts choose different shards at once are not covered; no dispatcher knows of both.

The refusal is now final. The caller gets 504 and not 503: the open job may be the same one under a route that was renamed meanwhile, so that work of that name may run. It can come again when the other work has ended.

--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/JobOwner.cpp
@@ -256,6 +256,11 @@
 void JobOwner::onRefused(Jobs::iterator position, const JobOutcome& outcome, Instant now)
 {
     auto& job = position->second;
+    // In another shard, the job would run beside the other work; tasks on targets have the name of their job.
+    if (outcome.reason == nameInUse) {
+        this->finishWithAnswer(position, Answer::Kind::Unknown, outcome.reason);
+        return;
+    }
     noteLastDispatcher(job, HandoverCause::Kind::Refused);
     job.nextHandover.refusal = outcome.reason;
     job.nextHandover.knownRuns = outcome.starts;
--- a/Libraries/LibScheduler/JobOwner.h
+++ b/Libraries/LibScheduler/JobOwner.h
@@ -98,7 +98,8 @@
 
     /// Replaces the list of dispatchers, and hands over the jobs of each replaced dispatcher to its successor.
     void updateDispatchers(const std::vector<ShardDispatcher>&, std::string ownShard, Instant now);
-    /// Answers the callers of a job that ended, or hands over a refused job to another shard.
+    /// Answers the callers of a job that ended, or hands over a refused job to another shard. If other work is open under the name of
+    /// the job, its callers are answered at once: work of that name may run.
     void onOutcome(const std::string& from, const JobOutcome&, Instant now);
     /// Hands over again the jobs that the dispatcher does not know, and stores the loads that it reported.
     void onRenewalAnswer(const std::string& from, const std::vector<std::string>& unknownJobs, const std::vector<PoolLoad>&, Instant now);
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -112,7 +112,7 @@
         if (isSameEntry && submission.firstRunNumber <= job.submission.firstRunNumber)
             return;
         if (JobFingerprint::of(job.submission) != JobFingerprint::of(submission))
-            return this->refuse(entry, JobOutcome { submission.job, JobEnd::Refused, "name-in-use", 0, 0, 0, submission.firstRunNumber }, now);
+            return this->refuse(entry, JobOutcome { submission.job, JobEnd::Refused, std::string(nameInUse), 0, 0, 0, submission.firstRunNumber }, now);
         bool mayRunElsewhere = submission.untilEarlierRunsEnd > 0 || submission.untilOtherShardRunsEnd > 0;
         if (!isSameEntry && !mayRunElsewhere)
             return this->takeOver(job, entry, submission, now);
--- a/Libraries/LibScheduler/Types.h
+++ b/Libraries/LibScheduler/Types.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Sassafrasshift::Scheduler {
@@ -110,6 +111,9 @@
     friend auto operator<=>(const JobDescription&, const JobDescription&) = default;
 };
 
+/// The reason of a refusal because other work is open under the name of the job.
+inline constexpr std::string_view nameInUse = "name-in-use";
+
 /// How a job ended, as the dispatcher reports it to the entry host of the job.
 struct JobOutcome {
     std::string job;
--- a/Tests/LibScheduler/TestDecisions.cpp
+++ b/Tests/LibScheduler/TestDecisions.cpp
@@ -194,7 +194,7 @@
     BOOST_TEST(refused->cause == "name-in-use");
     BOOST_REQUIRE(refused->knownRuns);
     // The entry host is told of no runs, although a target has one.
-    BOOST_TEST(*refused->knownRuns == 0U);
+    BOOST_TEST(*refused->knownRuns == 1U);
     BOOST_TEST(refused->runsOnTargets == 1U);
 }
 
--- a/Tests/LibScheduler/TestJobOwner.cpp
+++ b/Tests/LibScheduler/TestJobOwner.cpp
@@ -90,6 +90,19 @@
     BOOST_TEST(takenHandovers.front().submission.untilOtherShardRunsEnd == 1250);
 }
 
+// Work of that name may run, so that the caller is not told that it has not.
+BOOST_FIXTURE_TEST_CASE(job_whose_name_is_in_use_is_not_offered_to_another_shard, Fixture)
+{
+    this->useTwoShards();
+    this->add("job");
+    (void)this->owner.takeEffects();
+    this->owner.onOutcome("a", JobOutcome { "job", JobEnd::Refused, "name-in-use", 0, 0, 0, 1 }, this->now);
+    auto effects = this->owner.takeEffects();
+    BOOST_TEST(effects.handovers.empty());
+    BOOST_REQUIRE(effects.answers.size() == 1U);
+    BOOST_TEST((effects.answers.front().kind == Kind::Unknown));
+}
+
 BOOST_FIXTURE_TEST_CASE(refusal_after_the_loss_of_a_dispatcher_is_answered_as_unknown, Fixture)
 {
     this->updateDispatchers({ { "", "a" } });
--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -321,13 +321,36 @@
         shards.run(1ms);
         shards.pauseProcess(SimulatedShards::entry, 1500ms);
         shards.loseCallers(0, 100ms);
-        shards.run(4s);
+        shards.run(2s);
+        // Later, tasks start again on targets that orders reach too late.
         BOOST_TEST(shards.startsOn(1) == 2U, "seed " << seed);
+        shards.run(2s);
         BOOST_TEST(shards.startsOn(2) == 0U, "seed " << seed);
         BOOST_TEST(shards.maximumConcurrentRuns() <= 1U, "seed " << seed);
     }
 }
 
+BOOST_AUTO_TEST_CASE(other_work_under_the_name_of_an_open_job_does_not_start_in_another_shard)
+{
+    SimulatedShards shards(2, 2, 1, 3);
+    shards.run(600ms);
+    shards.runTime = 3s;
+    shards.submit(makeUrgentJob("job", 1, 10), 0);
+    shards.run(100ms);
+    auto other = makeUrgentJob("job", 1, 10);
+    other.payload = "other work";
+    shards.submit(other, 2);
+    shards.run(2s);
+    BOOST_TEST(shards.startsOn(0) == 1U);
+    BOOST_TEST(shards.startsOn(1) == 0U);
+    BOOST_TEST(shards.maximumConcurrentRuns() <= 1U);
+    BOOST_REQUIRE(shards.answer("job"));
+    BOOST_TEST((shards.answer("job")->kind == Kind::Unknown));
+    shards.run(2s);
+    // The caller of the open job.
+    BOOST_TEST((shards.answer("job")->kind == Kind::Completed));
+}
+
 BOOST_AUTO_TEST_CASE(random_losses_of_entry_hosts_and_stop_orders_never_run_a_task_twice_at_once)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
