sassafrasshiftd: Keep a member's identity as a sender while its incarnation is raised

A dispatcher judges the time in transit of a message by earlier ones of the same incarnation of its sender, and takes the first one as on time. A process that finds a record of an earlier process of its address with a higher incarnation, after its clock was set back, raises its own. The next message then counted as on time although it may have been held up for as long as a link keeps messages (700 ms), so that a late submission or renewal could extend runs beyond what other hosts wait for.

Messages with times, and submissions, now carry the incarnation that the process began with. The record that is gossiped is raised as before. The test of Cluster shows that the record's incarnation changes while the process goes on; that a new incarnation counts as a new sender is shown by an earlier test of TransitTimes.

--- a/Libraries/LibMembership/Cluster.cpp
+++ b/Libraries/LibMembership/Cluster.cpp
@@ -7,6 +7,7 @@
 
 Cluster::Cluster(MemberRecord self, std::vector<std::string> seeds, Options options, Random random, Instant now)
     : ownRecord(std::move(self))
+    , initialIncarnation(this->ownRecord.incarnation)
     , seeds(std::move(seeds))
     , options(options)
     , random(random)
--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -122,6 +122,9 @@
     void resetFailureTimeouts(Instant now);
     [[nodiscard]] MemberRecord& self() { return this->ownRecord; }
     [[nodiscard]] const MemberRecord& self() const { return this->ownRecord; }
+    /// Identifies this process among those at its address, for messages whose times are only comparable within one process. It stays
+    /// while the incarnation in the member's record is raised above that of an earlier process.
+    [[nodiscard]] uint64_t processIncarnation() const { return this->initialIncarnation; }
 
     [[nodiscard]] const MemberRecord* find(const std::string& address) const;
     [[nodiscard]] bool isAlive(const std::string& address, Instant now) const;
@@ -170,6 +173,7 @@
     void mergeOwnRecord(const MemberRecord&);
 
     MemberRecord ownRecord;
+    uint64_t initialIncarnation { 0 };
     std::vector<std::string> seeds;
     Options options;
     Random random;
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -188,7 +188,7 @@
 {
     auto sentAt = std::chrono::duration_cast<Milliseconds>(this->loop->now().time_since_epoch()).count();
     auto knownMembers = static_cast<uint32_t>(this->cluster->liveMembers(this->loop->now()).size());
-    return Gossip { std::move(records), sentAt, this->cluster->self().incarnation, knownMembers };
+    return Gossip { std::move(records), sentAt, this->cluster->processIncarnation(), knownMembers };
 }
 
 void ClusterDaemon::gossip(Instant now)
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -283,7 +283,7 @@
     auto effects = this->owner.takeEffects();
     auto now = this->context.now();
     this->observeSendDelay(effects, now);
-    auto incarnation = this->context.cluster.self().incarnation;
+    auto incarnation = this->context.cluster.processIncarnation();
     for (auto& handover : effects.handovers) {
         handover.submission.entryIncarnation = incarnation;
         // The first handover of a job is part of its answer's line; later ones show when earlier runs were taken as ended.
--- a/Tests/LibMembership/TestCluster.cpp
+++ b/Tests/LibMembership/TestCluster.cpp
@@ -185,6 +185,21 @@
     BOOST_TEST(network.members.at("seed-a")->self().incarnation > earlier.incarnation);
 }
 
+// Another member would take the next message of the process for the first one of a new sender, which counts as on time.
+BOOST_AUTO_TEST_CASE(process_is_not_taken_for_another_one_when_it_supersedes_its_earlier_record)
+{
+    Network network;
+    network.add("seed-a", {}, 0, false);
+    auto& member = *network.members.at("seed-a");
+    auto before = member.processIncarnation();
+    MemberRecord earlier;
+    earlier.address = "seed-a";
+    earlier.incarnation = before + 5;
+    member.mergeRecords({ earlier }, network.now);
+    BOOST_TEST(member.self().incarnation != before);
+    BOOST_TEST(member.processIncarnation() == before);
+}
+
 BOOST_AUTO_TEST_CASE(members_of_a_partitioned_failure_domain_keep_each_other_alive)
 {
     for (int attempt = 0; attempt < 10; ++attempt) {
