--- a/Tests/LibScheduler/SimulatedShards.h
+++ b/Tests/LibScheduler/SimulatedShards.h
@@ -32,6 +32,8 @@
     void haltDispatcherWithinMessage(const std::string& dispatcher, Milliseconds duration) { this->haltsWithinMessage[dispatcher] = duration; }
     /// Ends the dispatcher of a shard, and starts another one after the delay.
     void replaceDispatcher(size_t shard, Milliseconds delay);
+    /// Like replaceDispatcher(), but on a host whose process has just started, and has received no messages yet.
+    void replaceDispatcherHost(size_t shard, Milliseconds delay);
     /// Ends an entry host, and starts another process there after the delay. Its callers submit their open jobs again through the
     /// next entry host, `callerRetryDelay` after the loss of their connections.
     void killEntry(size_t entry, Milliseconds restartDelay);
@@ -107,6 +109,8 @@
     void recordAnswer(const JobOwner::Answer&, size_t entry);
     [[nodiscard]] std::optional<Milliseconds> drawStopDelay();
     void executeEffects(Shard&);
+    void sendInboxRequests(Shard&);
+    void sendRenewalRequest(const std::string& dispatcher, const std::string& entry, uint64_t number);
     void tickShard(Shard&);
     void step();
 
--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -230,6 +230,28 @@
     }
 }
 
+// The new dispatcher has never heard from the entry host, so that it cannot tell a late message by comparison.
+BOOST_AUTO_TEST_CASE(delayed_first_submission_to_a_dispatcher_that_has_just_started_has_no_effect)
+{
+    for (int transitTime = 300; transitTime <= 650; transitTime += 50) {
+        SimulatedShards shards(2, 4, 1, 2);
+        shards.run(600ms);
+        shards.runTime = 6s;
+        shards.cutLink(shards.dispatcherOf(1), SimulatedShards::entry);
+        shards.run(400ms);
+        shards.cutLink(SimulatedShards::entry, "shard-0-dispatcher-2");
+        shards.replaceDispatcherHost(0, 0ms);
+        shards.run(60ms);
+        shards.submit(makeUrgentJob("job", 2, 30));
+        shards.run(20ms);
+        shards.killEntry(0, 20s);
+        shards.run(Milliseconds(transitTime));
+        shards.restoreAllLinks();
+        shards.run(4s);
+        BOOST_TEST(shards.maximumConcurrentRuns() <= 1U, "transit of " << transitTime << " ms");
+    }
+}
+
 // The entry host is paused for less than the entry lease when its callers lose their connections, and extends the lease of their job
 // when it resumes, before it sees that they are gone.
 BOOST_AUTO_TEST_CASE(run_ends_before_resubmission_although_its_entry_host_resumes_after_the_loss_of_the_connection)
