LibScheduler: Count the leases of other dispatchers by what these may request

A dispatcher counted its own maximumLease for the leases that another one may have obtained from a target. One with 300 ms that followed one with 600 ms took a run on a target that had fallen silent as ended while its lease went on, and started the task elsewhere: two runs at once. Dispatchers differ like that while a change of the settings is rolled out. Suspected by a review, and shown by the new test; not seen on a deployment.

It counts at least 600 ms now, which is the most that any dispatcher requests; its settings only ever lower what it requests itself. Counting the longest lease that targets grant was ruled out, since that comes from the same settings. With equal settings of 600 ms or more nothing changes.

--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/TargetSession.h
@@ -18,6 +18,8 @@
 struct LeaseOptions {
     /// The longest lease requested from a target.
     Milliseconds maximumLease { 600 };
+    /// The longest lease that dispatchers with other settings request.
+    Milliseconds maximumLeaseOfOthers { 600 };
     /// How long a run may continue after the entry lease of its job was last extended. No lease on a target ends later, so that
     /// the run ends in time even if it cannot be stopped.
     Milliseconds maximumRunTimeAfterExtension { 1000 };
--- a/Libraries/LibScheduler/TargetSessionLeases.cpp
+++ b/Libraries/LibScheduler/TargetSessionLeases.cpp
@@ -5,10 +5,11 @@
 namespace Sassafrasshift::Scheduler {
 
 // Another dispatcher may have obtained leases from the target until now. They are unknown here, so each is assumed to be as long
-// as a target grants: an order for an earlier process of the target may have been obeyed by the present one, on another clock.
+// as dispatchers request, whatever the settings of this one, and as a target grants: an order for an earlier process of the target
+// may have been obeyed by the present one, on another clock.
 void TargetSession::assumeUnknownLeases(Instant now)
 {
-    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(this->options.maximumLease));
+    this->unknownLeasesEndAt = std::max(this->unknownLeasesEndAt, now + this->allowingForDrift(std::max(this->options.maximumLease, this->options.maximumLeaseOfOthers)));
     this->unknownGrantsEndAt = std::max(this->unknownGrantsEndAt, now + this->allowingForDrift(this->options.maximumGrantedLease));
 }
 
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -25,7 +25,7 @@
 static Scheduler::TaskScheduler::Options makeOptions(const Settings::ClusterSettings& settings)
 {
     Scheduler::TaskScheduler::Options options;
-    options.leases.maximumLease = std::min(settings.maximumLease, options.leases.maximumLease);
+    options.leases.maximumLease = std::min(settings.maximumLease, options.leases.maximumLeaseOfOthers);
     options.leases.maximumGrantedLease = settings.maximumLease;
     options.leases.holdWait = std::min(options.leases.holdWait, options.leases.maximumLease / 2);
     options.leases.answerTimeout = Platform::TargetClient::holdTimeout;
--- a/Tests/LibScheduler/TestRunEnds.cpp
+++ b/Tests/LibScheduler/TestRunEnds.cpp
@@ -235,6 +235,30 @@
     BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
 }
 
+// The earlier dispatcher asked for longer leases than the new one does.
+BOOST_AUTO_TEST_CASE(new_dispatcher_with_shorter_leases_waits_for_the_longer_ones_of_the_earlier_one)
+{
+    RunningTask task(2s);
+    TaskScheduler::Options shortLeases;
+    shortLeases.leases.maximumLease = 300ms;
+    shortLeases.leases.maximumGrantedLease = 300ms;
+    shortLeases.leases.holdWait = 150ms;
+    auto& successor = task.fleet.dispatchers[1];
+    successor = std::make_unique<TaskScheduler>(shortLeases);
+    task.fleet.report();
+    task.fleet.dispatchers[0]->deactivate();
+    successor->activate(secondFence, task.fleet.now);
+    // The target lists the run, and is silent from then on.
+    BOOST_REQUIRE(task.fleet.runUntil([&] { return successor->openRuns() > 0; }, 100ms));
+    task.fleet.injectFault = [&](size_t, const TargetInstance& instance, bool) { return SimulatedFleet::OrderFault { 1ms, false, instance.identity == task.target }; };
+    auto resubmission = makeJob("job", 1, 27);
+    resubmission.firstRunNumber = 1001;
+    task.fleet.submit(1, resubmission);
+    task.fleet.run(3s);
+    BOOST_TEST(task.starts() == 2U);
+    BOOST_TEST(task.fleet.maximumConcurrentRuns() == 1U);
+}
+
 // The claims of the first dispatcher are outdated: it has had no runs, so that it has not asked since, and another one has claimed
 // the target and started the task there.
 BOOST_AUTO_TEST_CASE(dispatcher_with_outdated_claims_waits_for_the_runs_of_the_one_that_gave_the_job_up)
