Tests/LibScheduler: Expect what a former entry host is told in the tests of decisions

Joining two changes: an entry host whose job was taken over is told so when it hands the job over again, so that the case of a job that is dropped for another handover uses a third entry host; a refusal counts the runs on targets, which the check of name-in-use now expects.

--- a/Tests/LibScheduler/TestDecisions.cpp
+++ b/Tests/LibScheduler/TestDecisions.cpp
@@ -174,12 +174,12 @@
     BOOST_TEST(takenOver->entry == otherEntry);
     auto again = makeJob("job", 1, 1);
     again.untilOtherShardRunsEnd = 500;
-    this->scheduler.submit("entry", again, this->now);
+    this->scheduler.submit("third-entry", again, this->now);
     this->collect();
     const auto* dropped = this->find(Kind::JobDropped);
     BOOST_REQUIRE(dropped);
     BOOST_TEST(dropped->formerEntry == otherEntry);
-    BOOST_TEST(dropped->entry == "entry");
+    BOOST_TEST(dropped->entry == "third-entry");
 }
 
 BOOST_FIXTURE_TEST_CASE(refusal_of_a_job_that_has_runs_shows_them, Fixture)
@@ -193,7 +193,6 @@
     BOOST_REQUIRE(refused);
     BOOST_TEST(refused->cause == "name-in-use");
     BOOST_REQUIRE(refused->knownRuns);
-    // The entry host is told of no runs, although a target has one.
     BOOST_TEST(*refused->knownRuns == 1U);
     BOOST_TEST(refused->runsOnTargets == 1U);
 }
