Tests/LibScheduler: Check the waits of a job when the layout changes

Jobs go from the dispatcher of the whole cluster to that of a failure domain and back while both exist for some time, on the same host or another. The two count as different shards, so that each waits 1,250 ms for the runs of the other although both may give orders to the same targets.

--- a/Tests/LibScheduler/TestJobOwner.cpp
+++ b/Tests/LibScheduler/TestJobOwner.cpp
@@ -159,6 +159,31 @@
     BOOST_TEST(takenHandovers.at(1).submission.untilOtherShardRunsEnd == 1250);
 }
 
+// The dispatcher of the whole cluster and that of a failure domain may give orders to the same targets, but they are of two shards.
+BOOST_FIXTURE_TEST_CASE(change_of_the_layout_makes_a_job_wait_for_its_runs_in_the_former_shard, Fixture)
+{
+    for (const auto* domainDispatcher : { "a", "b" }) {
+        JobOwner changing({}, Random(1));
+        changing.updateDispatchers({ { "", "a" } }, "", this->now);
+        changing.add(makeJob("job", 1, 1), this->now + 5s, this->now + 500ms, this->now);
+        BOOST_TEST(changing.takeEffects().handovers.size() == 1U);
+        changing.updateDispatchers({ { "", "a" }, { "east", domainDispatcher } }, "east", this->now);
+        changing.tick(this->now);
+        BOOST_TEST(changing.takeEffects().handovers.empty());
+        changing.updateDispatchers({ { "east", domainDispatcher } }, "east", this->now);
+        changing.tick(this->now);
+        auto toDomain = changing.takeEffects().handovers;
+        BOOST_REQUIRE(toDomain.size() == 1U);
+        BOOST_TEST(toDomain.front().dispatcher == domainDispatcher);
+        BOOST_TEST(toDomain.front().submission.untilOtherShardRunsEnd == 1250);
+        changing.updateDispatchers({ { "", "a" } }, "", this->now);
+        changing.tick(this->now);
+        auto back = changing.takeEffects().handovers;
+        BOOST_REQUIRE(back.size() == 1U);
+        BOOST_TEST(back.front().submission.untilOtherShardRunsEnd == 1250);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(job_is_refused_if_no_dispatcher_appears_before_the_timeout, Fixture)
 {
     this->add("job");
