LibMembership: Remember the end of a target of which no report is known

Callers could get their tasks sent to a target that had left: entries that started after its end used it. Seen once in 7 plays of Tests/Cluster/run.py ("an executor that had left was used after a restart").

Cause: hosts that take reports tell each other of reports and of ends. A host that hears of the end from one host before it hears of the report from another one stored nothing, took the report as new, and listed the target to a dispatcher that started.

Evidence: in the failed play the report, a second one to another host and the end came within 2 ms, the third host could hear of the end first, and the dispatcher that started 340 ms later knew five targets instead of four. That the messages met in this order is reasoned from these times; no line shows it. report_that_arrives_after_the_removal_of_an_unknown_target_does_not_bring_it_back failed before in three checks.

The registry now remembers the removal of an unknown target for the usual 10 s, and no report of that incarnation counts meanwhile; a later incarnation does. A dispatcher that begins does not ask such a target for runs, since its address is not known; the wait for the runs of earlier dispatchers covers them.

--- a/Libraries/LibMembership/TargetRegistry.cpp
+++ b/Libraries/LibMembership/TargetRegistry.cpp
@@ -1,4 +1,5 @@
 #include <LibMembership/TargetRegistry.h>
+#include <limits>
 
 namespace Sassafrasshift::Membership {
 
@@ -36,14 +37,27 @@
 {
     std::erase_if(this->entriesByIdentity, [&](const auto& entry) { return entry.second.removedAt && now - *entry.second.removedAt > removedReportRetention; });
     auto position = this->entriesByIdentity.find(identity);
-    if (position == this->entriesByIdentity.end())
+    if (position == this->entriesByIdentity.end()) {
+        this->rememberRemoval(identity, incarnation, now);
         return true;
+    }
     if (!incarnation.empty() && incarnation < position->second.report.incarnation)
         return false;
     position->second.removedAt = now;
     return true;
 }
 
+// Another process may pass on a report from before the end, which arrives later. Its sequence number is unknown here, so no report of
+// that incarnation counts while the removal is remembered.
+void TargetRegistry::rememberRemoval(const std::string& identity, const std::string& incarnation, Instant now)
+{
+    TargetReport placeholder;
+    placeholder.identity = identity;
+    placeholder.incarnation = incarnation;
+    placeholder.sequence = std::numeric_limits<uint64_t>::max();
+    this->entriesByIdentity.emplace(identity, Entry { placeholder, now, now });
+}
+
 void TargetRegistry::forgetSilentTargets(Milliseconds silence, Instant now)
 {
     std::erase_if(this->entriesByIdentity, [&](const auto& entry) {
--- a/Libraries/LibMembership/TargetRegistry.h
+++ b/Libraries/LibMembership/TargetRegistry.h
@@ -23,6 +23,7 @@
     };
 
     struct Entry {
+        /// Names no address if only the end of the target is known.
         TargetReport report;
         Instant reportedAt {};
         /// When the target announced its end, if it did.
@@ -30,8 +31,8 @@
     };
 
     Update update(const TargetReport&, Instant now);
-    /// Records that a target has announced its end. An empty incarnation stands for the one that is known here. Returns whether the
-    /// removal has effect: it has none if a later incarnation is known.
+    /// Records that a target has announced its end, also if no report of it is known. An empty incarnation stands for the one that is
+    /// known here. Returns whether the removal has effect: it has none if a later incarnation is known.
     bool remove(const std::string& identity, const std::string& incarnation, Instant now);
     /// Forgets the targets that have not reported for a time.
     void forgetSilentTargets(Milliseconds silence, Instant now);
@@ -44,6 +45,8 @@
     [[nodiscard]] const std::map<std::string, Entry>& entries() const { return this->entriesByIdentity; }
 
 private:
+    void rememberRemoval(const std::string& identity, const std::string& incarnation, Instant now);
+
     std::map<std::string, Entry> entriesByIdentity;
 };
 
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -32,7 +32,7 @@
     }
     for (const auto& [identity, known] : this->reports.entries()) {
         bool isGone = known.removedAt && now - *known.removedAt >= removalNoticeTime;
-        if (isGone || !this->isSelected(known.report))
+        if (isGone || known.report.address.empty() || !this->isSelected(known.report))
             continue;
         auto& session = this->targets.emplace(TargetKey { identity, known.report.address }, Target { TargetSession(known.report, token, this->options.leases, now), {} }).first->second.session;
         if (known.removedAt)
--- a/Tests/LibMembership/TestTargetRegistry.cpp
+++ b/Tests/LibMembership/TestTargetRegistry.cpp
@@ -50,6 +50,17 @@
     BOOST_TEST(!this->registry.find("target"));
 }
 
+// One host has told of the end, and another one tells of the target's report only then.
+BOOST_FIXTURE_TEST_CASE(report_that_arrives_after_the_removal_of_an_unknown_target_does_not_bring_it_back, Fixture)
+{
+    BOOST_TEST(this->registry.remove("target", "2", this->now));
+    BOOST_TEST((this->update(makeReport(4, "2")) == Update::Outdated));
+    BOOST_TEST(!this->registry.find("target"));
+    BOOST_TEST(this->registry.presentReports().empty());
+    BOOST_TEST((this->update(makeReport(1, "3")) == Update::Changed));
+    BOOST_TEST(this->registry.find("target"));
+}
+
 BOOST_FIXTURE_TEST_CASE(later_report_brings_a_removed_target_back, Fixture)
 {
     this->update(makeReport(4));
