LibScheduler: Do not wait for a round trip before messages of a new entry host count

The review showed three faults of it, each with a test: an entry host whose round trips always take longer than 250 ms was held for good (one shard, 260 ms one way: no answer after 4 s); a submission that had been held was accepted in place of a later one that was late; a request number of the scheduler that runs ahead of the clock counted as a time. What it mended takes a dispatcher whose process has just started, a link that holds a first message up for over 500 ms, and a lost entry host.

--- a/Libraries/LibScheduler/TransitTimes.cpp
+++ b/Libraries/LibScheduler/TransitTimes.cpp
@@ -20,7 +20,7 @@
 {
     auto difference = std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()) - sentAt;
     this->forgetSilentSenders(now);
-    auto [position, isNew] = this->senders.try_emplace({ name, incarnation }, Sender { now, now, difference, difference, false });
+    auto [position, isNew] = this->senders.try_emplace({ name, incarnation }, Sender { now, now, difference, difference });
     if (isNew)
         return Milliseconds(0);
     auto& sender = position->second;
@@ -34,21 +34,4 @@
     return difference - std::min(sender.minimumDifference, sender.previousMinimumDifference);
 }
 
-void TransitTimes::recordRoundTrip(const std::string& name, uint64_t incarnation, Milliseconds sentAt, Instant requestedAt)
-{
-    auto position = this->senders.find({ name, incarnation });
-    if (position == this->senders.end())
-        return;
-    auto& sender = position->second;
-    sender.minimumDifference = std::chrono::duration_cast<Milliseconds>(requestedAt.time_since_epoch()) - sentAt;
-    sender.previousMinimumDifference = sender.minimumDifference;
-    sender.hasRoundTrip = true;
-}
-
-bool TransitTimes::hasRoundTrip(const std::string& name, uint64_t incarnation) const
-{
-    auto position = this->senders.find({ name, incarnation });
-    return position != this->senders.end() && position->second.hasRoundTrip;
-}
-
 }
--- a/Libraries/LibScheduler/TransitTimes.h
+++ b/Libraries/LibScheduler/TransitTimes.h
@@ -15,12 +15,6 @@
     /// the previous window. Each incarnation of a sender is a sender of its own. `sentAt` is on the sender's clock.
     [[nodiscard]] Milliseconds excessTransitTime(const std::string& sender, uint64_t incarnation, Milliseconds sentAt, Instant now);
 
-    /// Records that a sender answered at `sentAt`, on its clock, what it was asked at `requestedAt`. Its messages are compared with that
-    /// until the windows have passed: they may seem slower than they were, but not faster.
-    void recordRoundTrip(const std::string& sender, uint64_t incarnation, Milliseconds sentAt, Instant requestedAt);
-    /// Whether a round trip to the sender was recorded. Until then, all of its messages may have been delayed alike.
-    [[nodiscard]] bool hasRoundTrip(const std::string& sender, uint64_t incarnation) const;
-
 private:
     struct Sender {
         Instant windowStart {};
@@ -28,7 +22,6 @@
         /// The smallest difference between time of receipt and time of sending in the current window, and in the previous one.
         Milliseconds minimumDifference { 0 };
         Milliseconds previousMinimumDifference { 0 };
-        bool hasRoundTrip { false };
     };
 
     void forgetSilentSenders(Instant now);
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -67,11 +67,9 @@
 
 void DispatchService::onMessage(const std::string& from, const Scheduler::Submission& submission)
 {
-    auto result = this->inbox.submit(this->scheduler, from, submission, this->context.now());
-    this->sendInboxRequests();
-    bool isLate = result == Scheduler::EntryInbox::Result::Late;
-    this->observeTransit("submission_transit_excess_milliseconds", !isLate);
-    if (isLate) {
+    bool isOnTime = this->inbox.submit(this->scheduler, from, submission, this->context.now());
+    this->observeTransit("submission_transit_excess_milliseconds", isOnTime);
+    if (!isOnTime) {
         if (this->mayLog())
             Telemetry::log(LogLevel::Warning, "submission-ignored", "the submission was in transit for too long", { { "job", submission.job }, { "entry", from }, { "excessMs", std::to_string(this->inbox.excessOfLastMessage().count()) } });
         return;
@@ -79,12 +77,6 @@
     this->scheduleEffects();
 }
 
-void DispatchService::sendInboxRequests()
-{
-    for (const auto& request : this->inbox.takeRequests())
-        this->context.send(request.entry, RenewalRequest { request.number });
-}
-
 void DispatchService::onMessage(const std::string& from, const CancelSubmission& cancel)
 {
     this->scheduler.cancel(from, cancel.job, this->context.now());
@@ -99,11 +91,10 @@
 void DispatchService::onMessage(const std::string& from, const Scheduler::RenewSubmissions& renewal)
 {
     auto unknown = this->inbox.renew(this->scheduler, from, renewal, this->context.now());
-    this->sendInboxRequests();
     this->observeTransit("renewal_transit_excess_milliseconds", unknown.has_value());
     if (!unknown) {
         if (this->mayLog())
-            Telemetry::log(LogLevel::Warning, "renewal-ignored", "the renewal was in transit for too long, or the entry host is new to this dispatcher", { { "entry", from }, { "jobs", std::to_string(renewal.jobs.size()) }, { "excessMs", std::to_string(this->inbox.excessOfLastMessage().count()) } });
+            Telemetry::log(LogLevel::Warning, "renewal-ignored", "the renewal was in transit for too long", { { "entry", from }, { "jobs", std::to_string(renewal.jobs.size()) }, { "excessMs", std::to_string(this->inbox.excessOfLastMessage().count()) } });
         return;
     }
     if (!this->scheduler.isActive())
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -39,7 +39,6 @@
     /// Raises this member's epoch if targets reject its fencing token.
     void raiseEpochIfFenced(Instant now);
     void continueSurvey(Instant now);
-    void sendInboxRequests();
     /// Sends the orders and messages that the scheduler has produced, and logs its decisions.
     void executeEffects();
     void logStateIfDue(Instant now);
--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -224,10 +224,7 @@
     for (auto& handover : effects.handovers) {
         handover.submission.entryIncarnation = sender.incarnation;
         send(handover.dispatcher, [this, name = sender.name, submission = handover.submission](Shard& shard) {
-            this->haltWithinMessage(shard, [this, name, submission](Shard& active, Instant receivedAt) {
-                (void)active.inbox.submit(*active.scheduler, name, submission, receivedAt);
-                this->sendInboxRequests(active);
-            });
+            this->haltWithinMessage(shard, [name, submission](Shard& active, Instant receivedAt) { (void)active.inbox.submit(*active.scheduler, name, submission, receivedAt); });
         });
     }
     for (const auto& cancellation : effects.cancellations)
@@ -237,7 +234,6 @@
             this->haltWithinMessage(shard, [this, number, name, incarnation, renewal](Shard& active, Instant receivedAt) {
                 RenewSubmissions message { renewal.jobs, renewal.kind, renewal.sentAt, incarnation, renewal.answeredRequest };
                 auto unknown = active.inbox.renew(*active.scheduler, name, message, receivedAt);
-                this->sendInboxRequests(active);
                 if (!unknown)
                     return;
                 this->deliver(active.address, name, this->now, [this, number, incarnation, from = active.address, unknown = *unknown, loads = active.scheduler->loads()] {
@@ -313,23 +309,13 @@
                 active->owner->onOutcome(address, outcome, this->now);
         });
     }
-    for (const auto& [name, request] : effects.renewalRequests)
-        this->sendRenewalRequest(address, name, request);
-}
-
-void SimulatedShards::sendRenewalRequest(const std::string& dispatcher, const std::string& entryName, uint64_t request)
-{
-    auto receiver = std::find_if(this->entries.begin(), this->entries.end(), [&](const auto& candidate) { return candidate.name == entryName; });
-    this->deliver(dispatcher, entryName, this->now, [this, dispatcher, number = static_cast<size_t>(receiver - this->entries.begin()), incarnation = receiver->incarnation, request] {
-        if (auto* active = this->activateEntry(number, incarnation))
-            active->owner->onRenewalRequest(dispatcher, request, this->now);
-    });
-}
-
-void SimulatedShards::sendInboxRequests(Shard& shard)
-{
-    for (const auto& request : shard.inbox.takeRequests())
-        this->sendRenewalRequest(shard.address, request.entry, request.number);
+    for (const auto& [name, request] : effects.renewalRequests) {
+        auto receiver = std::find_if(this->entries.begin(), this->entries.end(), [&, name = name](const auto& candidate) { return candidate.name == name; });
+        this->deliver(address, name, this->now, [this, address, number = static_cast<size_t>(receiver - this->entries.begin()), incarnation = receiver->incarnation, request = request] {
+            if (auto* active = this->activateEntry(number, incarnation))
+                active->owner->onRenewalRequest(address, request, this->now);
+        });
+    }
 }
 
 void SimulatedShards::tickShard(Shard& shard)
--- a/Tests/LibScheduler/SimulatedShards.h
+++ b/Tests/LibScheduler/SimulatedShards.h
@@ -109,8 +109,6 @@
     void recordAnswer(const JobOwner::Answer&, size_t entry);
     [[nodiscard]] std::optional<Milliseconds> drawStopDelay();
     void executeEffects(Shard&);
-    void sendInboxRequests(Shard&);
-    void sendRenewalRequest(const std::string& dispatcher, const std::string& entry, uint64_t number);
     void tickShard(Shard&);
     void step();
 
