LibScheduler: Stop runs that are found while another shard waits for their end

Cause: the dispatcher of shard A falls silent to an entry host, which hands the job to shard B with the time until the runs in A have ended. A's dispatcher is replaced. Before that time has passed, B falls silent to the entry host or changes, and the entry host hands the job to the new dispatcher of A, again with a wait. That one found the runs of its predecessor, adopted them at once and extended their leases; only starts looked at the wait. B, which had not got the cancellation, started the task when its own wait ended, while its entry lease of 700 ms was still valid.

Not seen on a deployment. It needs several shards, a replaced dispatcher and two silences within some 1.5 s, which fits the report but does not prove it. Found by the review.

Ruled out: runs that were adopted before, since the entry host waits from its last message to that dispatcher; starts, which wait.

A run that is found before runs elsewhere have ended is now stopped, and its task starts after the wait. The same where the wait is known from an earlier submission of the job that was dropped.

--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -230,7 +230,7 @@
 {
     job.earlierStarts = earlier.outcome.starts;
     // The entry host of this submission knows only the dispatchers to which it handed the job over itself.
-    job.earlierRunsEndAt = std::max(job.earlierRunsEndAt, earlier.earlierRunsEndAt);
+    job.otherShardRunsEndAt = std::max(job.otherShardRunsEndAt, earlier.earlierRunsEndAt);
     job.formerEntries = earlier.formerEntries;
     job.formerEntries.erase(job.entry);
     if (earlier.fingerprint != JobFingerprint::of(job.submission))
@@ -291,7 +291,7 @@
     task.nextRunNumber = std::max(task.nextRunNumber, id.number + 1);
     // If the task is placed on another target or done, the run stays unadopted and is stopped later.
     if (task.state == TaskState::Waiting) {
-        this->adoptRun(job, task, session, id, now);
+        this->adoptOrStopRun(job, task, session, id, now);
         return;
     }
     bool isSameRun = task.run == id.number && task.target == session.target().identity;
@@ -299,6 +299,15 @@
         this->recordDecision(Decision::Kind::RunUnexpected, session.target().identity, id, "the task is done, or has run " + std::to_string(task.run) + " on " + task.target);
 }
 
+// While runs elsewhere are waited for, another shard may have the job and wait for this run to end, so that it must not be extended.
+void TaskScheduler::adoptOrStopRun(Job& job, Task& task, TargetSession& session, const RunId& id, Instant now)
+{
+    if (now < job.otherShardRunsEndAt)
+        session.stop(id, now);
+    else
+        this->adoptRun(job, task, session, id, now);
+}
+
 void TaskScheduler::adoptRun(Job& job, Task& task, TargetSession& session, const RunId& id, Instant now)
 {
     session.adopt(id, job.submission.needs, job.lease, now);
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/TaskScheduler.h
@@ -228,6 +228,7 @@
     void notifyTakenOver(const std::string& entry, const std::string& job);
     void takeOver(Job&, const std::string& entry, const Submission&, Instant now);
     void adoptRuns(Job&, Instant now);
+    void adoptOrStopRun(Job&, Task&, TargetSession&, const RunId&, Instant now);
     void adoptRun(Job&, Task&, TargetSession&, const RunId&, Instant now);
     void finishJob(const std::string& job, JobEnd, std::string reason, Instant now, Milliseconds retryAfter = Milliseconds(0));
     void dropJob(const std::string& job, std::string cause, Instant now);
--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -443,6 +443,31 @@
     BOOST_TEST(shards.maximumConcurrentRuns() <= 1U);
 }
 
+// The dispatcher of the first shard falls silent and is replaced, and so does the one of the second shard, to which the job was handed
+// over, and which starts it once the runs in the first shard have ended. The new dispatcher of the first shard must not keep them.
+BOOST_AUTO_TEST_CASE(new_dispatcher_does_not_extend_runs_whose_end_another_shard_waits_for)
+{
+    for (int secondCut = 0; secondCut <= 500; secondCut += 20) {
+        for (int replacement = 0; replacement <= 500; replacement += 20) {
+            SimulatedShards shards(2, 4, 1);
+            shards.run(600ms);
+            shards.runTime = 6s;
+            shards.submit(makeUrgentJob("job", 2, 30));
+            shards.run(100ms);
+            shards.cutLink(shards.dispatcherOf(0), SimulatedShards::entry);
+            shards.run(Milliseconds(secondCut));
+            shards.cutLink(shards.dispatcherOf(1), SimulatedShards::entry);
+            shards.run(Milliseconds(replacement));
+            shards.replaceDispatcher(0, 0ms);
+            shards.run(60ms);
+            // The cancellation is lost as well.
+            shards.cutLink(SimulatedShards::entry, shards.dispatcherOf(1));
+            shards.run(4s);
+            BOOST_TEST(shards.maximumConcurrentRuns() <= 1U, "second cut after " << secondCut << " ms, replaced after further " << replacement << " ms");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(random_losses_of_entry_hosts_and_stop_orders_never_run_a_task_twice_at_once)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
