LibTransport: Notice at once that clients have disconnected

An entry host that learns late that the callers of a job are gone keeps the job, while the callers submit it again elsewhere after 1,300 ms; with lost stop orders the runs of both could overlap if the notice took longer than 600 ms.

The server polled 512 connections each 100 ms, so that the notice took longer the more requests were open, up to 2 s for 10,000. And a connection that was reset was not taken as disconnected: the first poll got the error of the socket and ignored it, only the next one saw the end of the stream, so that resets took two rounds.

A DisconnectWatch, an epoll set of its own in the event loop, now tells of each connection that is ended or reset. An error of the socket counts as a disconnect. Polling stays for clients that left bytes unread before the end of the stream. Polling all connections each time was ruled out, since that is up to 10,000 system calls each 100 ms.

Tests with 3,000 connections that end at once.

--- /dev/null
+++ b/Libraries/LibTransport/DisconnectWatch.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibTransport/EventLoop.h>
+#include <functional>
+#include <memory>
+
+struct st_h2o_socket_t;
+
+namespace Sassafrasshift::Transport {
+
+/// Watches connections whose sockets are not being read for clients that disconnect. The cost depends on the number of disconnects,
+/// not on the number of connections.
+class DisconnectWatch {
+public:
+    using Handler = std::function<void(st_h2o_socket_t*)>;
+
+    /// Calls the handler once for each watched connection that a client ends or resets. Bytes that the client sent before may still be
+    /// unread. Fails with Reason::InvalidInput if the process has too many descriptors open.
+    [[nodiscard]] static ErrorOr<std::unique_ptr<DisconnectWatch>> create(EventLoop&, Handler);
+    ~DisconnectWatch();
+    DisconnectWatch(const DisconnectWatch&) = delete;
+    DisconnectWatch& operator=(const DisconnectWatch&) = delete;
+
+    /// Watches a connection until its socket is closed.
+    void add(st_h2o_socket_t*);
+
+private:
+    DisconnectWatch() = default;
+    void handleEvents();
+
+    int descriptor { -1 };
+    st_h2o_socket_t* eventSocket { nullptr };
+    Handler handler;
+};
+
+}
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -1,4 +1,5 @@
 #include <LibBase/Try.h>
+#include <LibTransport/DisconnectWatch.h>
 #include <LibTransport/H2O.h>
 #include <LibTransport/HttpServer.h>
 #include <cstring>
@@ -20,8 +21,8 @@
 static constexpr uint64_t idleTimeoutMilliseconds = 60'000;
 // The limit for each HTTP/2 connection.
 static constexpr size_t maximumConcurrentStreams = 256;
-// h2o does not read from an HTTP/1.1 connection while its request is handled, so the server has to poll for clients that have
-// disconnected.
+// h2o does not read from an HTTP/1.1 connection while its request is handled. A DisconnectWatch tells of clients that disconnect;
+// those that it misses, because bytes before the end of the stream were unread, are found by polling.
 static constexpr Milliseconds connectionCheckInterval { 100 };
 static constexpr size_t exchangesPerConnectionCheck = 512;
 static constexpr Milliseconds timeoutCheckInterval { 250 };
@@ -45,6 +46,9 @@
     Instant lastActivityAt {};
     // When a check first found the current request head incomplete; empty if there is no incomplete head.
     std::optional<Instant> incompleteHeadSince;
+    // The HTTP/1.1 request that is being handled, if any, and whether the client has disconnected.
+    std::weak_ptr<ExchangeImplementation> exchange {};
+    bool hasDisconnected { false };
 };
 
 struct HttpServer::Implementation {
@@ -59,12 +63,15 @@
     Timeouts timeouts;
     Instant nextTimeoutCheck {};
     std::unique_ptr<Timer> connectionCheckTimer;
+    std::unique_ptr<DisconnectWatch> disconnectWatch;
     size_t openExchangeCount { 0 };
     bool isClosingGracefully { false };
     size_t nextCheckIndex { 0 };
 
     void closeListener();
     void checkConnections();
+    void onDisconnect(h2o_socket_t*);
+    void trackExchange(const std::shared_ptr<ExchangeImplementation>&);
     void closeIdleConnections();
     void closeTimedOutConnections();
     [[nodiscard]] std::vector<h2o_socket_t*> idleConnections() const;
@@ -148,7 +155,15 @@
         if (!socket || this->nativeRequest->version >= 0x200 || this->abandoned)
             return false;
         char byte = 0;
-        return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+        auto count = recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        bool hasFailed = count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+        return count == 0 || hasFailed;
+    }
+
+    void notifyIfDisconnected()
+    {
+        if (this->hasClientDisconnected())
+            this->notifyAbandoned();
     }
 
     void notifyAbandoned()
@@ -232,7 +247,7 @@
         reference->~ExchangeReference();
     });
     new (memory) ExchangeReference { exchange };
-    server->trackedExchanges.push_back(exchange);
+    server->trackExchange(exchange);
     server->handler(exchange);
     return 0;
 }
@@ -245,6 +260,7 @@
         return false;
     auto now = server->loop->now();
     server->connections.emplace(socket, IdleConnectionState { now, 0, now, {} });
+    server->disconnectWatch->add(socket);
     struct AcceptedConnection {
         HttpServer::Implementation* server;
         h2o_socket_t* socket;
@@ -270,6 +286,31 @@
     }
 }
 
+void HttpServer::Implementation::onDisconnect(h2o_socket_t* socket)
+{
+    auto position = this->connections.find(socket);
+    if (position == this->connections.end())
+        return;
+    position->second.hasDisconnected = true;
+    if (auto exchange = position->second.exchange.lock())
+        exchange->notifyIfDisconnected();
+}
+
+void HttpServer::Implementation::trackExchange(const std::shared_ptr<ExchangeImplementation>& exchange)
+{
+    this->trackedExchanges.push_back(exchange);
+    auto position = this->connections.find(exchange->connection());
+    if (position == this->connections.end())
+        return;
+    position->second.exchange = exchange;
+    // The client may have disconnected right after it had sent the request. The handler is to see the request first.
+    if (position->second.hasDisconnected)
+        this->loop->defer([weak = std::weak_ptr(exchange)] {
+            if (auto pending = weak.lock())
+                pending->notifyIfDisconnected();
+        });
+}
+
 void HttpServer::Implementation::checkConnections()
 {
     // Each call checks a bounded number of exchanges, in turn, and stops tracking those that are closed.
@@ -280,8 +321,7 @@
             this->trackedExchanges.pop_back();
             continue;
         }
-        if (exchange->hasClientDisconnected())
-            exchange->notifyAbandoned();
+        exchange->notifyIfDisconnected();
         ++this->nextCheckIndex;
     }
     if (this->nextCheckIndex >= this->trackedExchanges.size())
@@ -383,9 +423,10 @@
 
 ErrorOr<std::unique_ptr<HttpServer>> HttpServer::create(EventLoop& loop, const Endpoint& endpoint, Limits limits, Handler handler)
 {
-    int descriptor = TRY(openListeningSocket(endpoint));
     std::unique_ptr<HttpServer> server(new HttpServer);
     auto& state = *server->implementation;
+    auto watch = TRY(DisconnectWatch::create(loop, [&state](auto* socket) { state.onDisconnect(socket); }));
+    int descriptor = TRY(openListeningSocket(endpoint));
     state.loop = &loop;
     state.handler = std::move(handler);
     h2o_config_init(&state.configuration);
@@ -402,6 +443,7 @@
     h2o_context_init(&state.context, loop.nativeLoop(), &state.configuration);
     state.acceptContext.ctx = &state.context;
     state.acceptContext.hosts = state.configuration.hosts;
+    state.disconnectWatch = std::move(watch);
     state.listener = h2o_evloop_socket_create(loop.nativeLoop(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
     state.listener->data = &state;
     h2o_socket_read_start(state.listener, onAccept);
--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -5,6 +5,7 @@
 #include <LibTransport/PeerLink.h>
 #include <boost/test/unit_test.hpp>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -441,3 +442,71 @@
     HttpRequest request { "GET", "/a", { { "host", "b" }, { "x", "yz" } }, "body" };
     BOOST_TEST(request.headSize() == std::string("GET /a HTTP/1.1\r\nhost: b\r\nx: yz\r\n\r\n").size());
 }
+
+namespace {
+
+enum class Disconnect {
+    EndOfStream,
+    Reset,
+};
+
+// Opens connections with one request each that is not answered, ends all of them, and returns how long the server took to notice that
+// the last of them had ended.
+Milliseconds timeToNoticeDisconnects(Fixture& fixture, size_t count, Disconnect disconnect)
+{
+    static constexpr size_t connectionsAtATime = 100;
+    // Each connection has a descriptor at both ends.
+    rlimit descriptors {};
+    getrlimit(RLIMIT_NOFILE, &descriptors);
+    descriptors.rlim_cur = descriptors.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &descriptors);
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    size_t expected = 0;
+    size_t abandoned = 0;
+    fixture.serve([&](const auto& exchange) {
+        exchanges.push_back(exchange);
+        exchange->setAbandonHandler([&] {
+            if (++abandoned == count)
+                fixture.loop->stop();
+        });
+        if (exchanges.size() == expected)
+            fixture.loop->stop();
+    });
+    std::vector<int> connections;
+    std::string_view request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    while (connections.size() < count) {
+        for (size_t i = 0; i < connectionsAtATime; ++i) {
+            connections.push_back(openPendingConnection());
+            (void)!send(connections.back(), request.data(), request.size(), MSG_NOSIGNAL);
+        }
+        expected = connections.size();
+        fixture.loop->run();
+    }
+    for (int connection : connections) {
+        linger resetOnClose { 1, 0 };
+        if (disconnect == Disconnect::Reset)
+            setsockopt(connection, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose));
+        close(connection);
+    }
+    auto startTime = fixture.loop->now();
+    auto limit = fixture.loop->after(5s, [&] { fixture.loop->stop(); });
+    fixture.loop->run();
+    BOOST_TEST(abandoned == count);
+    auto duration = std::chrono::duration_cast<Milliseconds>(fixture.loop->now() - startTime);
+    for (const auto& exchange : exchanges)
+        exchange->respond({});
+    return duration;
+}
+
+}
+
+// A caller whose connection is lost submits its job again after a delay, by which the runs of the first submission have to be stopped.
+BOOST_FIXTURE_TEST_CASE(reset_of_many_connections_at_once_is_noticed_in_time, Fixture)
+{
+    BOOST_TEST(timeToNoticeDisconnects(*this, 3000, Disconnect::Reset).count() < 300);
+}
+
+BOOST_FIXTURE_TEST_CASE(end_of_many_connections_at_once_is_noticed_in_time, Fixture)
+{
+    BOOST_TEST(timeToNoticeDisconnects(*this, 3000, Disconnect::EndOfStream).count() < 300);
+}
