LibScheduler: Let the name of a job decide which shard gets it

Cause: a caller whose connection is reset while it sends its request submits the job again within milliseconds, not after 1,300 ms, through another entry host of its failure domain. Where the backlog of their own shard is too large, entry hosts drew the shard by lot, each for itself, so that the job started in two shards at once. No handover, wait, lease or late order was involved, and no dispatcher knew of both.

The choice is now weighted rendezvous hashing of the job's name, with the same weights as before: entry hosts that know the same loads choose the same dispatcher, which finds the job open and lets the second entry host take it over. A small difference in load moves few jobs.

What remains: entry hosts that know clearly other loads, or of which one cannot reach the dispatcher; the test job_that_is_submitted_again_at_once_while_its_dispatcher_is_cut_off_does_not_run_twice is listed in KNOWN-RED.txt.

--- a/Libraries/LibScheduler/DispatcherDirectory.cpp
+++ b/Libraries/LibScheduler/DispatcherDirectory.cpp
@@ -2,13 +2,13 @@
 #include <algorithm>
 #include <cmath>
 #include <utility>
+#include <xxhash.h>
 
 // Chooses the dispatcher of each job, and balances load between the shards.
 namespace Sassafrasshift::Scheduler {
 
-DispatcherDirectory::DispatcherDirectory(Options options, Random random)
+DispatcherDirectory::DispatcherDirectory(Options options)
     : options(options)
-    , random(random)
 {
 }
 
@@ -91,21 +91,35 @@
     return latest;
 }
 
-const DispatcherDirectory::KnownDispatcher* DispatcherDirectory::choose(const std::string& pool, const std::vector<std::string>& excludedShards, Instant now)
+// Returns a number in (0, 1) that is the same on all hosts.
+static double hashToUnitInterval(const std::string& job, const std::string& shard)
+{
+    static constexpr unsigned mantissaBits = 53;
+    auto hash = XXH3_64bits_withSeed(job.data(), job.size(), XXH3_64bits(shard.data(), shard.size()));
+    return (static_cast<double>(hash >> (64 - mantissaBits)) + 0.5) / static_cast<double>(uint64_t { 1 } << mantissaBits);
+}
+
+const DispatcherDirectory::KnownDispatcher* DispatcherDirectory::choose(const std::string& job, const std::string& pool, const std::vector<std::string>& excludedShards, Instant now) const
 {
     auto found = this->candidates(pool, excludedShards, now);
     if (found.empty())
         return excludedShards.empty() ? this->lastToAnswer() : nullptr;
     auto smallestBacklog = std::min_element(found.begin(), found.end(), [](const auto& a, const auto& b) { return a.backlogMilliseconds < b.backlogMilliseconds; })->backlogMilliseconds;
-    std::vector<double> weights;
+    const KnownDispatcher* best = nullptr;
+    double bestScore = 0;
     for (const auto& candidate : found) {
         auto excessBacklog = candidate.backlogMilliseconds - smallestBacklog;
         if (candidate.dispatcher->shard == this->ownShard && excessBacklog <= toMilliseconds(this->options.ownShardAllowance))
             return candidate.dispatcher;
-        weights.push_back(candidate.capacity * std::exp(-excessBacklog / toMilliseconds(this->options.backlogScale)));
+        auto weight = candidate.capacity * std::exp(-excessBacklog / toMilliseconds(this->options.backlogScale));
+        // A change of one weight moves only jobs from or to that shard.
+        auto score = -weight / std::log(hashToUnitInterval(job, candidate.dispatcher->shard));
+        if (!best || score > bestScore) {
+            best = candidate.dispatcher;
+            bestScore = score;
+        }
     }
-    std::discrete_distribution<size_t> distribution(weights.begin(), weights.end());
-    return found[distribution(this->random)].dispatcher;
+    return best;
 }
 
 }
--- a/Libraries/LibScheduler/DispatcherDirectory.h
+++ b/Libraries/LibScheduler/DispatcherDirectory.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibBase/Random.h>
 #include <LibScheduler/Types.h>
 #include <compare>
 #include <map>
@@ -44,7 +43,7 @@
         std::vector<PoolLoad> loads;
     };
 
-    DispatcherDirectory(Options, Random);
+    explicit DispatcherDirectory(Options);
 
     /// Replaces the list of dispatchers. Returns the shards whose dispatcher is new, has changed, or is gone.
     std::vector<std::string> updateDispatchers(const std::vector<ShardDispatcher>&, std::string ownShard, Instant now);
@@ -62,9 +61,10 @@
 
     /// Chooses the dispatcher for a job of a pool among the shards that are not excluded; null if there is none. The shard of the
     /// entry host is preferred while its backlog exceeds the smallest one by no more than `ownShardAllowance`, because the jobs
-    /// there survive a network partition that cuts off the shard. Otherwise the choice is random, weighted by capacity and
-    /// backlog, so that entry hosts with the same load information choose different dispatchers.
-    [[nodiscard]] const KnownDispatcher* choose(const std::string& pool, const std::vector<std::string>& excludedShards, Instant now);
+    /// there survive a network partition that cuts off the shard. Otherwise the shards get shares of the jobs by capacity and
+    /// backlog, and the name of a job decides in whose share it is (weighted rendezvous hashing): a caller may submit it through
+    /// several entry hosts at once, and these choose the same dispatcher if they know the same loads.
+    [[nodiscard]] const KnownDispatcher* choose(const std::string& job, const std::string& pool, const std::vector<std::string>& excludedShards, Instant now) const;
 
 private:
     struct Candidate {
@@ -78,7 +78,6 @@
     [[nodiscard]] const KnownDispatcher* lastToAnswer() const;
 
     Options options;
-    Random random;
     std::string ownShard;
     std::map<std::string, KnownDispatcher> dispatchersByShard;
 };
--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/JobOwner.cpp
@@ -22,9 +22,9 @@
     return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count();
 }
 
-JobOwner::JobOwner(Options options, Random random)
+JobOwner::JobOwner(Options options)
     : options(options)
-    , directory(options.directory, random)
+    , directory(options.directory)
 {
 }
 
@@ -64,7 +64,7 @@
 
 void JobOwner::handOver(Job& job, const std::vector<std::string>& excludedShards, Instant now)
 {
-    if (const auto* dispatcher = this->directory.choose(job.submission.pool, excludedShards, now))
+    if (const auto* dispatcher = this->directory.choose(job.submission.job, job.submission.pool, excludedShards, now))
         this->handOverTo(job, *dispatcher, now);
 }
 
--- a/Libraries/LibScheduler/JobOwner.h
+++ b/Libraries/LibScheduler/JobOwner.h
@@ -89,7 +89,7 @@
         std::vector<std::string> suspectedDispatchers;
     };
 
-    JobOwner(Options, Random);
+    explicit JobOwner(Options);
 
     /// Adds a job that is not open here yet, and hands it over if a dispatcher is known.
     void add(Submission, Instant deadline, Instant objective, Instant now);
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -52,7 +52,7 @@
 JobEntry::JobEntry(ClusterContext& context, DocumentStore& documents)
     : context(context)
     , documents(documents)
-    , owner({}, Random(context.random()))
+    , owner({})
     , logBudget(logLinesPerSecond)
 {
 }
--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -17,7 +17,7 @@
     : random(seed)
 {
     for (size_t i = 0; i < entryCount; ++i)
-        this->entries.push_back(Entry { i == 0 ? entry : "entry-" + std::to_string(i), std::make_unique<JobOwner>(JobOwner::Options {}, Random(seed + static_cast<unsigned>(i))), 1, {} });
+        this->entries.push_back(Entry { i == 0 ? entry : "entry-" + std::to_string(i), std::make_unique<JobOwner>(JobOwner::Options {}), 1, {} });
     for (size_t i = 0; i < count; ++i) {
         Shard shard;
         shard.name = "shard-" + std::to_string(i);
@@ -156,7 +156,7 @@
 void SimulatedShards::startEntry(Entry& started)
 {
     ++started.incarnation;
-    started.owner = std::make_unique<JobOwner>(JobOwner::Options {}, Random(this->random()));
+    started.owner = std::make_unique<JobOwner>(JobOwner::Options {});
 }
 
 // Returns null if that process no longer runs.
--- a/Tests/LibScheduler/TestDispatcherDirectory.cpp
+++ b/Tests/LibScheduler/TestDispatcherDirectory.cpp
@@ -9,7 +9,7 @@
 
 struct Fixture {
     Instant now { std::chrono::hours(1) };
-    DispatcherDirectory directory { {}, Random(1) };
+    DispatcherDirectory directory { DispatcherDirectory::Options {} };
 
     Fixture()
     {
@@ -26,7 +26,7 @@
     {
         std::map<std::string, int> chosen;
         for (int i = 0; i < count; ++i)
-            ++chosen[this->directory.choose("pool", {}, this->now)->shard];
+            ++chosen[this->directory.choose("job-" + std::to_string(i), "pool", {}, this->now)->shard];
         return chosen;
     }
 };
@@ -52,12 +52,42 @@
     BOOST_TEST(chosen["north"] < 50);
 }
 
+// A caller may submit a job again at once, through another entry host.
+BOOST_FIXTURE_TEST_CASE(two_entry_hosts_with_the_same_loads_choose_the_same_shard_for_a_job, Fixture)
+{
+    this->report("a", 1000, 0ms);
+    this->report("b", 1000, 100ms);
+    this->report("c", 1000, 50ms);
+    auto other = this->directory;
+    for (int i = 0; i < 200; ++i) {
+        auto job = "job-" + std::to_string(i);
+        (void)this->directory.choose("job", "pool", {}, this->now);
+        BOOST_TEST(this->directory.choose(job, "pool", {}, this->now)->shard == other.choose(job, "pool", {}, this->now)->shard, job);
+    }
+}
+
+// Entry hosts know loads that differ a little in age.
+BOOST_FIXTURE_TEST_CASE(small_difference_in_backlog_changes_the_shard_of_few_jobs, Fixture)
+{
+    this->report("a", 1000, 0ms);
+    this->report("b", 1000, 100ms);
+    this->report("c", 1000, 50ms);
+    auto other = this->directory;
+    this->report("c", 1000, 55ms);
+    int differences = 0;
+    for (int i = 0; i < 1000; ++i) {
+        auto job = "job-" + std::to_string(i);
+        differences += this->directory.choose(job, "pool", {}, this->now)->shard != other.choose(job, "pool", {}, this->now)->shard ? 1 : 0;
+    }
+    BOOST_TEST(differences <= 50);
+}
+
 BOOST_FIXTURE_TEST_CASE(only_shards_with_targets_of_the_pool_are_chosen, Fixture)
 {
     this->report("b", 1000, 0ms);
     this->directory.onAnswer("a", this->now);
     this->directory.updateLoads("a", { PoolLoad { "other", 1000, 0 } });
-    BOOST_TEST(this->directory.choose("other", {}, this->now)->shard == "east");
+    BOOST_TEST(this->directory.choose("job", "other", {}, this->now)->shard == "east");
     BOOST_TEST(this->choices(20)["north"] == 20);
 }
 
@@ -72,10 +102,10 @@
 
 BOOST_FIXTURE_TEST_CASE(dispatcher_that_answered_last_is_chosen_before_any_load_report, Fixture)
 {
-    BOOST_TEST(this->directory.choose("pool", {}, this->now)->shard == "north");
+    BOOST_TEST(this->directory.choose("job", "pool", {}, this->now)->shard == "north");
     this->now += 100ms;
     this->directory.onAnswer("c", this->now);
-    BOOST_TEST(this->directory.choose("pool", {}, this->now)->shard == "west");
+    BOOST_TEST(this->directory.choose("job", "pool", {}, this->now)->shard == "west");
 }
 
 BOOST_FIXTURE_TEST_CASE(update_returns_shards_with_changed_or_lost_dispatchers, Fixture)
--- a/Tests/LibScheduler/TestJobOwner.cpp
+++ b/Tests/LibScheduler/TestJobOwner.cpp
@@ -12,7 +12,7 @@
 
 struct Fixture {
     Instant now { std::chrono::hours(1) };
-    JobOwner owner { {}, Random(1) };
+    JobOwner owner { JobOwner::Options {} };
 
     void updateDispatchers(const std::vector<ShardDispatcher>& currentDispatchers) { this->owner.updateDispatchers(currentDispatchers, "east", this->now); }
 
@@ -163,7 +163,7 @@
 BOOST_FIXTURE_TEST_CASE(change_of_the_layout_makes_a_job_wait_for_its_runs_in_the_former_shard, Fixture)
 {
     for (const auto* domainDispatcher : { "a", "b" }) {
-        JobOwner changing({}, Random(1));
+        JobOwner changing({});
         changing.updateDispatchers({ { "", "a" } }, "", this->now);
         changing.add(makeJob("job", 1, 1), this->now + 5s, this->now + 500ms, this->now);
         BOOST_TEST(changing.takeEffects().handovers.size() == 1U);
--- a/Tests/LibScheduler/TestResubmission.cpp
+++ b/Tests/LibScheduler/TestResubmission.cpp
@@ -308,7 +308,7 @@
 BOOST_AUTO_TEST_CASE(caller_of_a_refused_job_that_has_run_before_is_not_told_that_it_has_not_run)
 {
     Instant now { std::chrono::hours(1) };
-    JobOwner owner({}, Random(1));
+    JobOwner owner({});
     owner.updateDispatchers({ { "east", "a" } }, "east", now);
     owner.add(makeJob("job", 1, 1), now + 2s, now + 500ms, now);
     owner.onOutcome("a", JobOutcome { "job", JobEnd::Refused, "overloaded", 700, 0, 2, 1 }, now);
@@ -320,7 +320,7 @@
 BOOST_AUTO_TEST_CASE(job_that_has_run_before_and_is_refused_by_all_shards_is_not_called_not_run)
 {
     Instant now { std::chrono::hours(1) };
-    JobOwner owner({}, Random(1));
+    JobOwner owner({});
     owner.updateDispatchers({ { "east", "a" }, { "west", "b" } }, "east", now);
     for (const auto* address : { "a", "b" })
         owner.onRenewalAnswer(address, {}, { PoolLoad { "pool", 1000, 0 } }, now);
--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -468,6 +468,47 @@
     }
 }
 
+// A caller whose connection is reset submits its job again at once, through another entry host of the same shard. The backlog there is so
+// large that some jobs go to other shards.
+BOOST_AUTO_TEST_CASE(job_that_is_submitted_again_at_once_through_another_entry_host_does_not_run_twice)
+{
+    size_t startsElsewhere = 0;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        SimulatedShards shards(3, 2, seed, 4);
+        shards.run(600ms);
+        shards.runTime = 300ms;
+        for (int i = 0; i < 8; ++i)
+            shards.submit(makeUrgentJob("backlog-" + std::to_string(i), 4, 30));
+        shards.run(500ms);
+        for (int i = 0; i < 4; ++i) {
+            auto job = makeUrgentJob("job-" + std::to_string(seed) + "-" + std::to_string(i), 1, 30);
+            shards.submit(job, 0);
+            shards.run(3ms);
+            shards.submit(job, 3);
+        }
+        shards.run(4s);
+        startsElsewhere += shards.startsOn(1) + shards.startsOn(2);
+        BOOST_TEST(shards.maximumConcurrentRuns() <= 1U, "seed " << seed);
+    }
+    BOOST_TEST(startsElsewhere > 20U);
+}
+
+// A known failure, see KNOWN-RED.txt. The first entry host is the only one that reaches the dispatcher of their shard.
+BOOST_AUTO_TEST_CASE(job_that_is_submitted_again_at_once_while_its_dispatcher_is_cut_off_does_not_run_twice, *boost::unit_test::disabled())
+{
+    SimulatedShards shards(2, 4, 1, 3);
+    shards.run(600ms);
+    shards.runTime = 300ms;
+    shards.cutLink("entry-2", shards.dispatcherOf(0));
+    shards.cutLink(shards.dispatcherOf(0), "entry-2");
+    shards.run(500ms);
+    shards.submit(makeUrgentJob("job", 1, 30), 0);
+    shards.run(3ms);
+    shards.submit(makeUrgentJob("job", 1, 30), 2);
+    shards.run(4s);
+    BOOST_TEST(shards.maximumConcurrentRuns() <= 1U);
+}
+
 BOOST_AUTO_TEST_CASE(random_losses_of_entry_hosts_and_stop_orders_never_run_a_task_twice_at_once)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
