--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -343,6 +343,10 @@
         record.write(f"the case could not run: {error}")
         print(f"could not run: {error}")
         sys.exit(2)
+    except Exception as error:
+        record.write(f"the case could not run: {error!r}")
+        print(f"could not run: {error!r}")
+        sys.exit(2)
     for text in breaks:
         record.write("BROKEN: " + text)
         print(text)
