--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -157,6 +157,7 @@
     def __init__(self, record, identity, ip, control_addresses, zone, work_ms, capacity_cpu=64000, service="dispatch"):
         self.record, self.identity, self.address, self.control_addresses, self.zone = record, identity, f"{ip}:{EXECUTOR_PORT}", control_addresses, zone
         self.work_ms, self.capacity_cpu, self.service = work_ms, capacity_cpu, service
+        self.cpu_in_use = 16000  # The thousandths of a core that each run is listed with.
         self.condition = threading.Condition()
         self.born = int(time.time() * 1000)
         self.started_at = time.monotonic()
@@ -247,7 +248,13 @@
         self.extend_lease(order)
         self.ended = [end for end in self.ended if end[0] > order.get("last_seen", 0)]
         self.condition.wait_for(lambda: self.ended or self.stopping, min(order.get("wait_ms", 0), 2000) / 1000)
-        return 200, {"running": [[task, run, "", 50] for task, (run, _) in self.runs.items()], "ended": self.ended[:500]}
+        now = time.monotonic()
+        rows = [[task, run, "", self.percent(task, due, now), self.cpu_in_use] for task, (run, due) in self.runs.items()]
+        return 200, {"running": rows, "ended": self.ended[:500]}
+
+    def percent(self, task, due, now):
+        """How far a run is done."""
+        return max(0, min(99, int(100 - (due - now) * 100_000 / self.work_ms(task))))
 
     def start(self, order):
         task, run = order["task"], order["run"]
