--- a/Libraries/LibScheduler/JobHome.cpp
+++ b/Libraries/LibScheduler/JobHome.cpp
@@ -46,6 +46,7 @@
     this->registry.end();
     this->held.clear();
     this->answers.clear();
+    this->isReady = false;
 }
 
 void JobHome::submit(TaskScheduler& scheduler, const std::string& from, const Submission& submission, Instant now)
@@ -74,7 +75,10 @@
 {
     const auto& entry = entryOf(from, submission);
     bool isRelayed = entry != from;
+    auto formerEntry = this->registry.ownerOf(submission.job);
     auto placement = this->registry.decide(entry, submission, { isRelayed, scheduler.mayHaveRuns(submission.job) }, now);
+    if (!formerEntry.empty() && formerEntry != entry)
+        this->recordRequest(placement, formerEntry, now);
     bool staysHere = placement.kind == PlacementKind::Shard && placement.shard == this->registry.ownShard();
     if (staysHere && !isRelayed) {
         auto queued = submission;
@@ -131,8 +135,33 @@
     }
 }
 
+void JobHome::recordReadiness(Instant now)
+{
+    if (this->isReady || !this->registry.isComplete(now))
+        return;
+    this->isReady = true;
+    auto unheard = this->registry.unheardEntries();
+    this->events.push_back(HomeEvent { HomeEvent::Kind::Ready, unheard.empty() ? "all-listed" : "time", this->registry.sinceBegin(now), std::move(unheard) });
+}
+
+void JobHome::recordRequest(const Placement& placement, const std::string& formerEntry, Instant now)
+{
+    HomeEvent event { HomeEvent::Kind::RequestedAgain, placement.kind == PlacementKind::TakenOver ? "taken-over" : "same-shard", this->registry.sinceBegin(now) };
+    event.job = placement.job;
+    event.formerEntry = formerEntry;
+    event.entry = placement.entry;
+    event.shard = placement.shard;
+    this->events.push_back(std::move(event));
+}
+
+std::vector<HomeEvent> JobHome::takeEvents()
+{
+    return std::exchange(this->events, {});
+}
+
 void JobHome::tick(TaskScheduler& scheduler, Instant now)
 {
+    this->recordReadiness(now);
     this->decideHeld(scheduler, now);
     if (now < this->nextCleanup)
         return;
--- a/Libraries/LibScheduler/JobHome.h
+++ b/Libraries/LibScheduler/JobHome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibScheduler/HomeEvent.h>
 #include <LibScheduler/PlacementRegistry.h>
 #include <LibScheduler/RenewSubmissions.h>
 #include <LibScheduler/TaskScheduler.h>
@@ -39,6 +40,8 @@
     [[nodiscard]] std::vector<std::string> renew(TaskScheduler&, const std::string& entry, const RenewSubmissions&, Instant now);
     void tick(TaskScheduler&, Instant now);
     [[nodiscard]] std::vector<Answer> takeAnswers();
+    /// Returns what has happened since the last call.
+    [[nodiscard]] std::vector<HomeEvent> takeEvents();
 
 private:
     struct HeldKey {
@@ -59,10 +62,14 @@
     void decide(TaskScheduler&, const std::string& from, const Submission&, Instant now);
     void hold(const std::string& from, const Submission&, Instant now);
     void decideHeld(TaskScheduler&, Instant now);
+    void recordReadiness(Instant now);
+    void recordRequest(const Placement&, const std::string& formerEntry, Instant now);
 
     PlacementRegistry registry;
     std::map<HeldKey, HeldSubmission> held;
     std::vector<Answer> answers;
+    std::vector<HomeEvent> events;
+    bool isReady { false };
     Instant nextCleanup {};
 };
 
--- a/Libraries/LibScheduler/PlacementRegistry.cpp
+++ b/Libraries/LibScheduler/PlacementRegistry.cpp
@@ -1,5 +1,6 @@
 #include <LibScheduler/PlacementRegistry.h>
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Sassafrasshift::Scheduler {
@@ -34,6 +35,19 @@
     return std::includes(this->knownEntries.begin(), this->knownEntries.end(), this->entries.begin(), this->entries.end());
 }
 
+std::vector<std::string> PlacementRegistry::unheardEntries() const
+{
+    std::vector<std::string> unheard;
+    std::set_difference(this->entries.begin(), this->entries.end(), this->knownEntries.begin(), this->knownEntries.end(), std::back_inserter(unheard));
+    return unheard;
+}
+
+std::string PlacementRegistry::ownerOf(const std::string& job) const
+{
+    auto position = this->records.find(job);
+    return position == this->records.end() ? std::string() : position->second.owner.entry;
+}
+
 bool PlacementRegistry::canDecide(const Submission& submission, Instant now) const
 {
     return submission.placement.wasConfirmed || this->records.contains(submission.job) || this->isComplete(now);
--- a/Libraries/LibScheduler/PlacementRegistry.h
+++ b/Libraries/LibScheduler/PlacementRegistry.h
@@ -38,6 +38,11 @@
     void setEntries(std::set<std::string> addresses) { this->entries = std::move(addresses); }
     /// Whether all entry hosts have told this home which jobs they have, or all runs have ended that only a former home knew of.
     [[nodiscard]] bool isComplete(Instant now) const;
+    /// The entry hosts that are waited for.
+    [[nodiscard]] std::vector<std::string> unheardEntries() const;
+    [[nodiscard]] Milliseconds sinceBegin(Instant now) const { return std::chrono::duration_cast<Milliseconds>(now - this->begunAt); }
+    /// The entry host that owns a job, empty if the job is unknown.
+    [[nodiscard]] std::string ownerOf(const std::string& job) const;
     /// Whether a request can be decided now. A new home does not know yet what the former one has decided, but for jobs whose entry host
     /// has had a confirmation of it.
     [[nodiscard]] bool canDecide(const Submission&, Instant now) const;
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -287,6 +287,33 @@
     Telemetry::log(LogLevel::Information, event, decision.cause, fields);
 }
 
+static std::string join(const std::vector<std::string>& names)
+{
+    std::string text;
+    for (const auto& name : names)
+        text += (text.empty() ? "" : " ") + name;
+    return text;
+}
+
+void DispatchService::logHomeEvent(const Scheduler::HomeEvent& event)
+{
+    using Kind = Scheduler::HomeEvent::Kind;
+    bool isReady = event.kind == Kind::Ready;
+    this->context.metrics.count(isReady ? "homes_ready_total{cause=\"" + event.cause + "\"}" : "jobs_requested_again_total{answer=\"" + event.cause + "\"}");
+    if (!this->mayLog())
+        return;
+    std::vector<Telemetry::EventField> fields { { "shard", this->activeShard }, { "epoch", std::to_string(this->activeEpoch) }, { "cause", event.cause }, { "sinceBeginMs", std::to_string(event.sinceBegin.count()) } };
+    if (isReady) {
+        fields.push_back({ "unheard", join(event.unheard) });
+        return Telemetry::log(LogLevel::Information, "home-ready", "the home of its entry hosts' jobs has begun to decide about first submissions", fields);
+    }
+    fields.push_back({ "job", event.job });
+    fields.push_back({ "formerEntry", event.formerEntry });
+    fields.push_back({ "entry", event.entry });
+    fields.push_back({ "placedIn", event.shard });
+    Telemetry::log(LogLevel::Information, "job-requested-again", "another entry host has asked the home for the shard of a job", fields);
+}
+
 void DispatchService::logStateIfDue(Instant now)
 {
     if (!this->scheduler.isActive() || now < this->nextStateLog)
@@ -336,6 +363,8 @@
     this->context.metrics.count("orders_total{kind=\"hold\"}", effects.orders.holds.size());
     for (const auto& answer : this->home.takeAnswers())
         this->context.send(answer.to, answer.placement);
+    for (const auto& event : this->home.takeEvents())
+        this->logHomeEvent(event);
     for (const auto& notice : effects.notices)
         this->context.send(notice.entry, notice.outcome);
     for (const auto& [entry, number] : effects.renewalRequests)
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -46,6 +46,7 @@
     void executeEffects();
     void logStateIfDue(Instant now);
     void logDecision(const Scheduler::Decision&);
+    void logHomeEvent(const Scheduler::HomeEvent&);
     /// Executes the effects once in the next iteration of the event loop.
     void scheduleEffects();
     [[nodiscard]] uint64_t fencingToken() const;
--- a/Tests/LibScheduler/TestJobHome.cpp
+++ b/Tests/LibScheduler/TestJobHome.cpp
@@ -325,3 +325,28 @@
     BOOST_TEST(answers.front().to == firstEntry);
     BOOST_TEST((answers.front().placement.kind == PlacementKind::TakenOver));
 }
+
+BOOST_FIXTURE_TEST_CASE(home_names_the_entry_hosts_that_it_has_not_heard_when_it_begins_to_decide, Fixture)
+{
+    (void)this->renew(firstEntry, {});
+    this->run(1300ms);
+    auto events = this->home.takeEvents();
+    BOOST_REQUIRE(events.size() == 1U);
+    BOOST_TEST((events.front().kind == HomeEvent::Kind::Ready));
+    BOOST_TEST(events.front().cause == "time");
+    BOOST_TEST(events.front().unheard == std::vector<std::string> { secondEntry }, boost::test_tools::per_element());
+}
+
+BOOST_FIXTURE_TEST_CASE(home_records_that_another_entry_host_asks_for_a_job, Fixture)
+{
+    this->renewAll();
+    this->submit(firstEntry, this->request(firstEntry, "west"));
+    (void)this->home.takeEvents();
+    this->submit(secondEntry, this->request(secondEntry, ownShard));
+    auto events = this->home.takeEvents();
+    BOOST_REQUIRE(events.size() == 1U);
+    BOOST_TEST((events.front().kind == HomeEvent::Kind::RequestedAgain));
+    BOOST_TEST(events.front().formerEntry == firstEntry);
+    BOOST_TEST(events.front().entry == secondEntry);
+    BOOST_TEST(events.front().shard == "west");
+}
