LibScheduler: Do not let a new home wait for dispatchers that have just begun

What callers saw: after several homes had been replaced at once, each waited for the others for up to 1,250 ms, since a dispatcher did not answer before all of its targets had.

Cause: the answer of a dispatcher said two things at once, which jobs it has and that it knows all runs. It may say the first without the second: a run that no dispatcher knows belongs to a job that its entry host lists.

Change: a dispatcher answers at once, and says whether it knows the runs of its targets. A home decides when all have answered and either all targets of all shards have, or all entry hosts have listed their jobs.

--- a/Libraries/LibScheduler/HomeReadiness.cpp
+++ b/Libraries/LibScheduler/HomeReadiness.cpp
@@ -18,6 +18,7 @@
     this->observeTerm(term);
     this->begunAt = now;
     this->readyCause.reset();
+    this->answeredDispatchers.clear();
     this->listedEntries.clear();
     this->dispatchers.clear();
     this->entries.clear();
@@ -52,18 +53,22 @@
         this->readyCause = this->findCause(hasClaimedTargets, now);
 }
 
-bool HomeReadiness::haveDispatchersAnswered(Milliseconds contactTimeout) const
+void HomeReadiness::onAnswer(const std::string& dispatcher, bool knowsRuns)
 {
-    return std::all_of(this->dispatchers.begin(), this->dispatchers.end(), [&](const auto& dispatcher) {
-        return dispatcher.sinceHeartbeat > contactTimeout || this->survey.isComplete({ dispatcher.address });
-    });
+    this->answeredDispatchers.insert(dispatcher);
+    if (knowsRuns)
+        this->survey.onAnswer(dispatcher, this->survey.number());
 }
 
-bool HomeReadiness::haveEntriesListed(Milliseconds contactTimeout) const
+bool HomeReadiness::areRunsKnown() const
 {
-    return std::all_of(this->entries.begin(), this->entries.end(), [&](const auto& entry) {
-        return entry.sinceHeartbeat > contactTimeout || this->listedEntries.contains(entry.address);
-    });
+    return std::all_of(this->dispatchers.begin(), this->dispatchers.end(), [this](const auto& dispatcher) { return this->survey.isComplete({ dispatcher.address }); });
+}
+
+// Whether all members are among those that were heard, but for those that have been silent for longer than the timeout.
+static bool areAllHeard(const std::vector<HomeReadiness::Contact>& members, const std::set<std::string>& heard, Milliseconds contactTimeout)
+{
+    return std::all_of(members.begin(), members.end(), [&](const auto& member) { return member.sinceHeartbeat > contactTimeout || heard.contains(member.address); });
 }
 
 // A host that is not heard of any more may still extend runs for some time, so that it counts as lost only after the longest time that runs
@@ -75,11 +80,16 @@
         return "only-shard";
     bool haveRunsEnded = this->haveUnknownRunsEnded(now);
     auto contactTimeout = haveRunsEnded ? this->options.contactTimeout : Milliseconds::max();
-    bool haveListed = this->haveEntriesListed(contactTimeout);
-    if (this->haveDispatchersAnswered(contactTimeout) && (hasClaimedTargets || haveListed || haveRunsEnded))
-        return "dispatchers-answered";
-    if (haveRunsEnded && haveListed)
+    bool haveDispatchersAnswered = areAllHeard(this->dispatchers, this->answeredDispatchers, contactTimeout);
+    bool haveEntriesListed = areAllHeard(this->entries, this->listedEntries, contactTimeout);
+    if (haveDispatchersAnswered && hasClaimedTargets && this->areRunsKnown())
+        return "targets-answered";
+    if (haveDispatchersAnswered && haveEntriesListed)
         return "entries-listed";
+    if (haveDispatchersAnswered && haveRunsEnded)
+        return "dispatchers-answered";
+    if (haveEntriesListed && haveRunsEnded)
+        return "dispatchers-missing";
     if (now - this->begunAt >= this->options.longestWait)
         return "time";
     return {};
@@ -89,7 +99,7 @@
 {
     std::vector<std::string> found;
     for (const auto& dispatcher : this->dispatchers) {
-        if (!this->survey.isComplete({ dispatcher.address }))
+        if (!this->answeredDispatchers.contains(dispatcher.address))
             found.push_back(dispatcher.address);
     }
     for (const auto& entry : this->entries) {
--- a/Libraries/LibScheduler/HomeReadiness.h
+++ b/Libraries/LibScheduler/HomeReadiness.h
@@ -15,8 +15,8 @@
 
 /// Tells when the home of its entry hosts' jobs may decide about them. Former homes, and one that does not know yet that it was replaced, may
 /// have placed jobs that a new home does not know. It decides once the dispatchers of all other shards have told which jobs they have, and
-/// accept no more from homes of lower terms, and once its own targets have accepted its fencing token and told which runs they have. It
-/// performs no I/O.
+/// accept no more from homes of lower terms. Besides, it needs to know the jobs of runs whose dispatcher was replaced: from the targets of all
+/// shards, or from the entry hosts. It performs no I/O.
 class HomeReadiness {
 public:
     struct Options {
@@ -49,8 +49,8 @@
 
     /// Returns the dispatchers to ask now.
     [[nodiscard]] std::vector<std::string> takeDispatchersToAsk(Instant now) { return this->survey.takeHostsToAsk(now); }
-    [[nodiscard]] uint64_t surveyNumber() const { return this->survey.number(); }
-    void onAnswer(const std::string& dispatcher, uint64_t number) { this->survey.onAnswer(dispatcher, number); }
+    /// Records that a dispatcher has told which jobs it has, and whether it knows the runs on all of its targets; if not, it is asked again.
+    void onAnswer(const std::string& dispatcher, bool knowsRuns);
     /// Records that an entry host has told which jobs it has.
     void onListed(const std::string& entry) { this->listedEntries.insert(entry); }
     /// Records that a home of that term is known. While it is higher than the own one, this home decides nothing.
@@ -72,8 +72,7 @@
 
 private:
     [[nodiscard]] std::optional<std::string_view> findCause(bool hasClaimedTargets, Instant now) const;
-    [[nodiscard]] bool haveDispatchersAnswered(Milliseconds contactTimeout) const;
-    [[nodiscard]] bool haveEntriesListed(Milliseconds contactTimeout) const;
+    [[nodiscard]] bool areRunsKnown() const;
 
     Options options;
     std::string shard;
@@ -83,6 +82,8 @@
     HostSurvey survey;
     std::vector<Contact> dispatchers;
     std::vector<Contact> entries;
+    /// The dispatchers that have answered, and the entry hosts that have told which jobs they have.
+    std::set<std::string> answeredDispatchers;
     std::set<std::string> listedEntries;
     std::optional<std::string_view> readyCause;
 };
--- a/Libraries/LibScheduler/JobHome.cpp
+++ b/Libraries/LibScheduler/JobHome.cpp
@@ -128,8 +128,7 @@
     if (renewal.answeredRequest == 0) {
         for (auto& placement : this->registry.onRenewal(entry, renewal.entryIncarnation, renewal.placedJobs, now))
             this->answers.push_back(Answer { entry, std::move(placement) });
-        if (!renewal.mayHaveEarlierRuns)
-            this->readiness.onListed(entry);
+        this->readiness.onListed(entry);
     }
     auto unknown = scheduler.renew(entry, renewal.jobs, now, renewal.kind, renewal.answeredRequest);
     std::erase_if(unknown, [&](const auto& job) {
@@ -170,9 +169,7 @@
     PlacedJobsResponse response { request.homeShard, request.homeTerm, this->terms.highest(request.homeShard), this->registry.ownShard(), {} };
     if (response.highestTerm > request.homeTerm)
         return response;
-    bool knowsRuns = scheduler.hasClaimedTargets() || this->readiness.haveUnknownRunsEnded(now);
-    if (!knowsRuns)
-        return {};
+    response.knowsRuns = scheduler.hasClaimedTargets() || this->readiness.haveUnknownRunsEnded(now);
     response.jobs = scheduler.heldJobs(request.homeShard);
     return response;
 }
@@ -185,7 +182,7 @@
     if (response.homeTerm != this->readiness.term() || this->readiness.isSuperseded())
         return;
     this->registry.onPlacedJobs(response.shard, response.jobs, now);
-    this->readiness.onAnswer(from, this->readiness.surveyNumber());
+    this->readiness.onAnswer(from, response.knowsRuns);
 }
 
 std::vector<JobHome::Question> JobHome::takeQuestions(Instant now)
--- a/Libraries/LibScheduler/JobHome.h
+++ b/Libraries/LibScheduler/JobHome.h
@@ -52,7 +52,7 @@
     void cancel(TaskScheduler&, const std::string& entry, const std::string& job, bool hasNotRun, Instant now);
     /// Returns the listed jobs that are unknown here.
     [[nodiscard]] std::vector<std::string> renew(TaskScheduler&, const std::string& entry, const RenewSubmissions&, Instant now);
-    /// Answers the home of another shard, which asks again if there is no answer yet: the runs on the targets may not be known.
+    /// Answers the home of another shard, unless no scheduler is active here.
     [[nodiscard]] std::optional<PlacedJobsResponse> onPlacedJobsRequest(const TaskScheduler&, const PlacedJobsRequest&, Instant now);
     void onPlacedJobsResponse(const std::string& from, const PlacedJobsResponse&, Instant now);
     void tick(TaskScheduler&, Instant now);
--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/JobOwner.cpp
@@ -173,12 +173,8 @@
         auto kind = this->directory.isFresh(dispatcher, now) ? TaskScheduler::RenewalKind::ExtendLease : TaskScheduler::RenewalKind::QueryOnly;
         renewals.emplace(dispatcher.address, Renewal { dispatcher.address, {}, kind, 0, toMillisecondsOfClock(now) });
     }
-    if (!this->firstRenewalAt)
-        this->firstRenewalAt = now;
     const auto* home = this->directory.home();
     auto* toHome = home ? &renewals.at(home->address) : nullptr;
-    if (toHome)
-        toHome->mayHaveEarlierRuns = now - *this->firstRenewalAt < this->earlierRunsTimeout();
     for (auto& [name, job] : this->jobs) {
         auto position = job.stage == Stage::Submitted ? renewals.find(job.dispatcher) : renewals.end();
         auto* toDispatcher = position == renewals.end() ? nullptr : &position->second;
--- a/Libraries/LibScheduler/JobOwner.h
+++ b/Libraries/LibScheduler/JobOwner.h
@@ -84,8 +84,6 @@
         Milliseconds::rep sentAt { 0 };
         /// If the dispatcher is the home of this entry host's jobs: those that other shards have, and withdrawn ones.
         std::vector<PlacedJob> placedJobs {};
-        /// Whether runs may continue that an earlier process of this host has submitted.
-        bool mayHaveEarlierRuns { false };
     };
 
     struct Effects {
@@ -205,8 +203,6 @@
     std::unordered_map<std::string, LeftJob> leftJobs;
     /// The highest term of a home of this host's jobs that it has been told of.
     uint64_t highestHomeTerm { 0 };
-    /// When the first renewal was due after the start of this process.
-    std::optional<Instant> firstRenewalAt;
     Instant nextRenewal {};
     Effects effects;
 };
--- a/Libraries/LibScheduler/PlacedJobs.h
+++ b/Libraries/LibScheduler/PlacedJobs.h
@@ -43,8 +43,10 @@
     /// The shard of the sender.
     std::string shard;
     std::vector<HeldJob> jobs;
+    /// Whether all runs on the targets of the sender are known; otherwise the jobs of some runs are missing.
+    bool knowsRuns { false };
 
-    CODEC_FIELDS(homeShard, homeTerm, highestTerm, shard, jobs);
+    CODEC_FIELDS(homeShard, homeTerm, highestTerm, shard, jobs, knowsRuns);
     friend auto operator<=>(const PlacedJobsResponse&, const PlacedJobsResponse&) = default;
 };
 
--- a/Libraries/LibScheduler/RenewSubmissions.h
+++ b/Libraries/LibScheduler/RenewSubmissions.h
@@ -22,10 +22,8 @@
     /// For the home of the entry host's jobs: those that other shards have, and withdrawn ones whose runs may continue. The answer to a
     /// request lists none.
     std::vector<PlacedJob> placedJobs;
-    /// Whether runs may continue that an earlier process of the entry host has submitted, and that this one cannot list.
-    bool mayHaveEarlierRuns { false };
 
-    CODEC_FIELDS(jobs, kind, sentAt, entryIncarnation, answeredRequest, placedJobs, mayHaveEarlierRuns);
+    CODEC_FIELDS(jobs, kind, sentAt, entryIncarnation, answeredRequest, placedJobs);
 };
 
 }
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -18,9 +18,9 @@
 static constexpr unsigned logLinesPerSecond = 300;
 static constexpr Scheduler::JobOwner::Options jobOwnerOptions {};
 static constexpr Milliseconds epochRaiseInterval { 200 };
-// A new home waits for the jobs of entry hosts whose last heartbeat is no older than this: a former home may have been replaced only after the
-// failure timeout, and runs may continue for 1,250 ms.
-static constexpr Milliseconds entryRetention { 3000 };
+// How long the jobs of an entry host may run after its last heartbeat: as long as runs may last after its last message, and the time between
+// two heartbeats.
+static constexpr Milliseconds entryRetention { 1500 };
 // The maximum time between two raises, as a multiple of the interval. The back-off prevents two dispatchers that reach the same
 // targets from continuously raising their epochs above each other's.
 static constexpr uint64_t maximumRaiseIntervals = 16;
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -346,7 +346,7 @@
     for (const auto& cancellation : effects.cancellations)
         this->context.send(cancellation.dispatcher, CancelSubmission { cancellation.job, cancellation.hasNotRun });
     for (auto& renewal : effects.renewals)
-        this->context.send(renewal.dispatcher, Scheduler::RenewSubmissions { std::move(renewal.jobs), renewal.kind, renewal.sentAt, incarnation, renewal.answeredRequest, std::move(renewal.placedJobs), renewal.mayHaveEarlierRuns });
+        this->context.send(renewal.dispatcher, Scheduler::RenewSubmissions { std::move(renewal.jobs), renewal.kind, renewal.sentAt, incarnation, renewal.answeredRequest, std::move(renewal.placedJobs) });
     for (const auto& answer : effects.answers)
         this->respondToCallers(answer);
     for (const auto& dispatcher : effects.suspectedDispatchers)
--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -279,7 +279,7 @@
     for (const auto& renewal : effects.renewals) {
         send(renewal.dispatcher, [this, number, name = sender.name, incarnation = sender.incarnation, renewal](Shard& shard) {
             this->haltWithinMessage(shard, [this, number, name, incarnation, renewal](Shard& active, Instant receivedAt) {
-                RenewSubmissions message { renewal.jobs, renewal.kind, renewal.sentAt, incarnation, renewal.answeredRequest, renewal.placedJobs, renewal.mayHaveEarlierRuns };
+                RenewSubmissions message { renewal.jobs, renewal.kind, renewal.sentAt, incarnation, renewal.answeredRequest, renewal.placedJobs };
                 auto unknown = active.inbox.renew(active.home, *active.scheduler, name, message, receivedAt);
                 if (!unknown)
                     return;
--- a/Tests/LibScheduler/TestHomeReadiness.cpp
+++ b/Tests/LibScheduler/TestHomeReadiness.cpp
@@ -40,7 +40,7 @@
         this->home.onListed(secondEntry);
     }
 
-    void answer(const std::string& name = dispatcher) { this->home.onAnswer(name, this->home.surveyNumber()); }
+    void answer(const std::string& name = dispatcher, bool knowsRuns = true) { this->home.onAnswer(name, knowsRuns); }
 
     bool isReadyAfter(Milliseconds time)
     {
@@ -74,7 +74,7 @@
     this->listAll();
     BOOST_TEST(!this->isReadyAfter(1249ms));
     BOOST_TEST(this->isReadyAfter(1ms));
-    BOOST_TEST(this->home.cause() == "entries-listed");
+    BOOST_TEST(this->home.cause() == "dispatchers-missing");
 }
 
 BOOST_FIXTURE_TEST_CASE(home_whose_targets_do_not_answer_waits_until_their_runs_have_ended, Fixture)
@@ -84,6 +84,26 @@
     BOOST_TEST(this->isReadyAfter(1ms));
 }
 
+// The job of a run there may not be known to any dispatcher.
+BOOST_FIXTURE_TEST_CASE(home_waits_for_a_dispatcher_that_does_not_know_the_runs_of_its_targets, Fixture)
+{
+    this->hasClaimedTargets = true;
+    this->answer(dispatcher, false);
+    BOOST_TEST(!this->isReadyAfter(1249ms));
+    BOOST_TEST(!this->home.takeDispatchersToAsk(this->now).empty());
+    this->answer();
+    BOOST_TEST(this->isReadyAfter(0ms));
+    BOOST_TEST(this->home.cause() == "targets-answered");
+}
+
+BOOST_FIXTURE_TEST_CASE(home_knows_from_its_entry_hosts_which_runs_a_new_dispatcher_may_not_know, Fixture)
+{
+    this->answer(dispatcher, false);
+    this->listAll();
+    BOOST_TEST(this->isReadyAfter(1ms));
+    BOOST_TEST(this->home.cause() == "entries-listed");
+}
+
 // It may extend runs for as long as it is alive.
 BOOST_FIXTURE_TEST_CASE(home_goes_on_waiting_for_hosts_that_are_heard_of_but_do_not_answer, Fixture)
 {
--- a/Tests/LibScheduler/TestJobHome.cpp
+++ b/Tests/LibScheduler/TestJobHome.cpp
@@ -67,7 +67,7 @@
 
     void answerSurvey(std::vector<HeldJob> jobs = {}, uint64_t highestTerm = term)
     {
-        this->home.onPlacedJobsResponse(relay, PlacedJobsResponse { ownShard, term, highestTerm, "west", std::move(jobs) }, this->fleet.now);
+        this->home.onPlacedJobsResponse(relay, PlacedJobsResponse { ownShard, term, highestTerm, "west", std::move(jobs), true }, this->fleet.now);
     }
 
     void becomeReady()
@@ -224,7 +224,7 @@
     this->setMembers();
     this->run(20ms);
     BOOST_TEST(this->home.takeAnswers().empty());
-    this->home.onPlacedJobsResponse(relay, PlacedJobsResponse { ownShard, term + 2, term + 2, "west", {} }, this->fleet.now);
+    this->home.onPlacedJobsResponse(relay, PlacedJobsResponse { ownShard, term + 2, term + 2, "west", {}, true }, this->fleet.now);
     this->submit(firstEntry, informed);
     this->run(20ms);
     BOOST_TEST(this->home.takeAnswers().size() == 1U);
@@ -295,14 +295,18 @@
     BOOST_TEST(response->highestTerm == 5U);
 }
 
-// It does not know its runs yet.
-BOOST_FIXTURE_TEST_CASE(dispatcher_that_has_not_claimed_its_targets_does_not_answer_a_home, Fixture)
+BOOST_FIXTURE_TEST_CASE(dispatcher_that_has_not_claimed_its_targets_says_that_it_does_not_know_their_runs, Fixture)
 {
     this->home.begin(ownShard, term + 1, this->fleet.now);
     this->dispatcher().activate(11, this->fleet.now);
-    BOOST_TEST(!this->home.onPlacedJobsRequest(this->dispatcher(), PlacedJobsRequest { "west", 4 }, this->fleet.now).has_value());
+    auto knowsRuns = [&] {
+        auto response = this->home.onPlacedJobsRequest(this->dispatcher(), PlacedJobsRequest { "west", 4 }, this->fleet.now);
+        BOOST_REQUIRE(response.has_value());
+        return response->knowsRuns;
+    };
+    BOOST_TEST(!knowsRuns());
     this->fleet.run(50ms);
-    BOOST_TEST(this->home.onPlacedJobsRequest(this->dispatcher(), PlacedJobsRequest { "west", 4 }, this->fleet.now).has_value());
+    BOOST_TEST(knowsRuns());
 }
 
 BOOST_FIXTURE_TEST_CASE(new_home_holds_a_first_submission_for_at_most_1250_ms, Fixture)
@@ -483,7 +487,7 @@
     auto events = this->home.takeEvents();
     BOOST_REQUIRE(events.size() == 1U);
     BOOST_TEST((events.front().kind == HomeEvent::Kind::Ready));
-    BOOST_TEST(events.front().cause == "entries-listed");
+    BOOST_TEST(events.front().cause == "dispatchers-missing");
     BOOST_TEST(events.front().unheard == std::vector<std::string> { relay }, boost::test_tools::per_element());
 }
 
