LibScheduler: Mend what the review of a home's terms found

Terms have an upper bound. - A submission that came twice was refused as outdated while its job was open. - placement-outdated did not count runs of before, or an open job, so that a later refusal could become 503. - A home that raised its term trusted its old record although another home had started the job in its own shard. - Of two shards that list a job in the same term, the first answer won. HeldJob names firstRunNumber; the later submission wins. TestJobHome compares HeldJob as a whole, and now names the new field too.

--- a/Libraries/LibScheduler/HomeReadiness.cpp
+++ b/Libraries/LibScheduler/HomeReadiness.cpp
@@ -32,7 +32,15 @@
 
 void HomeReadiness::setDispatchers(std::vector<Contact> contacts)
 {
-    this->dispatchers = std::move(contacts);
+    auto former = std::exchange(this->dispatchers, std::move(contacts));
+    // One that has ended has left runs, and its successor is not known yet.
+    for (auto& lost : former) {
+        bool isListed = std::any_of(this->dispatchers.begin(), this->dispatchers.end(), [&](const auto& dispatcher) { return dispatcher.address == lost.address; });
+        if (isListed || this->survey.isComplete({ lost.address }))
+            continue;
+        lost.sinceHeartbeat = Milliseconds::max();
+        this->dispatchers.push_back(std::move(lost));
+    }
     for (const auto& dispatcher : this->dispatchers)
         this->survey.include(dispatcher.address);
 }
--- a/Libraries/LibScheduler/HomeTerms.cpp
+++ b/Libraries/LibScheduler/HomeTerms.cpp
@@ -5,6 +5,8 @@
 
 void HomeTerms::observe(const std::string& homeShard, uint64_t term)
 {
+    if (term == 0 || term > maximumHomeTerm)
+        return;
     auto& known = this->terms[homeShard];
     known = std::max(known, term);
 }
--- a/Libraries/LibScheduler/HomeTerms.h
+++ b/Libraries/LibScheduler/HomeTerms.h
@@ -7,6 +7,10 @@
 
 namespace Sassafrasshift::Scheduler {
 
+/// The highest term that a home can have. Its upper bits are an epoch, which counts seconds; a message that names a higher term is invalid, and
+/// no home could raise its own above it.
+inline constexpr uint64_t maximumHomeTerm = uint64_t { 1 } << 55;
+
 /// The highest term of the home of each shard that a dispatcher knows of. It accepts no job that a home of a lower term has placed: the later
 /// home has been told which jobs were there, and cannot know of that one. Terms are the fencing tokens of the claims to a shard, so that no
 /// two homes have the same one ("How to do distributed locking", Kleppmann, 2016).
--- a/Libraries/LibScheduler/JobHome.cpp
+++ b/Libraries/LibScheduler/JobHome.cpp
@@ -56,6 +56,8 @@
 
 void JobHome::observeTerm(const std::string& homeShard, uint64_t term)
 {
+    if (term > maximumHomeTerm)
+        return;
     this->terms.observe(homeShard, term);
     if (this->isHomeOf(homeShard))
         this->readiness.observeTerm(term);
@@ -101,7 +103,7 @@
     const auto& entry = entryOf(from, submission);
     bool isRelayed = entry != from;
     auto formerEntry = this->registry.ownerOf(submission.job);
-    auto placement = this->registry.decide(entry, submission, { isRelayed, scheduler.mayHaveRuns(submission.job) }, now);
+    auto placement = this->registry.decide(entry, submission, { isRelayed, scheduler.mayHaveRuns(submission.job), scheduler.hasRunsOnTargets(submission.job) }, now);
     if (!formerEntry.empty() && formerEntry != entry)
         this->recordRequest(placement, formerEntry, now);
     bool staysHere = placement.kind == PlacementKind::Shard && placement.shard == this->registry.ownShard();
--- a/Libraries/LibScheduler/PlacedJobs.h
+++ b/Libraries/LibScheduler/PlacedJobs.h
@@ -29,8 +29,10 @@
     std::vector<std::string> formerEntries;
     /// The term of the home that has placed the job; zero if it is unknown.
     uint64_t homeTerm { 0 };
+    /// The `firstRunNumber` of the last submission of the job; it rises with each handover of the entry host.
+    uint64_t firstRunNumber { 0 };
 
-    CODEC_FIELDS(job, isOpen, entry, entryIncarnation, formerEntries, homeTerm);
+    CODEC_FIELDS(job, isOpen, entry, entryIncarnation, formerEntries, homeTerm, firstRunNumber);
     friend auto operator<=>(const HeldJob&, const HeldJob&) = default;
 };
 
--- a/Libraries/LibScheduler/PlacementRegistry.cpp
+++ b/Libraries/LibScheduler/PlacementRegistry.cpp
@@ -69,6 +69,10 @@
     bool isNew = known == this->records.end();
     auto& record = isNew ? this->insert(submission.job, sender, circumstances.isKnownHere ? this->shard : request.preferredShard, now) : known->second;
     record.lastUsedAt = now;
+    // Another home has started it here since this one decided.
+    bool isFromFormerTerm = !isNew && record.homeTerm > 0 && record.homeTerm < this->term && record.listedTerm < this->term;
+    if (isFromFormerTerm && circumstances.hasRunsHere)
+        record.shard = this->shard;
     record.homeTerm = this->term;
     bool isRepeated = submission.firstRunNumber > 1;
     bool isNewSubmission = !isNew && (!isRepeated || record.owner != sender);
@@ -131,6 +135,14 @@
     return answers;
 }
 
+// Whether a shard lists a later submission of the entry host than the shard of the record. The earlier one has not been told yet that the
+// entry host has withdrawn the job.
+bool PlacementRegistry::isLaterSubmission(const Record& record, const HeldJob& job) const
+{
+    bool isOfSameHome = record.listedTerm == this->term && record.homeTerm == job.homeTerm && record.homeTerm < this->term;
+    return isOfSameHome && record.owner == Owner { job.entry, job.entryIncarnation } && record.firstRunNumber < job.firstRunNumber;
+}
+
 void PlacementRegistry::onPlacedJobs(const std::string& jobShard, const std::vector<HeldJob>& held, Instant now)
 {
     if (!this->isActive)
@@ -141,13 +153,18 @@
             continue;
         }
         auto known = this->records.find(job.job);
-        // This home has decided about the job since then.
-        if (known != this->records.end() && known->second.homeTerm >= std::max<uint64_t>(job.homeTerm, 1))
+        // This home has decided about the job since then, or a shard that got it later has listed it.
+        if (known != this->records.end() && known->second.homeTerm >= std::max<uint64_t>(job.homeTerm, 1) && !this->isLaterSubmission(known->second, job)) {
+            if (known->second.shard == jobShard)
+                known->second.listedTerm = this->term;
             continue;
+        }
         if (known != this->records.end())
             this->records.erase(known);
         auto& record = this->insert(job.job, Owner { job.entry, job.entryIncarnation }, jobShard, now);
         record.homeTerm = job.homeTerm;
+        record.listedTerm = this->term;
+        record.firstRunNumber = job.firstRunNumber;
         if (auto noted = this->notedRuns.find(job.job); noted != this->notedRuns.end())
             record.earlierRunsEndAt = noted->second;
         for (const auto& entry : job.formerEntries)
--- a/Libraries/LibScheduler/PlacementRegistry.h
+++ b/Libraries/LibScheduler/PlacementRegistry.h
@@ -42,6 +42,8 @@
         bool isRelayed { false };
         /// Whether the scheduler of the home has the job, or runs of it.
         bool isKnownHere { false };
+        /// Whether targets of the home have runs of it.
+        bool hasRunsHere { false };
     };
 
     /// Decides which shard gets a job; to be called once HomeReadiness says so. The owner of a job may move it from a shard that it has left.
@@ -78,11 +80,16 @@
         Instant lastUsedAt {};
         /// The term of the home that has decided; zero if only the entry host has named the shard.
         uint64_t homeTerm { 0 };
+        /// The term of this home in which the dispatcher of the shard has listed the job; zero if it has not.
+        uint64_t listedTerm { 0 };
+        /// As listed there.
+        uint64_t firstRunNumber { 0 };
     };
 
     Record& insert(const std::string& job, Owner, std::string shard, Instant now);
     [[nodiscard]] Placement placementOf(const std::string& entry, const Submission&, const Record&, Instant now) const;
     [[nodiscard]] static bool isFormerOwner(const Record&, const Owner&);
+    [[nodiscard]] bool isLaterSubmission(const Record&, const HeldJob&) const;
     void changeOwner(const std::string& job, Record&, const Owner&);
     [[nodiscard]] static Placement takenOver(const std::string& job, const std::string& entry, uint64_t firstRunNumber);
 
--- a/Libraries/LibScheduler/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/TaskScheduler.cpp
@@ -144,6 +144,15 @@
         return;
     JobOutcome refusal { submission.job, JobEnd::Refused, std::string(placementOutdated), 0, 0, 0, submission.firstRunNumber };
     refusal.homeTerm = highestTerm;
+    if (const auto* earlier = this->finishedJobs.find(submission.job))
+        refusal.starts = earlier->outcome.starts;
+    if (auto known = this->jobs.find(submission.job); known != this->jobs.end()) {
+        const auto& job = known->second;
+        if (job.entry == entry && job.submission.entryIncarnation == submission.entryIncarnation && submission.firstRunNumber <= job.submission.firstRunNumber)
+            return this->recordSubmittedAgain(job, entry, "the same submission came before");
+        // It may start at any time.
+        refusal.starts = 1;
+    }
     this->refuse(entry, std::move(refusal), now + Milliseconds(submission.untilUnknownRunsEnd), now);
 }
 
--- a/Libraries/LibScheduler/TaskSchedulerRecords.cpp
+++ b/Libraries/LibScheduler/TaskSchedulerRecords.cpp
@@ -56,7 +56,7 @@
         // An entry host of an earlier version does not say which home has placed the job.
         bool mayBelong = grant.homeTerm == 0 ? !job.submission.placement.isRequested : grant.homeShard == homeShard;
         if (mayBelong)
-            held.push_back(HeldJob { name, true, job.entry, job.submission.entryIncarnation, { job.formerEntries.begin(), job.formerEntries.end() }, grant.homeTerm });
+            held.push_back(HeldJob { name, true, job.entry, job.submission.entryIncarnation, { job.formerEntries.begin(), job.formerEntries.end() }, grant.homeTerm, job.submission.firstRunNumber });
     }
     std::set<std::string> withRuns;
     for (const auto& [key, target] : this->targets) {
--- a/Tests/LibScheduler/TestJobHome.cpp
+++ b/Tests/LibScheduler/TestJobHome.cpp
@@ -281,7 +281,7 @@
     auto response = this->home.onPlacedJobsRequest(this->dispatcher(), PlacedJobsRequest { "west", 4 }, this->fleet.now);
     BOOST_REQUIRE(response.has_value());
     BOOST_REQUIRE(response->jobs.size() == 1U);
-    BOOST_TEST((response->jobs.front() == HeldJob { "job", true, firstEntry, 1, {}, 3 }));
+    BOOST_TEST((response->jobs.front() == HeldJob { "job", true, firstEntry, 1, {}, 3, 1 }));
     auto other = this->home.onPlacedJobsRequest(this->dispatcher(), PlacedJobsRequest { "north", 4 }, this->fleet.now);
     BOOST_REQUIRE(other.has_value());
     BOOST_TEST(other->jobs.empty());
