Tests: Let a simulated shard have two dispatchers at once

Cause: SimulatedShards had one dispatcher a shard and one view of it that all members shared at once, so that no test could show two homes of one failure domain: a split domain, claims that alternate, or gossip that arrives late.

Change: each shard has a second host that can claim it, above or below the present claim. Members may see either dispatcher, each from its own time on; a dispatcher that learns of a higher claim stops. Members can be hidden from a dispatcher, whose contacts then age. A dispatcher that is outranked raises its claim as DispatchService does (200 ms, doubling).

--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -12,6 +12,14 @@
 static constexpr Milliseconds linkRetryInterval { 50 };
 static constexpr Milliseconds pauseThreshold { 350 };
 static constexpr Milliseconds gossipInterval { 500 };
+// As in the service: how long a member that is not heard of counts as an entry host of its shard, and how a claim is raised.
+static constexpr Milliseconds entryRetention { 3000 };
+static constexpr Milliseconds raiseInterval { 200 };
+static constexpr uint64_t maximumRaiseIntervals { 16 };
+// A fencing token is an epoch and a claimant.
+static constexpr uint64_t claimantCount { 10 };
+// Leaves room for claims below the first one.
+static constexpr uint64_t firstFence { 100 };
 
 SimulatedShards::SimulatedShards(size_t count, size_t targetsPerShard, unsigned seed, size_t entryCount)
     : random(seed)
@@ -20,28 +28,120 @@
         this->entries.push_back(Entry { i == 0 ? entry : "entry-" + std::to_string(i), std::make_unique<JobOwner>(JobOwner::Options {}), 1, {} });
     for (size_t i = 0; i < count; ++i) {
         Shard shard;
+        shard.number = i;
+        shard.fence = firstFence;
         shard.name = "shard-" + std::to_string(i);
         for (size_t j = 0; j < targetsPerShard; ++j) {
             auto identity = shard.name + "-target-" + std::to_string(j);
             this->targets.emplace(identity, SimulatedTarget(identity, Catalog::Resources { 64'000, 1 << 30, 0 }));
             shard.targets.push_back(identity);
         }
+        Shard second;
+        second.number = i;
+        second.role = Role::Second;
+        second.name = shard.name;
+        second.targets = shard.targets;
+        second.startsAt = Instant::max();
         this->shards.push_back(std::move(shard));
+        this->seconds.push_back(std::move(second));
     }
     for (auto& shard : this->shards)
         this->startDispatcher(shard);
 }
 
+uint64_t SimulatedShards::highestFence(size_t number) const
+{
+    return std::max(this->shards[number].fence, this->seconds[number].fence);
+}
+
 void SimulatedShards::startDispatcher(Shard& shard)
 {
-    shard.address = shard.name + "-dispatcher-" + std::to_string(++shard.generation);
-    shard.fence += 10;
+    shard.address = shard.name + (shard.role == Role::First ? "-dispatcher-" : "-second-dispatcher-") + std::to_string(++shard.generation);
     shard.startsAt = this->now;
     shard.scheduler = std::make_unique<TaskScheduler>(TaskScheduler::Options {});
     for (const auto& identity : shard.targets)
         shard.scheduler->onReport(this->targets.at(identity).report(), this->now);
-    shard.scheduler->activate(shard.fence, this->now);
-    shard.home.begin(shard.name, shard.fence, this->now);
+    this->claimWith(shard, (this->highestFence(shard.number) / claimantCount + 1) * claimantCount + static_cast<uint64_t>(shard.role));
+}
+
+void SimulatedShards::claimWith(Shard& shard, uint64_t fence)
+{
+    shard.fence = fence;
+    shard.scheduler->activate(fence, this->now);
+    shard.home.begin(shard.name, fence, this->now);
+}
+
+void SimulatedShards::claim(size_t number, Role role)
+{
+    auto& claimant = this->dispatcher(number, role);
+    auto& other = this->dispatcher(number, role == Role::First ? Role::Second : Role::First);
+    if (!claimant.scheduler) {
+        // Its host has heard of the entry hosts all the time.
+        claimant.inbox = other.inbox;
+        this->startDispatcher(claimant);
+    } else {
+        this->claimWith(claimant, (this->highestFence(number) / claimantCount + 1) * claimantCount + static_cast<uint64_t>(role));
+    }
+    this->views.insert_or_assign({ claimant.address, number }, role);
+    this->views.insert_or_assign({ other.address, number }, other.role);
+}
+
+void SimulatedShards::claimBelow(size_t number, Role role)
+{
+    auto& other = this->dispatcher(number, role == Role::First ? Role::Second : Role::First);
+    auto fence = other.fence;
+    other.fence = 0;
+    this->dispatcher(number, role).fence = fence - 2 * claimantCount;
+    this->claim(number, role);
+    other.fence = fence;
+}
+
+void SimulatedShards::setView(const std::string& member, size_t number, Role role, Milliseconds delay)
+{
+    this->schedule(this->now + delay, [this, member, number, role] {
+        this->runWhenResumed(member, [this, member, number, role] {
+            this->views.insert_or_assign({ member, number }, role);
+            auto* outranked = this->find(member);
+            if (!outranked || outranked->number != number || outranked->role == role || !isActive(this->dispatcher(number, role)))
+                return;
+            outranked->scheduler->deactivate();
+            outranked->home.end();
+        });
+    });
+}
+
+void SimulatedShards::announceHighestClaim(size_t number, Milliseconds maximumDelay)
+{
+    auto delay = [&] { return Milliseconds(this->random() % static_cast<unsigned>(maximumDelay.count() + 1)); };
+    const auto& first = this->shards[number];
+    const auto& second = this->seconds[number];
+    bool isSecond = isActive(second) && (!isActive(first) || second.fence > first.fence);
+    auto highest = isSecond ? Role::Second : Role::First;
+    for (const auto& member : this->entries)
+        this->setView(member.name, number, highest, delay());
+    for (const auto* dispatchers : { &this->shards, &this->seconds }) {
+        for (const auto& member : *dispatchers) {
+            if (isActive(member))
+                this->setView(member.address, number, highest, delay());
+        }
+    }
+}
+
+const SimulatedShards::Shard* SimulatedShards::dispatcherSeenBy(const std::string& member, size_t number) const
+{
+    auto view = this->views.find({ member, number });
+    auto role = view == this->views.end() ? Role::First : view->second;
+    const auto& seen = this->dispatcher(number, role);
+    if (isActive(seen))
+        return &seen;
+    const auto& other = this->dispatcher(number, role == Role::First ? Role::Second : Role::First);
+    return isActive(other) ? &other : nullptr;
+}
+
+Milliseconds SimulatedShards::sinceHeartbeat(const std::string& observer, const std::string& member) const
+{
+    auto hidden = this->hiddenSince.find({ observer, member });
+    return hidden == this->hiddenSince.end() ? Milliseconds(0) : std::chrono::duration_cast<Milliseconds>(this->now - hidden->second);
 }
 
 void SimulatedShards::replaceDispatcher(size_t number, Milliseconds delay)
@@ -99,8 +199,12 @@
 
 SimulatedShards::Shard* SimulatedShards::find(const std::string& address)
 {
-    auto position = std::find_if(this->shards.begin(), this->shards.end(), [&](const auto& shard) { return shard.address == address && shard.scheduler; });
-    return position == this->shards.end() ? nullptr : &*position;
+    for (auto* dispatchers : { &this->shards, &this->seconds }) {
+        auto position = std::find_if(dispatchers->begin(), dispatchers->end(), [&](const auto& shard) { return shard.address == address && shard.scheduler; });
+        if (position != dispatchers->end())
+            return &*position;
+    }
+    return nullptr;
 }
 
 void SimulatedShards::submit(const Submission& submission, size_t number)
@@ -281,7 +385,7 @@
             this->haltWithinMessage(shard, [this, number, name, incarnation, renewal](Shard& active, Instant receivedAt) {
                 RenewSubmissions message { renewal.jobs, renewal.kind, renewal.sentAt, incarnation, renewal.answeredRequest, renewal.placedJobs };
                 auto unknown = active.inbox.renew(active.home, *active.scheduler, name, message, receivedAt);
-                if (!unknown)
+                if (!unknown || !isActive(active))
                     return;
                 this->deliver(active.address, name, this->now, [this, number, incarnation, from = active.address, unknown = *unknown, loads = active.scheduler->loads()] {
                     if (auto* answered = this->activateEntry(number, incarnation))
@@ -302,7 +406,10 @@
         (void)shard.inbox.submit(shard.home, *shard.scheduler, from, submission, receivedAt);
         return;
     }
-    auto home = std::find_if(this->shards.begin(), this->shards.end(), [&](const auto& candidate) { return candidate.name == request.homeShard; });
+    auto number = std::find_if(this->shards.begin(), this->shards.end(), [&](const auto& candidate) { return candidate.name == request.homeShard; })->number;
+    const auto* home = this->dispatcherSeenBy(shard.address, number);
+    if (!home)
+        return;
     this->deliver(shard.address, home->address, this->now, [this, relay = shard.address, to = home->address, submission] {
         if (auto* active = this->activateShard(to))
             this->submitTo(*active, relay, submission, this->now);
@@ -327,12 +434,13 @@
 }
 
 // The entry hosts that are alive, or are taken to be alive because they were recently.
-std::vector<HomeReadiness::Contact> SimulatedShards::entriesOf(size_t number) const
+std::vector<HomeReadiness::Contact> SimulatedShards::entriesOf(const Shard& shard) const
 {
     std::vector<HomeReadiness::Contact> found;
-    for (size_t i = number; i < this->entries.size(); i += this->shards.size()) {
-        if (this->entries[i].owner)
-            found.push_back(HomeReadiness::Contact { this->entries[i].name });
+    for (size_t i = shard.number; i < this->entries.size(); i += this->shards.size()) {
+        auto age = this->sinceHeartbeat(shard.address, this->entries[i].name);
+        if (this->entries[i].owner && age < entryRetention)
+            found.push_back(HomeReadiness::Contact { this->entries[i].name, age });
     }
     return found;
 }
@@ -340,13 +448,39 @@
 std::vector<HomeReadiness::Contact> SimulatedShards::otherDispatchers(const Shard& shard) const
 {
     std::vector<HomeReadiness::Contact> found;
-    for (const auto& other : this->shards) {
-        if (&other != &shard && other.scheduler)
-            found.push_back(HomeReadiness::Contact { other.address });
+    for (size_t number = 0; number < this->shards.size(); ++number) {
+        const auto* other = this->dispatcherSeenBy(shard.address, number);
+        if (number != shard.number && other)
+            found.push_back(HomeReadiness::Contact { other->address, this->sinceHeartbeat(shard.address, other->address) });
     }
     return found;
 }
 
+// Where a test has set the view of a member, it learns the term of the dispatcher that it sees.
+void SimulatedShards::observeTerms(Shard& shard)
+{
+    for (size_t number = 0; number < this->shards.size(); ++number) {
+        const auto* seen = this->dispatcherSeenBy(shard.address, number);
+        if (seen && this->views.contains({ shard.address, number }))
+            shard.home.observeTerm(seen->name, seen->fence);
+    }
+}
+
+// As DispatchService::raiseEpochIfFenced() does.
+void SimulatedShards::raiseTermIfOutranked(Shard& shard)
+{
+    if (!shard.scheduler->hasFencedTargets() && !shard.home.state().isSuperseded()) {
+        shard.raiseStep = 1;
+        return;
+    }
+    if (this->now < shard.nextRaise)
+        return;
+    shard.nextRaise = this->now + raiseInterval * static_cast<int64_t>(std::min(shard.raiseStep, maximumRaiseIntervals));
+    auto epoch = std::max(shard.fence / claimantCount + shard.raiseStep, shard.home.state().highestKnownTerm() / claimantCount);
+    shard.raiseStep *= 2;
+    this->claimWith(shard, epoch * claimantCount + static_cast<uint64_t>(shard.role));
+}
+
 void SimulatedShards::askDispatchers(Shard& shard)
 {
     for (const auto& question : shard.home.takeQuestions(this->now)) {
@@ -444,11 +578,15 @@
         return;
     this->runWhenResumed(shard.address, [this, address = shard.address] {
         if (auto* activeShard = this->activateShard(address)) {
-            activeShard->home.setEntries(this->entriesOf(static_cast<size_t>(activeShard - this->shards.data())));
+            if (!isActive(*activeShard))
+                return;
+            this->observeTerms(*activeShard);
+            activeShard->home.setEntries(this->entriesOf(*activeShard));
             activeShard->home.setDispatchers(this->otherDispatchers(*activeShard));
             activeShard->home.tick(*activeShard->scheduler, this->now);
             this->askDispatchers(*activeShard);
             activeShard->scheduler->tick(this->now);
+            this->raiseTermIfOutranked(*activeShard);
             this->executeEffects(*activeShard);
         }
     });
@@ -461,11 +599,13 @@
         return;
     sender.nextGossip = this->now + gossipInterval;
     auto clock = std::chrono::duration_cast<Milliseconds>(this->now.time_since_epoch());
-    for (auto& shard : this->shards) {
-        this->schedule(this->now + Milliseconds(1), [this, &shard, name = sender.name, incarnation = sender.incarnation, clock, sentAt = this->now] {
-            auto record = [this, &shard, name, incarnation, clock] { shard.inbox.observe(name, incarnation, clock, this->now); };
-            this->deliver(name, shard.address, sentAt, record);
-        });
+    for (auto* dispatchers : { &this->shards, &this->seconds }) {
+        for (auto& shard : *dispatchers) {
+            this->schedule(this->now + Milliseconds(1), [this, &shard, name = sender.name, incarnation = sender.incarnation, clock, sentAt = this->now] {
+                auto record = [this, &shard, name, incarnation, clock] { shard.inbox.observe(name, incarnation, clock, this->now); };
+                this->deliver(name, shard.address, sentAt, record);
+            });
+        }
     }
 }
 
@@ -481,9 +621,9 @@
         if (!active)
             return;
         std::vector<ShardDispatcher> currentDispatchers;
-        for (const auto& shard : this->shards) {
-            if (shard.scheduler)
-                currentDispatchers.push_back(ShardDispatcher { shard.name, shard.address });
+        for (size_t shard = 0; shard < this->shards.size(); ++shard) {
+            if (const auto* seen = this->dispatcherSeenBy(active->name, shard))
+                currentDispatchers.push_back(ShardDispatcher { seen->name, seen->address });
         }
         this->sendGossip(*active);
         active->owner->updateDispatchers(currentDispatchers, this->shards[number % this->shards.size()].name, this->now);
@@ -505,8 +645,10 @@
     if (this->now.time_since_epoch() % tickInterval == Instant::duration(0)) {
         for (size_t i = 0; i < this->entries.size(); ++i)
             this->tickEntry(i);
-        for (auto& shard : this->shards)
-            this->tickShard(shard);
+        for (auto* dispatchers : { &this->shards, &this->seconds }) {
+            for (auto& shard : *dispatchers)
+                this->tickShard(shard);
+        }
     }
     for (size_t i = 0; i < this->entries.size(); ++i) {
         if (!this->entries[i].owner)
--- a/Tests/LibScheduler/SimulatedShards.h
+++ b/Tests/LibScheduler/SimulatedShards.h
@@ -18,6 +18,13 @@
 /// direction separately, processes can be paused, dispatchers can be replaced, and entry hosts can be killed.
 class SimulatedShards {
 public:
+    /// A shard has up to two dispatchers at once, on different hosts. Unless a test says otherwise, it has the first one, and all members
+    /// see it at once.
+    enum class Role {
+        First,
+        Second,
+    };
+
     SimulatedShards(size_t shards, size_t targetsPerShard, unsigned seed, size_t entries = 1);
 
     /// Cuts the link from one process to another. Dispatchers are named by their addresses, targets by their identities.
@@ -34,6 +41,22 @@
     void replaceDispatcher(size_t shard, Milliseconds delay);
     /// Like replaceDispatcher(), but on a host whose process has just started, and has received no messages yet.
     void replaceDispatcherHost(size_t shard, Milliseconds delay);
+    /// The host in that role claims the shard, with a fencing token above all others of the shard. Nobody learns of the claim yet; the other
+    /// dispatcher goes on until it does.
+    void claim(size_t shard, Role);
+    /// Like claim(), but with a token below that of the other dispatcher.
+    void claimBelow(size_t shard, Role);
+    /// After the delay, a member takes the host in that role for the dispatcher of the shard. A member that dispatches the shard itself, in
+    /// the other role, stops.
+    void setView(const std::string& member, size_t shard, Role, Milliseconds delay);
+    /// From now on, a member learns nothing of another one. Their links are not cut.
+    void hideMember(const std::string& observer, const std::string& member) { this->hiddenSince.try_emplace({ observer, member }, this->now); }
+    void showAllMembers() { this->hiddenSince.clear(); }
+    /// All members learn of the dispatcher with the highest claim to the shard, each within the time given.
+    void announceHighestClaim(size_t shard, Milliseconds maximumDelay);
+    [[nodiscard]] std::string dispatcherOf(size_t shard, Role role) const { return this->dispatcher(shard, role).address; }
+    [[nodiscard]] bool isDispatching(size_t shard, Role role) const { return isActive(this->dispatcher(shard, role)); }
+    [[nodiscard]] uint64_t fenceOf(size_t shard, Role role) const { return this->dispatcher(shard, role).fence; }
     /// Ends an entry host, and starts another process there after the delay. Its callers submit their open jobs again through the
     /// next entry host, `callerRetryDelay` after the loss of their connections.
     void killEntry(size_t entry, Milliseconds restartDelay);
@@ -89,7 +112,10 @@
         Milliseconds haltWithinTick { 0 };
     };
 
+    /// A dispatcher of a shard.
     struct Shard {
+        size_t number { 0 };
+        Role role { Role::First };
         std::string name;
         std::string address;
         std::unique_ptr<TaskScheduler> scheduler;
@@ -100,8 +126,20 @@
         uint64_t fence { 0 };
         uint32_t generation { 0 };
         Instant startsAt {};
+        Instant nextRaise {};
+        uint64_t raiseStep { 1 };
     };
 
+    [[nodiscard]] static bool isActive(const Shard& shard) { return shard.scheduler && shard.scheduler->isActive(); }
+    [[nodiscard]] const Shard& dispatcher(size_t shard, Role role) const { return role == Role::First ? this->shards[shard] : this->seconds[shard]; }
+    [[nodiscard]] Shard& dispatcher(size_t shard, Role role) { return role == Role::First ? this->shards[shard] : this->seconds[shard]; }
+    /// The dispatcher of a shard that a member takes for it; null if there is none.
+    [[nodiscard]] const Shard* dispatcherSeenBy(const std::string& member, size_t shard) const;
+    [[nodiscard]] Milliseconds sinceHeartbeat(const std::string& observer, const std::string& member) const;
+    [[nodiscard]] uint64_t highestFence(size_t shard) const;
+    void claimWith(Shard&, uint64_t fence);
+    void observeTerms(Shard&);
+    void raiseTermIfOutranked(Shard&);
     [[nodiscard]] bool isCut(const std::string& from, const std::string& to) const { return this->cutLinks.contains({ from, to }); }
     void schedule(Instant, std::function<void()>);
     /// Executes the function at the receiving process when a message arrives there; never if the message is lost.
@@ -124,7 +162,7 @@
     [[nodiscard]] Milliseconds linkDelay(const std::string& from, const std::string& to) const;
     void sendPlacement(const std::string& from, const std::string& to, const Placement&);
     void submitTo(Shard&, const std::string& from, const Submission&, Instant receivedAt);
-    [[nodiscard]] std::vector<HomeReadiness::Contact> entriesOf(size_t shard) const;
+    [[nodiscard]] std::vector<HomeReadiness::Contact> entriesOf(const Shard&) const;
     [[nodiscard]] std::vector<HomeReadiness::Contact> otherDispatchers(const Shard&) const;
     void askDispatchers(Shard&);
     void haltWithinMessage(Shard&, std::function<void(Shard&, Instant now)>);
@@ -137,6 +175,9 @@
     std::mt19937 random;
     std::vector<Entry> entries;
     std::vector<Shard> shards;
+    std::vector<Shard> seconds;
+    std::map<std::pair<std::string, size_t>, Role> views;
+    std::map<std::pair<std::string, std::string>, Instant> hiddenSince;
     std::set<std::pair<std::string, std::string>> cutLinks;
     std::map<std::string, Instant> pausedUntil;
     std::map<std::string, Milliseconds> transitDelays;
