LibScheduler: Don't answer from a record of an earlier term beside runs on the home's own targets

Two runs at once: a home that had raised its term answered a confirmed job before it was ready, from its record of an earlier term that names another shard, while its own targets run the job for another home (traced).

--- a/Libraries/LibScheduler/JobHome.cpp
+++ b/Libraries/LibScheduler/JobHome.cpp
@@ -68,7 +68,7 @@
 // What a job has here already needs no decision: its runs are adopted.
 bool JobHome::canDecide(const TaskScheduler& scheduler, const Submission& submission) const
 {
-    bool isHereAlready = submission.placement.wasConfirmed && scheduler.mayHaveRuns(submission.job);
+    bool isHereAlready = submission.placement.wasConfirmed && scheduler.mayHaveRuns(submission.job) && !this->registry.isInOtherShard(submission.job);
     return this->readiness.isReady() || (isHereAlready && !this->readiness.isSuperseded());
 }
 
@@ -105,7 +105,7 @@
     const auto& entry = entryOf(from, submission);
     bool isRelayed = entry != from;
     auto formerEntry = this->registry.ownerOf(submission.job);
-    auto placement = this->registry.decide(entry, submission, { isRelayed, scheduler.mayHaveRuns(submission.job), scheduler.hasRunsOnTargets(submission.job) }, now);
+    auto placement = this->registry.decide(entry, submission, { isRelayed, scheduler.mayHaveRuns(submission.job) }, now);
     if (!formerEntry.empty() && formerEntry != entry)
         this->recordRequest(placement, formerEntry, now);
     bool staysHere = placement.kind == PlacementKind::Shard && placement.shard == this->registry.ownShard();
--- a/Libraries/LibScheduler/PlacementRegistry.cpp
+++ b/Libraries/LibScheduler/PlacementRegistry.cpp
@@ -32,6 +32,12 @@
     return position == this->records.end() ? std::string() : position->second.owner.entry;
 }
 
+bool PlacementRegistry::isInOtherShard(const std::string& job) const
+{
+    auto position = this->records.find(job);
+    return position != this->records.end() && position->second.shard != this->shard;
+}
+
 PlacementRegistry::Record& PlacementRegistry::insert(const std::string& job, Owner owner, std::string jobShard, Instant now)
 {
     if (this->records.size() >= this->options.maximumRecords)
@@ -69,11 +75,14 @@
     bool isNew = known == this->records.end();
     auto& record = isNew ? this->insert(submission.job, sender, circumstances.isKnownHere ? this->shard : request.preferredShard, now) : known->second;
     record.lastUsedAt = now;
-    // Another home has started it here since this one decided.
-    bool isFromFormerTerm = !isNew && record.homeTerm > 0 && record.homeTerm < this->term && record.listedTerm < this->term;
-    if (isFromFormerTerm && circumstances.hasRunsHere)
-        record.shard = this->shard;
+    // A home of a term in between has queued the job here, and the other shard has not got it.
+    bool hasOutdatedShard = !isNew && record.homeTerm > 0 && record.confirmedInTerm < this->term && circumstances.isKnownHere && record.shard != this->shard;
     record.homeTerm = this->term;
+    record.confirmedInTerm = this->term;
+    if (hasOutdatedShard) {
+        record.shard = this->shard;
+        record.earlierRunsEndAt = std::max(record.earlierRunsEndAt, now + this->options.longestRun);
+    }
     bool isRepeated = submission.firstRunNumber > 1;
     bool isNewSubmission = !isNew && (!isRepeated || record.owner != sender);
     if (auto noted = this->notedRuns.find(submission.job); isNew && noted != this->notedRuns.end())
@@ -139,7 +148,7 @@
 // entry host has withdrawn the job.
 bool PlacementRegistry::isLaterSubmission(const Record& record, const HeldJob& job) const
 {
-    bool isOfSameHome = record.listedTerm == this->term && record.homeTerm == job.homeTerm && record.homeTerm < this->term;
+    bool isOfSameHome = record.confirmedInTerm == this->term && record.homeTerm == job.homeTerm && record.homeTerm < this->term;
     return isOfSameHome && record.owner == Owner { job.entry, job.entryIncarnation } && record.firstRunNumber < job.firstRunNumber;
 }
 
@@ -157,7 +166,7 @@
         // This home has decided about the job since then, or a shard that got it later has listed it.
         if (known != this->records.end() && known->second.homeTerm >= std::max<uint64_t>(job.homeTerm, 1) && !this->isLaterSubmission(known->second, job)) {
             if (known->second.shard == jobShard)
-                known->second.listedTerm = this->term;
+                known->second.confirmedInTerm = this->term;
             continue;
         }
         Owner owner { job.entry, job.entryIncarnation };
@@ -171,7 +180,7 @@
         record.formerOwners = std::move(formerOwners);
         accepted.push_back(job.job);
         record.homeTerm = job.homeTerm;
-        record.listedTerm = this->term;
+        record.confirmedInTerm = this->term;
         record.firstRunNumber = job.firstRunNumber;
         if (auto noted = this->notedRuns.find(job.job); noted != this->notedRuns.end())
             record.earlierRunsEndAt = noted->second;
--- a/Libraries/LibScheduler/PlacementRegistry.h
+++ b/Libraries/LibScheduler/PlacementRegistry.h
@@ -36,14 +36,15 @@
     /// The entry host that owns a job, empty if the job is unknown.
     [[nodiscard]] std::string ownerOf(const std::string& job) const;
 
+    /// Whether a job is recorded to be in another shard.
+    [[nodiscard]] bool isInOtherShard(const std::string& job) const;
+
     /// What the home knows of a request beyond its content.
     struct Circumstances {
         /// Whether another dispatcher has relayed the request, so that the entry host does not reach the home.
         bool isRelayed { false };
         /// Whether the scheduler of the home has the job, or runs of it.
         bool isKnownHere { false };
-        /// Whether targets of the home have runs of it.
-        bool hasRunsHere { false };
     };
 
     /// Decides which shard gets a job; to be called once HomeReadiness says so. The owner of a job may move it from a shard that it has left.
@@ -80,9 +81,9 @@
         Instant lastUsedAt {};
         /// The term of the home that has decided; zero if only the entry host has named the shard.
         uint64_t homeTerm { 0 };
-        /// The term of this home in which the dispatcher of the shard has listed the job; zero if it has not.
-        uint64_t listedTerm { 0 };
-        /// As listed there.
+        /// The last term in which this home has decided about the job, or the shard has said that it has the job.
+        uint64_t confirmedInTerm { 0 };
+        /// The `firstRunNumber` that the shard has named.
         uint64_t firstRunNumber { 0 };
     };
 
