--- a/Tests/LibScheduler/TestPlacement.cpp
+++ b/Tests/LibScheduler/TestPlacement.cpp
@@ -1,5 +1,7 @@
 #include "SimulatedShards.h"
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <sstream>
 
 using namespace Sassafrasshift;
 using namespace Sassafrasshift::Scheduler;
@@ -240,6 +242,35 @@
 
 namespace {
 
+std::string setting(const char* name, const std::string& fallback)
+{
+    const char* value = std::getenv(name);
+    return value ? value : fallback;
+}
+
+unsigned faultsSetting(const char* name, unsigned fallback)
+{
+    return static_cast<unsigned>(std::stoul(setting(name, std::to_string(fallback)), nullptr, 0)) & Schedule::allFaults;
+}
+
+}
+
+// A search that is started by hand, see docs/PROOF.md. Seeds are written like "40059,50001-52000", faults as masks of Schedule::Fault.
+BOOST_AUTO_TEST_CASE(selected_random_callers_that_come_again_at_once_never_run_a_task_twice_at_once, *boost::unit_test::disabled())
+{
+    auto allowed = faultsSetting("SASSAFRASSHIFT_ALLOWED_FAULTS", Schedule::allFaults);
+    auto required = faultsSetting("SASSAFRASSHIFT_REQUIRED_FAULTS", 0);
+    std::istringstream ranges(setting("SASSAFRASSHIFT_SEEDS", "50001-50100"));
+    for (std::string range; std::getline(ranges, range, ',');) {
+        size_t length = 0;
+        auto first = static_cast<unsigned>(std::stoul(range, &length));
+        auto last = length < range.size() ? static_cast<unsigned>(std::stoul(range.substr(length + 1))) : first;
+        playSchedules(first, last, allowed, required);
+    }
+}
+
+namespace {
+
 // Two shards with three entry hosts each: 0, 2 and 4 belong to shard 0, which is the home of their jobs.
 struct TwoShards {
     static constexpr size_t first = 0;
