LibScheduler: Never forget the place of a job that may still run

Beyond 200,000 records a home replaced an arbitrary one, that of an open job too: it then decided about that job a second time, and two entry hosts could have it in two shards. The runs that a home notes had no bound.

A home now forgets the records of jobs that cannot run any more: 2,550 ms (longest run, and the delay of callers) after the deadline or the last use. If there are none it refuses unknown jobs, and the entry host answers 503 `home-full` with Retry-After, or 504 if runs of the job are known. If there is no room for what entry hosts list or other shards have, unknown jobs are refused, as ones that may have run, until these runs have ended. Refusals are counted (`home_full_refusals_total`). A job that the home has itself is recorded in any case: its scheduler bounds these.

200,000 records take 51 to 83 MB, 50,000 take 13 to 21 MB (docs/CAPACITY.md); the bound is 50,000.

records_beyond_the_maximum_replace_others demanded the fault: that a full home accepts each job. It is replaced by seven tests, of which five failed before (21 checks). The tests of the refusal's path through JobHome and JobOwner are new with the new kind of answer. All of TestLibScheduler passes.

--- a/Libraries/LibScheduler/HomeEvent.h
+++ b/Libraries/LibScheduler/HomeEvent.h
@@ -14,10 +14,13 @@
         Ready,
         /// A job that has an owner was requested by another entry host.
         RequestedAgain,
+        /// A first submission was refused since there was no room for another record.
+        Refused,
     };
 
     Kind kind { Kind::Ready };
-    /// For `Ready`: what ended the wait. For `RequestedAgain`: what the home has answered.
+    /// For `Ready`: what ended the wait. For `RequestedAgain`: what the home has answered. For `Refused`: whether the
+    /// job may have run.
     std::string cause;
     /// The time since the home has begun.
     Milliseconds sinceBegin { 0 };
--- a/Libraries/LibScheduler/JobHome.cpp
+++ b/Libraries/LibScheduler/JobHome.cpp
@@ -108,6 +108,8 @@
     auto placement = this->registry.decide(entry, submission, { isRelayed, scheduler.mayHaveRuns(submission.job) }, now);
     if (!formerEntry.empty() && formerEntry != entry)
         this->recordRequest(placement, formerEntry, now);
+    if (placement.kind == PlacementKind::Refused)
+        this->recordRefusal(placement, now);
     bool staysHere = placement.kind == PlacementKind::Shard && placement.shard == this->registry.ownShard();
     if (staysHere && !isRelayed) {
         auto queued = submission;
@@ -218,6 +220,14 @@
     this->events.push_back(std::move(event));
 }
 
+void JobHome::recordRefusal(const Placement& placement, Instant now)
+{
+    HomeEvent event { HomeEvent::Kind::Refused, placement.untilUnknownRunsEnd > 0 ? "may-have-run" : "not-run", this->readiness.sinceBegin(now) };
+    event.job = placement.job;
+    event.entry = placement.entry;
+    this->events.push_back(std::move(event));
+}
+
 std::vector<HomeEvent> JobHome::takeEvents()
 {
     return std::exchange(this->events, {});
--- a/Libraries/LibScheduler/JobHome.h
+++ b/Libraries/LibScheduler/JobHome.h
@@ -82,6 +82,7 @@
     void hold(const std::string& from, const Submission&, Instant now);
     void decideHeld(TaskScheduler&);
     void recordReadiness(Instant now);
+    void recordRefusal(const Placement&, Instant now);
     void recordRequest(const Placement&, const std::string& formerEntry, Instant now);
 
     PlacementRegistry registry;
--- a/Libraries/LibScheduler/JobOwner.h
+++ b/Libraries/LibScheduler/JobOwner.h
@@ -191,6 +191,7 @@
     void expireJobs(Instant now);
     void onTakenOver(Jobs::iterator, const std::string& from);
     void onRefused(Jobs::iterator, const JobOutcome&, Instant now);
+    void onHomeFull(Jobs::iterator, const Placement&);
     void onPlacementOutdated(Jobs::iterator, const JobOutcome&, Instant now);
     void noteKnownRuns(Job&, const JobOutcome&, Instant now) const;
     Jobs::iterator finishWithAnswer(Jobs::iterator, Answer::Kind, std::string reason, Milliseconds retryAfter = Milliseconds(0));
--- a/Libraries/LibScheduler/JobOwnerPlacement.cpp
+++ b/Libraries/LibScheduler/JobOwnerPlacement.cpp
@@ -5,6 +5,8 @@
 // How an entry host asks for the places of its jobs, and what it tells their home.
 namespace Sassafrasshift::Scheduler {
 
+static constexpr Milliseconds homeFullRetryAfter { 1000 };
+
 // Asks the home of the job which shard gets it. While the home does not answer this host, another dispatcher relays the request; while
 // there is no home, the job waits.
 void JobOwner::handOver(Job& job, const std::vector<std::string>& excludedShards, Instant now)
@@ -55,7 +57,11 @@
             this->onTakenOver(position, from);
         return;
     }
-    if (!answersLastRequest || placement.kind != PlacementKind::Shard)
+    if (!answersLastRequest)
+        return;
+    if (placement.kind == PlacementKind::Refused)
+        return this->onHomeFull(position, placement);
+    if (placement.kind != PlacementKind::Shard)
         return;
     if (job.stage != Stage::Relayed || placement.shard != this->directory.homeShard())
         job.wasConfirmed = true;
@@ -81,6 +87,13 @@
         this->onShardLost(job, placement.shard, now);
 }
 
+// No other dispatcher may place the job. The home would have known it if a shard had it.
+void JobOwner::onHomeFull(Jobs::iterator position, const Placement& refusal)
+{
+    bool mayHaveRun = !position->second.earlierShards.empty() || refusal.untilUnknownRunsEnd > 0;
+    this->finishWithAnswer(position, mayHaveRun ? Answer::Kind::Unknown : Answer::Kind::Refused, "home-full", mayHaveRun ? Milliseconds(0) : homeFullRetryAfter);
+}
+
 // The shard that has the job of another entry host has no dispatcher any more. The job is placed anew.
 void JobOwner::onShardLost(Job& job, const std::string& shard, Instant now)
 {
--- a/Libraries/LibScheduler/Placement.h
+++ b/Libraries/LibScheduler/Placement.h
@@ -45,6 +45,9 @@
     Shard,
     /// The job belongs to another entry host, through which its caller has submitted it later.
     TakenOver,
+    /// The home has no room to record another job, and has not placed it. If `untilUnknownRunsEnd` is not zero, runs of the job may
+    /// continue that the home does not know of.
+    Refused,
 };
 
 /// The home's answer to a PlacementRequest.
--- a/Libraries/LibScheduler/PlacementRegistry.cpp
+++ b/Libraries/LibScheduler/PlacementRegistry.cpp
@@ -4,6 +4,8 @@
 
 namespace Sassafrasshift::Scheduler {
 
+static constexpr Milliseconds shortestRoomInterval { 50 };
+
 PlacementRegistry::PlacementRegistry(Options options)
     : options(options)
 {
@@ -24,6 +26,8 @@
     this->records.clear();
     this->notedRuns.clear();
     this->notices.clear();
+    this->nextRoomAt = {};
+    this->omittedUntil = {};
 }
 
 std::string PlacementRegistry::ownerOf(const std::string& job) const
@@ -40,9 +44,49 @@
 
 PlacementRegistry::Record& PlacementRegistry::insert(const std::string& job, Owner owner, std::string jobShard, Instant now)
 {
-    if (this->records.size() >= this->options.maximumRecords)
-        this->records.erase(this->records.begin());
-    return this->records.emplace(job, Record { std::move(owner), {}, std::move(jobShard), {}, now }).first->second;
+    return this->records.emplace(job, Record { std::move(owner), {}, std::move(jobShard), {}, now, {} }).first->second;
+}
+
+// A job is not answered later than its deadline, and its runs are not extended after that.
+Instant PlacementRegistry::usedUntil(const Record& record) const
+{
+    if (!record.deadline)
+        return record.lastUsedAt + this->options.retention;
+    return std::max(record.lastUsedAt, *record.deadline) + this->options.longestRun + this->options.callerRetryDelay;
+}
+
+// Returns whether another record fits. If there are too many, those of jobs that cannot run any more are forgotten at once, so that not each
+// first submission has to look at all of them.
+bool PlacementRegistry::makeRoom(Instant now)
+{
+    if (this->records.size() < this->options.maximumRecords)
+        return true;
+    if (now < this->nextRoomAt)
+        return false;
+    this->nextRoomAt = Instant::max();
+    std::erase_if(this->records, [&](const auto& entry) {
+        auto until = this->usedUntil(entry.second);
+        if (now < until)
+            this->nextRoomAt = std::min(this->nextRoomAt, until);
+        return now >= until;
+    });
+    this->nextRoomAt = std::max(this->nextRoomAt, now + shortestRoomInterval);
+    return this->records.size() < this->options.maximumRecords;
+}
+
+void PlacementRegistry::omit(Instant until)
+{
+    this->omittedUntil = std::max(this->omittedUntil, until);
+}
+
+Placement PlacementRegistry::refusal(const std::string& entry, const Submission& submission, Instant now) const
+{
+    auto noted = this->notedRuns.find(submission.job);
+    auto runsEndAt = noted == this->notedRuns.end() ? now : noted->second;
+    if (now < this->omittedUntil)
+        runsEndAt = std::max(runsEndAt, now + this->options.longestRun);
+    auto untilRunsEnd = std::chrono::ceil<Milliseconds>(runsEndAt - now).count();
+    return Placement { submission.job, entry, PlacementKind::Refused, submission.firstRunNumber, {}, std::max<Milliseconds::rep>(untilRunsEnd, 0), this->term };
 }
 
 Placement PlacementRegistry::takenOver(const std::string& job, const std::string& entry, uint64_t firstRunNumber)
@@ -73,10 +117,15 @@
     const auto& request = submission.placement;
     auto known = this->records.find(submission.job);
     bool isNew = known == this->records.end();
+    // What this home has itself is bounded by its scheduler.
+    bool canRecord = !isNew || circumstances.isKnownHere || (now >= this->omittedUntil && this->makeRoom(now));
+    if (!canRecord)
+        return this->refusal(entry, submission, now);
     auto& record = isNew ? this->insert(submission.job, sender, circumstances.isKnownHere ? this->shard : request.preferredShard, now) : known->second;
     record.lastUsedAt = now;
     // A home of a term in between has queued the job here, and the other shard has not got it.
     bool hasOutdatedShard = !isNew && record.homeTerm > 0 && record.confirmedInTerm < this->term && circumstances.isKnownHere && record.shard != this->shard;
+    record.deadline = std::max(record.deadline.value_or(now), now + Milliseconds(submission.untilDeadline));
     record.homeTerm = this->term;
     record.confirmedInTerm = this->term;
     if (hasOutdatedShard) {
@@ -127,7 +176,10 @@
             continue;
         }
         if (known == this->records.end()) {
-            this->insert(job, sender, jobShard, now);
+            if (this->makeRoom(now))
+                this->insert(job, sender, jobShard, now);
+            else
+                this->omit(now + this->options.retention);
             continue;
         }
         auto& record = known->second;
@@ -176,6 +228,10 @@
                 formerOwners.insert(known->second.owner);
             this->records.erase(known);
         }
+        if (!this->makeRoom(now)) {
+            this->omit(now + this->options.retention);
+            continue;
+        }
         auto& record = this->insert(job.job, owner, jobShard, now);
         record.formerOwners = std::move(formerOwners);
         accepted.push_back(job.job);
@@ -192,8 +248,13 @@
 
 void PlacementRegistry::noteRuns(const std::string& job, Instant until)
 {
-    auto& known = this->notedRuns[job];
-    known = std::max(known, until);
+    auto known = this->notedRuns.find(job);
+    if (known != this->notedRuns.end())
+        known->second = std::max(known->second, until);
+    else if (this->notedRuns.size() < this->options.maximumRecords)
+        this->notedRuns.emplace(job, until);
+    else
+        this->omit(until);
 }
 
 std::vector<Placement> PlacementRegistry::takeNotices()
--- a/Libraries/LibScheduler/PlacementRegistry.h
+++ b/Libraries/LibScheduler/PlacementRegistry.h
@@ -5,6 +5,7 @@
 #include <LibScheduler/Types.h>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -21,8 +22,11 @@
         Milliseconds retention { 10'000 };
         /// How long runs may continue after the last message that extended them has left an entry host.
         Milliseconds longestRun { 1250 };
-        /// Beyond this number an arbitrary record is replaced.
-        size_t maximumRecords { 200'000 };
+        /// The delay after which a caller submits a job again whose connection was lost.
+        Milliseconds callerRetryDelay { 1300 };
+        /// Beyond this number of records, those of jobs that cannot run any more are forgotten; if there are none, unknown jobs are refused. The
+        /// noted runs have the same limit. See docs/CAPACITY.md.
+        size_t maximumRecords { 50'000 };
     };
 
     explicit PlacementRegistry(Options);
@@ -49,7 +53,7 @@
 
     /// Decides which shard gets a job; to be called once HomeReadiness says so. The owner of a job may move it from a shard that it has left.
     /// Another entry host that submits the job for the first time becomes its owner; a former one does not get it back by handing it
-    /// over again.
+    /// over again. Without room for another record, an unknown job is refused.
     [[nodiscard]] Placement decide(const std::string& entry, const Submission&, Circumstances, Instant now);
     /// Records the jobs that an entry host has in other shards. Returns an answer for each of them that belongs to another one.
     [[nodiscard]] std::vector<Placement> onRenewal(const std::string& entry, uint64_t incarnation, const std::vector<PlacedJob>&, Instant now);
@@ -79,6 +83,8 @@
         /// When all runs have ended that were started for an earlier submission of the caller, or in a shard that the job has left.
         Instant earlierRunsEndAt {};
         Instant lastUsedAt {};
+        /// Unknown if the home has not decided about the job.
+        std::optional<Instant> deadline;
         /// The term of the home that has decided; zero if only the entry host has named the shard.
         uint64_t homeTerm { 0 };
         /// The last term in which this home has decided about the job, or the shard has said that it has the job.
@@ -88,6 +94,10 @@
     };
 
     Record& insert(const std::string& job, Owner, std::string shard, Instant now);
+    [[nodiscard]] Instant usedUntil(const Record&) const;
+    [[nodiscard]] bool makeRoom(Instant now);
+    void omit(Instant until);
+    [[nodiscard]] Placement refusal(const std::string& entry, const Submission&, Instant now) const;
     [[nodiscard]] Placement placementOf(const std::string& entry, const Submission&, const Record&, Instant now) const;
     [[nodiscard]] static bool isFormerOwner(const Record&, const Owner&);
     [[nodiscard]] bool isLaterSubmission(const Record&, const HeldJob&) const;
@@ -102,6 +112,10 @@
     /// When the noted runs of jobs without a record have ended.
     std::unordered_map<std::string, Instant> notedRuns;
     std::vector<Placement> notices;
+    /// The earliest time at which another record may be forgotten to make room.
+    Instant nextRoomAt {};
+    /// Until then, runs may continue of jobs that there was no room to record or to note.
+    Instant omittedUntil {};
 };
 
 }
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -327,12 +327,27 @@
     return text;
 }
 
+// A home without room for records refuses many jobs: these are counted, and each is logged by its entry host.
+static std::string metricOf(const Scheduler::HomeEvent& event)
+{
+    using Kind = Scheduler::HomeEvent::Kind;
+    switch (event.kind) {
+    case Kind::Ready:
+        return "homes_ready_total{cause=\"" + event.cause + "\"}";
+    case Kind::RequestedAgain:
+        return "jobs_requested_again_total{answer=\"" + event.cause + "\"}";
+    case Kind::Refused:
+        return "home_full_refusals_total{cause=\"" + event.cause + "\"}";
+    }
+    return {};
+}
+
 void DispatchService::logHomeEvent(const Scheduler::HomeEvent& event)
 {
     using Kind = Scheduler::HomeEvent::Kind;
     bool isReady = event.kind == Kind::Ready;
-    this->context.metrics.count(isReady ? "homes_ready_total{cause=\"" + event.cause + "\"}" : "jobs_requested_again_total{answer=\"" + event.cause + "\"}");
-    if (!this->mayLog())
+    this->context.metrics.count(metricOf(event));
+    if (event.kind == Kind::Refused || !this->mayLog())
         return;
     std::vector<Telemetry::EventField> fields { { "shard", this->activeShard }, { "epoch", std::to_string(this->activeEpoch) }, { "cause", event.cause }, { "sinceBeginMs", std::to_string(event.sinceBegin.count()) } };
     if (isReady) {
--- a/Tests/LibScheduler/TestJobHome.cpp
+++ b/Tests/LibScheduler/TestJobHome.cpp
@@ -107,6 +107,24 @@
     BOOST_TEST((answers.front().placement == Placement { "job", firstEntry, PlacementKind::Shard, 1, "west", 0, term }));
 }
 
+BOOST_FIXTURE_TEST_CASE(refusal_of_a_home_without_room_for_records_is_counted_and_reaches_the_relay, Fixture)
+{
+    this->home = JobHome { PlacementRegistry::Options { .maximumRecords = 0 } };
+    this->home.begin(ownShard, term, this->fleet.now);
+    this->setMembers();
+    this->becomeReady();
+    this->submit(relay, this->request(firstEntry, ownShard));
+    BOOST_TEST(this->dispatcher().openJobs() == 0U);
+    auto answers = this->home.takeAnswers();
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST(answers.front().to == relay);
+    BOOST_TEST((answers.front().placement == Placement { "job", firstEntry, PlacementKind::Refused, 1, {}, 0, term }));
+    auto events = this->home.takeEvents();
+    BOOST_REQUIRE(events.size() == 1U);
+    BOOST_TEST((events.front().kind == HomeEvent::Kind::Refused));
+    BOOST_TEST(events.front().cause == "not-run");
+}
+
 // The second entry host would choose another shard, and has to be told that the home has queued the job.
 BOOST_FIXTURE_TEST_CASE(job_of_a_second_entry_host_is_queued_at_the_home_that_has_it, Fixture)
 {
--- a/Tests/LibScheduler/TestJobOwner.cpp
+++ b/Tests/LibScheduler/TestJobOwner.cpp
@@ -129,6 +129,39 @@
     BOOST_TEST((effects.answers.front().kind == Kind::Unknown));
 }
 
+BOOST_FIXTURE_TEST_CASE(job_that_its_home_has_no_room_to_record_is_refused_at_once, Fixture)
+{
+    this->useTwoShards();
+    this->add("job");
+    (void)this->owner.takeEffects();
+    this->owner.onPlacement("a", Placement { "job", {}, PlacementKind::Refused, 1, {}, 0 }, this->now);
+    auto effects = this->owner.takeEffects();
+    BOOST_TEST(effects.handovers.empty());
+    BOOST_REQUIRE(effects.answers.size() == 1U);
+    BOOST_TEST((effects.answers.front().kind == Kind::Refused));
+    BOOST_TEST(effects.answers.front().reason == "home-full");
+    BOOST_TEST((effects.answers.front().retryAfter == 1s));
+}
+
+BOOST_FIXTURE_TEST_CASE(job_that_may_have_run_is_not_answered_as_not_run_by_a_home_without_room_to_record_it, Fixture)
+{
+    for (bool isKnownHere : { false, true }) {
+        this->useTwoShards();
+        this->add("job");
+        (void)this->owner.takeEffects();
+        uint64_t firstRunNumber = 1;
+        if (isKnownHere) {
+            this->owner.onOutcome("a", JobOutcome { "job", JobEnd::Refused, "overloaded", 700, 0, 2, 1, 400 }, this->now);
+            firstRunNumber = this->handovers().at(0).submission.firstRunNumber;
+        }
+        this->owner.onPlacement("a", Placement { "job", {}, PlacementKind::Refused, firstRunNumber, {}, isKnownHere ? 0 : 1250 }, this->now);
+        auto effects = this->owner.takeEffects();
+        BOOST_REQUIRE(effects.answers.size() == 1U);
+        BOOST_TEST((effects.answers.front().kind == Kind::Unknown));
+        BOOST_TEST((effects.answers.front().retryAfter == 0s));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(job_that_was_taken_over_is_withdrawn_from_the_shard_that_has_it_now, Fixture)
 {
     this->useThreeShards();
--- a/Tests/LibScheduler/TestPlacementRegistry.cpp
+++ b/Tests/LibScheduler/TestPlacementRegistry.cpp
@@ -305,15 +305,115 @@
     BOOST_TEST(isShard(this->decide(firstEntry, restarted), "north"));
 }
 
-BOOST_FIXTURE_TEST_CASE(records_beyond_the_maximum_replace_others, Fixture)
+namespace {
+
+struct SmallRegistry : Fixture {
+    static constexpr size_t maximumRecords = 3;
+
+    PlacementRegistry small { PlacementRegistry::Options { .maximumRecords = maximumRecords } };
+
+    SmallRegistry() { this->small.begin(home, term); }
+
+    Placement decide(const std::string& entry, const std::string& job, const std::string& preferredShard, Milliseconds untilDeadline = 60s, bool isKnownHere = false)
+    {
+        auto submission = request(preferredShard);
+        submission.job = job;
+        submission.untilDeadline = untilDeadline.count();
+        return this->small.decide(entry, submission, { false, isKnownHere }, this->now);
+    }
+
+    void fill(Milliseconds untilDeadline = 60s)
+    {
+        for (size_t i = 0; i < maximumRecords; ++i)
+            BOOST_TEST(isShard(this->decide(firstEntry, "old-" + std::to_string(i), "west", untilDeadline), "west"));
+    }
+};
+
+bool isRefused(const Placement& placement)
 {
-    PlacementRegistry small { PlacementRegistry::Options { .maximumRecords = 3 } };
-    small.begin(home, term);
+    return placement.kind == PlacementKind::Refused;
+}
+
+}
+
+BOOST_FIXTURE_TEST_CASE(home_without_room_for_records_does_not_forget_a_job_that_may_run, SmallRegistry)
+{
+    this->fill();
     for (int i = 0; i < 10; ++i) {
-        auto submission = request("west");
-        submission.job = "job-" + std::to_string(i);
-        BOOST_TEST(isShard(small.decide(firstEntry, submission, {}, this->now), "west"));
+        auto placement = this->decide(firstEntry, "new-" + std::to_string(i), "west");
+        BOOST_TEST(isRefused(placement));
+        BOOST_TEST(placement.entry == firstEntry);
+        BOOST_TEST(placement.firstRunNumber == 1U);
+        BOOST_TEST(placement.untilUnknownRunsEnd == 0);
+    }
+    for (size_t i = 0; i < maximumRecords; ++i)
+        BOOST_TEST(isShard(this->decide(secondEntry, "old-" + std::to_string(i), "north"), "west"));
+}
+
+// Its runs end 1,250 ms after its deadline, and its caller may come again for 1,300 ms after that.
+BOOST_FIXTURE_TEST_CASE(home_without_room_for_records_forgets_a_job_only_once_it_cannot_run_any_more, SmallRegistry)
+{
+    this->fill(1s);
+    this->now += 1s + 2550ms - 1ms;
+    BOOST_TEST(isRefused(this->decide(firstEntry, "new", "west")));
+    // It looks for such records every 50 ms at most.
+    this->now += 50ms;
+    BOOST_TEST(isShard(this->decide(firstEntry, "new", "west"), "west"));
+    BOOST_TEST(isShard(this->decide(firstEntry, "old-0", "north"), "north"));
+}
+
+BOOST_FIXTURE_TEST_CASE(home_without_room_for_records_keeps_a_job_that_was_used_since, SmallRegistry)
+{
+    this->fill(1s);
+    this->now += 3s;
+    (void)this->small.onRenewal(firstEntry, 1, { PlacedJob { "old-1", "west" } }, this->now);
+    this->now += 1s;
+    BOOST_TEST(isShard(this->decide(firstEntry, "new", "west"), "west"));
+    BOOST_TEST(isShard(this->decide(secondEntry, "old-1", "north"), "west"));
+    BOOST_TEST(isShard(this->decide(secondEntry, "new", "north"), "west"));
+}
+
+// A second submission of it must find it there.
+BOOST_FIXTURE_TEST_CASE(home_without_room_for_records_still_decides_about_a_job_that_it_has_itself, SmallRegistry)
+{
+    this->fill();
+    BOOST_TEST(isShard(this->decide(firstEntry, "here", "west", 60s, true), home));
+    BOOST_TEST(isShard(this->decide(secondEntry, "here", "north"), home));
+}
+
+// Which jobs it was not able to record is not known any more, so that no refusal may say that a job has not run.
+BOOST_FIXTURE_TEST_CASE(home_that_has_no_room_for_what_entry_hosts_list_places_no_unknown_job, SmallRegistry)
+{
+    this->fill(1s);
+    (void)this->small.onRenewal(secondEntry, 1, { PlacedJob { "listed", "north" } }, this->now);
+    this->now += 4s;
+    for (const auto* job : { "listed", "new" }) {
+        auto placement = this->decide(firstEntry, job, "west");
+        BOOST_TEST(isRefused(placement));
+        BOOST_TEST(placement.untilUnknownRunsEnd == 1250);
     }
+    this->now += 6s;
+    BOOST_TEST(isShard(this->decide(firstEntry, "new", "west"), "west"));
+}
+
+BOOST_FIXTURE_TEST_CASE(home_that_has_no_room_for_what_other_shards_have_places_no_unknown_job, SmallRegistry)
+{
+    this->fill(1s);
+    this->small.onPlacedJobs("north", { HeldJob { "held", true, secondEntry, 1, {}, term - 1 } }, this->now);
+    this->now += 4s;
+    BOOST_TEST(isRefused(this->decide(firstEntry, "held", "west")));
+    BOOST_TEST(isShard(this->decide(secondEntry, "old-0", "north"), "west"));
+}
+
+BOOST_FIXTURE_TEST_CASE(noted_runs_beyond_the_maximum_are_waited_for, SmallRegistry)
+{
+    for (size_t i = 0; i <= maximumRecords; ++i)
+        this->small.noteRuns("run-" + std::to_string(i), this->now + 500ms + i * 100ms);
+    this->now += 799ms;
+    for (size_t i = 0; i <= maximumRecords; ++i)
+        BOOST_TEST((isRefused(this->decide(firstEntry, "run-" + std::to_string(i), "west")) && this->decide(firstEntry, "run-" + std::to_string(i), "west").untilUnknownRunsEnd > 0));
+    this->now += 1ms;
+    BOOST_TEST(isShard(this->decide(firstEntry, "run-3", "west"), "west"));
 }
 
 BOOST_FIXTURE_TEST_CASE(new_home_sends_a_job_to_the_shard_that_an_entry_host_has_listed, Fixture)
