Tests: Let gossip take as long as other messages on a slow link, and serve entry hosts slower than 250 ms

SimulatedShards::delayLink() delayed no gossip, so that the messages of a slow entry host looked late beside it, and none of its jobs was completed. Gossip is delayed now, in both directions, and the tests of the echo include entry hosts of 260 to 450 ms to the dispatcher, and of 260 ms both ways.

--- a/Tests/LibScheduler/SimulatedShards.cpp
+++ b/Tests/LibScheduler/SimulatedShards.cpp
@@ -610,7 +610,7 @@
     auto clock = std::chrono::duration_cast<Milliseconds>(this->now.time_since_epoch());
     for (auto* dispatchers : { &this->shards, &this->seconds }) {
         for (auto& shard : *dispatchers) {
-            this->schedule(this->now + Milliseconds(1), [this, &shard, name = sender.name, incarnation = sender.incarnation, clock, sentAt = this->now] {
+            this->schedule(this->now + Milliseconds(1) + this->linkDelay(sender.name, shard.address), [this, &shard, name = sender.name, incarnation = sender.incarnation, clock, sentAt = this->now] {
                 auto record = [this, &shard, name, incarnation, clock] { shard.inbox.observe(name, incarnation, clock, this->now); };
                 this->deliver(name, shard.address, sentAt, record);
             });
@@ -626,7 +626,7 @@
     shard.nextClock = this->now + clockInterval;
     auto clock = std::chrono::duration_cast<Milliseconds>(this->now.time_since_epoch());
     for (size_t i = 0; i < this->entries.size(); ++i) {
-        this->schedule(this->now + Milliseconds(1), [this, i, incarnation = this->entries[i].incarnation, from = shard.address, hostIncarnation = shard.hostIncarnation, clock, sentAt = this->now] {
+        this->schedule(this->now + Milliseconds(1) + this->linkDelay(shard.address, this->entries[i].name), [this, i, incarnation = this->entries[i].incarnation, from = shard.address, hostIncarnation = shard.hostIncarnation, clock, sentAt = this->now] {
             this->deliver(from, this->entries[i].name, sentAt, [this, i, incarnation, from, hostIncarnation, clock] {
                 if (auto* active = this->activateEntry(i, incarnation))
                     active->clockEchoes.observe(from, hostIncarnation, clock, this->now);
--- a/Tests/LibScheduler/TestEntryInbox.cpp
+++ b/Tests/LibScheduler/TestEntryInbox.cpp
@@ -111,7 +111,8 @@
         shards.delayLink(SimulatedShards::entry, dispatcher, toDispatcher);
         shards.delayLink(dispatcher, SimulatedShards::entry, toEntry);
     }
-    shards.run(3s);
+    // No gossip is due while the dispatcher is replaced.
+    shards.run(3100ms);
     shards.replaceDispatcherHost(0, 0ms);
     shards.run(startedBefore);
     Submission submission;
@@ -138,14 +139,14 @@
 
 BOOST_AUTO_TEST_CASE(jobs_of_slow_entry_hosts_are_served_by_a_dispatcher_that_has_just_started)
 {
-    for (auto delay : { 0ms, 80ms, 160ms, 240ms })
+    for (auto delay : { 0ms, 80ms, 160ms, 240ms, 260ms, 350ms, 450ms })
         checkJobsOfSlowEntryHost(delay, 0ms, true);
-    for (auto delay : { 100ms, 195ms })
+    for (auto delay : { 100ms, 195ms, 260ms })
         checkJobsOfSlowEntryHost(delay, delay, true);
 }
 
 BOOST_AUTO_TEST_CASE(jobs_of_slow_entry_hosts_of_an_earlier_version_are_served_by_a_dispatcher_that_has_just_started)
 {
-    for (auto delay : { 0ms, 160ms, 240ms })
+    for (auto delay : { 0ms, 160ms, 240ms, 260ms, 450ms })
         checkJobsOfSlowEntryHost(delay, 0ms, false);
 }
