LibScheduler: Let no overtaken request move a job

Traced: entry-7 asks its home at 2,160 ms to place a job anew that has left shard-0, withdraws the request at 2,180 because the home seems silent, asks again through a relay, and gets shard-0, which has the job from 2,201 on. The first request reaches the home at 2,362; it took it for the owner's present wish, moved its record to shard-1 and queued the job there. Another entry host then took it over in shard-1, and both shards started it (3,440 and 3,500 ms). The home had the same term all the time; fails alike.

The home now remembers the number of the owner's last request: an earlier one moves nothing. Not covered: a first submission that is itself delayed begins the numbers anew.

--- a/Libraries/LibScheduler/PlacementRegistry.cpp
+++ b/Libraries/LibScheduler/PlacementRegistry.cpp
@@ -149,8 +149,11 @@
         record.earlierRunsEndAt = now + this->options.longestRun;
     const auto& left = request.leftShards;
     bool hasLeft = std::find(left.begin(), left.end(), record.shard) != left.end();
-    if (wasOwner && hasLeft)
+    bool isOvertaken = wasOwner && isRepeated && submission.firstRunNumber < record.lastRequest;
+    if (wasOwner && hasLeft && !isOvertaken)
         record.shard = request.preferredShard;
+    if (record.owner == sender && !isOvertaken)
+        record.lastRequest = submission.firstRunNumber;
     auto untilRunsEnd = Milliseconds(std::max(submission.untilEarlierRunsEnd, submission.untilOtherShardRunsEnd));
     if (record.owner == sender && untilRunsEnd.count() > 0)
         record.earlierRunsEndAt = std::max(record.earlierRunsEndAt, now + untilRunsEnd);
--- a/Libraries/LibScheduler/PlacementRegistry.h
+++ b/Libraries/LibScheduler/PlacementRegistry.h
@@ -85,6 +85,8 @@
         Instant lastUsedAt {};
         /// Unknown if the home has not decided about the job.
         std::optional<Instant> deadline;
+        /// The `firstRunNumber` of the owner's last request.
+        uint64_t lastRequest { 0 };
         /// The term of the home that has decided; zero if only the entry host has named the shard.
         uint64_t homeTerm { 0 };
         /// The last term in which this home has decided about the job, or the shard has said that it has the job.
--- a/Tests/LibScheduler/TestPlacementRegistry.cpp
+++ b/Tests/LibScheduler/TestPlacementRegistry.cpp
@@ -86,6 +86,17 @@
     BOOST_TEST(isShard(this->decide(secondEntry, request(home)), "north"));
 }
 
+// The owner has withdrawn that request, and a later one overtook it through a relay.
+BOOST_FIXTURE_TEST_CASE(request_that_a_later_one_has_overtaken_does_not_move_the_job, Fixture)
+{
+    (void)this->decide(firstEntry, request("west"));
+    BOOST_TEST(isShard(this->decide(firstEntry, request(home, 2), true), "west"));
+    BOOST_TEST(isShard(this->decide(firstEntry, request(home, 1, { "west" })), "west"));
+    BOOST_TEST(isShard(this->decide(secondEntry, request("north")), "west"));
+    // The numbers of another submission begin anew.
+    BOOST_TEST(isShard(this->decide(secondEntry, request(home, 1, { "west" })), home));
+}
+
 BOOST_FIXTURE_TEST_CASE(owner_does_not_move_its_job_from_a_shard_that_it_has_not_left, Fixture)
 {
     (void)this->decide(firstEntry, request("west"));
