LibScheduler: Let a new home wait for the runs of a shard without a dispatcher

Found by the review, by reading: a shard that has no dispatcher when a home begins is not among those that are asked, so that the home decided beside the runs on its targets once all that were asked had answered. Such a home now waits until its entry hosts have listed their jobs, or until these runs have ended. The test failed without the change.

--- a/Libraries/LibScheduler/HomeReadiness.cpp
+++ b/Libraries/LibScheduler/HomeReadiness.cpp
@@ -70,7 +70,7 @@
 
 bool HomeReadiness::areRunsKnown() const
 {
-    return std::all_of(this->dispatchers.begin(), this->dispatchers.end(), [this](const auto& dispatcher) { return this->survey.isComplete({ dispatcher.address }); });
+    return this->hasAllDispatchers && std::all_of(this->dispatchers.begin(), this->dispatchers.end(), [this](const auto& dispatcher) { return this->survey.isComplete({ dispatcher.address }); });
 }
 
 // Whether all members are among those that were heard, but for those that have been silent for longer than the timeout.
--- a/Libraries/LibScheduler/HomeReadiness.h
+++ b/Libraries/LibScheduler/HomeReadiness.h
@@ -45,6 +45,8 @@
     void end();
     /// Replaces the lists of the dispatchers of other shards, and of the entry hosts whose jobs this home decides about.
     void setDispatchers(std::vector<Contact>);
+    /// Sets whether each shard has a known dispatcher. The runs on the targets of one that has none are not known to anyone that can answer.
+    void setHasAllDispatchers(bool hasAll) { this->hasAllDispatchers = hasAll; }
     void setEntries(std::vector<Contact>);
 
     /// Returns the dispatchers to ask now.
@@ -80,6 +82,7 @@
     uint64_t highestTerm { 0 };
     Instant begunAt {};
     HostSurvey survey;
+    bool hasAllDispatchers { true };
     std::vector<Contact> dispatchers;
     std::vector<Contact> entries;
     /// The dispatchers that have answered, and the entry hosts that have told which jobs they have.
--- a/Libraries/LibScheduler/JobHome.h
+++ b/Libraries/LibScheduler/JobHome.h
@@ -40,6 +40,7 @@
     /// Replaces the lists of the members that a new home waits for; see HomeReadiness.
     void setEntries(std::vector<HomeReadiness::Contact> contacts) { this->readiness.setEntries(std::move(contacts)); }
     void setDispatchers(std::vector<HomeReadiness::Contact> contacts) { this->readiness.setDispatchers(std::move(contacts)); }
+    void setHasAllDispatchers(bool hasAll) { this->readiness.setHasAllDispatchers(hasAll); }
     /// Records the term of the home of any shard, as far as it is known from the members.
     void observeTerm(const std::string& homeShard, uint64_t term);
     [[nodiscard]] const HomeReadiness& state() const { return this->readiness; }
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -1,6 +1,7 @@
 #include "Cluster/DispatchService.h"
 #include <LibScheduler/JobOwner.h>
 #include <LibTelemetry/Log.h>
+#include <algorithm>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
@@ -169,6 +170,8 @@
     }
     if (!this->scheduler.isActive())
         return;
+    auto live = cluster.liveMembers(now);
+    this->home.setHasAllDispatchers(std::all_of(live.begin(), live.end(), [&](const auto* member) { return !member->isEntry || cluster.dispatcher(cluster.shardFor(member->failureDomain), now); }));
     this->home.setDispatchers(std::move(dispatchers));
     if (!this->home.state().isReady()) {
         std::vector<Scheduler::HomeReadiness::Contact> entries;
--- a/Tests/LibScheduler/TestHomeReadiness.cpp
+++ b/Tests/LibScheduler/TestHomeReadiness.cpp
@@ -104,6 +104,16 @@
     BOOST_TEST(this->home.cause() == "entries-listed");
 }
 
+// Nobody can tell which runs its targets have.
+BOOST_FIXTURE_TEST_CASE(home_waits_for_the_runs_of_a_shard_that_has_no_dispatcher, Fixture)
+{
+    this->hasClaimedTargets = true;
+    this->home.setHasAllDispatchers(false);
+    this->answer();
+    BOOST_TEST(!this->isReadyAfter(1249ms));
+    BOOST_TEST(this->isReadyAfter(1ms));
+}
+
 // It may extend runs for as long as it is alive.
 BOOST_FIXTURE_TEST_CASE(home_goes_on_waiting_for_hosts_that_are_heard_of_but_do_not_answer, Fixture)
 {
