LibScheduler, sassafrasshiftd: Look at the members of the cluster only while a home is not ready

A dispatcher looked at all live members for each of them, in each tick, and asked dispatchers that had gone for good every 200 ms. It collects the shards that have a dispatcher once, only while its home may not decide yet, and asks nobody after that. Found by reading.

--- a/Libraries/LibScheduler/JobHome.cpp
+++ b/Libraries/LibScheduler/JobHome.cpp
@@ -195,7 +195,7 @@
 std::vector<JobHome::Question> JobHome::takeQuestions(Instant now)
 {
     std::vector<Question> questions;
-    if (this->readiness.isSuperseded())
+    if (this->readiness.isSuperseded() || this->readiness.isReady())
         return questions;
     for (auto& dispatcher : this->readiness.takeDispatchersToAsk(now))
         questions.push_back(Question { std::move(dispatcher), PlacedJobsRequest { this->registry.ownShard(), this->readiness.term() } });
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <set>
 
 namespace Sassafrasshift::Daemon {
 
@@ -157,28 +158,38 @@
     this->home.onPlacedJobsResponse(from, response, this->context.now());
 }
 
-// Tells the home which members there are, and asks them for the jobs that it does not know.
-void DispatchService::updateHome(Instant now)
+// Tells a home that may not decide yet which members it waits for.
+void DispatchService::updateContacts(const std::vector<const Membership::MemberRecord*>& dispatchers, Instant now)
 {
+    using Contact = Scheduler::HomeReadiness::Contact;
     const auto& cluster = this->context.cluster;
-    auto contact = [&](const std::string& address) { return Scheduler::HomeReadiness::Contact { address, cluster.sinceHeartbeat(address, now) }; };
-    std::vector<Scheduler::HomeReadiness::Contact> dispatchers;
-    for (const auto* member : cluster.dispatchers(now)) {
-        this->home.observeTerm(member->dispatchShard, fencingToken(member->dispatchEpoch, member->address));
+    auto contact = [&](const std::string& address) { return Contact { address, cluster.sinceHeartbeat(address, now) }; };
+    std::set<std::string> dispatchedShards;
+    std::vector<Contact> others;
+    for (const auto* member : dispatchers) {
+        dispatchedShards.insert(member->dispatchShard);
         if (member->dispatchShard != this->activeShard)
-            dispatchers.push_back(contact(member->address));
+            others.push_back(contact(member->address));
     }
+    std::vector<Contact> entries;
+    for (const auto& address : cluster.recentEntries(this->activeShard, entryRetention, now))
+        entries.push_back(contact(address));
+    auto live = cluster.liveMembers(now);
+    bool hasAllDispatchers = std::all_of(live.begin(), live.end(), [&](const auto* member) { return !member->isEntry || dispatchedShards.contains(cluster.shardFor(member->failureDomain)); });
+    this->home.setDispatchers(std::move(others));
+    this->home.setHasAllDispatchers(hasAllDispatchers);
+    this->home.setEntries(std::move(entries));
+}
+
+void DispatchService::updateHome(Instant now)
+{
+    auto dispatchers = this->context.cluster.dispatchers(now);
+    for (const auto* member : dispatchers)
+        this->home.observeTerm(member->dispatchShard, fencingToken(member->dispatchEpoch, member->address));
     if (!this->scheduler.isActive())
         return;
-    auto live = cluster.liveMembers(now);
-    this->home.setHasAllDispatchers(std::all_of(live.begin(), live.end(), [&](const auto* member) { return !member->isEntry || cluster.dispatcher(cluster.shardFor(member->failureDomain), now); }));
-    this->home.setDispatchers(std::move(dispatchers));
-    if (!this->home.state().isReady()) {
-        std::vector<Scheduler::HomeReadiness::Contact> entries;
-        for (const auto& address : cluster.recentEntries(this->activeShard, entryRetention, now))
-            entries.push_back(contact(address));
-        this->home.setEntries(std::move(entries));
-    }
+    if (!this->home.state().isReady())
+        this->updateContacts(dispatchers, now);
     this->home.tick(this->scheduler, now);
     for (const auto& question : this->home.takeQuestions(now))
         this->context.send(question.to, question.request);
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -51,6 +51,7 @@
     void logHomeEvent(const Scheduler::HomeEvent&);
     /// Executes the effects once in the next iteration of the event loop.
     void scheduleEffects();
+    void updateContacts(const std::vector<const Membership::MemberRecord*>& dispatchers, Instant now);
     void updateHome(Instant now);
     [[nodiscard]] bool isOutranked() const;
 
--- a/Tests/LibScheduler/TestJobHome.cpp
+++ b/Tests/LibScheduler/TestJobHome.cpp
@@ -216,6 +216,17 @@
     BOOST_TEST(this->home.takeAnswers().size() == 1U);
 }
 
+// Gossip tells its term to those that have not answered.
+BOOST_FIXTURE_TEST_CASE(home_that_is_ready_asks_nobody, Fixture)
+{
+    BOOST_TEST(this->home.takeQuestions(this->fleet.now).size() == 1U);
+    this->run(1s);
+    BOOST_TEST(this->home.takeQuestions(this->fleet.now).size() == 1U);
+    this->run(300ms);
+    BOOST_TEST(this->home.state().isReady());
+    BOOST_TEST(this->home.takeQuestions(this->fleet.now).empty());
+}
+
 // Its entry host reaches that shard, but not the home.
 BOOST_FIXTURE_TEST_CASE(new_home_sends_a_job_to_the_shard_whose_dispatcher_has_it, Fixture)
 {
