--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -234,7 +234,8 @@
 
     def add_core(self):
         """An empty machine at an address of its own, which replaces another one."""
-        machine = Machine(self, f"core-{len(self.cores)}", "core", next(self.ips), ZONES[len(self.cores) % 4])
+        number = len(self.cores) + len(self.former)
+        machine = Machine(self, f"core-{number}", "core", next(self.ips), ZONES[number % 4])
         self.cores.append(machine)
         return machine
 
