--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,10 +1,10 @@
 #!/bin/sh
-# The stand-ins of review/6 to review/10 are Python scripts that need nothing beyond the standard library. They are only checked here.
+# The stand-ins of review/6 to review/8 are Python scripts that need nothing beyond the standard library. They are only checked here.
 set -e
 cd "$(dirname "$0")"
 python3 -B - <<'END'
 import glob
-for path in sorted(glob.glob("standin-2/*.py") + glob.glob("[6-9]/case.py") + glob.glob("10/case.py")):
+for path in sorted(glob.glob("standin-2/*.py") + glob.glob("[678]/case.py")):
     with open(path) as file:
         compile(file.read(), path, "exec")
 END
