LibLedger: Report each change of the membership

- The leader logs ledger-membership-changed with the kind of the change, the member, the voters and the quorum before and after, and the voters that it reaches.
- Metrics ledger_leads, ledger_voters, ledger_quorum, and ledger_tolerable_losses (on the leader: reachable voters beyond the quorum).
- proposeRemoval() is removed; nothing called it.

--- a/Libraries/LibLedger/Node.cpp
+++ b/Libraries/LibLedger/Node.cpp
@@ -104,13 +104,6 @@
     this->core.requestJoin(host, identity);
 }
 
-ErrorOr<Index> Node::proposeRemoval(std::string_view identity)
-{
-    auto result = this->core.proposeRemoval(identity);
-    this->scheduleProcessing();
-    return result;
-}
-
 // Effects are processed once per event loop iteration, so that all messages and commands that arrive during one iteration
 // share one sync and the same outgoing messages.
 void Node::scheduleProcessing()
@@ -127,6 +120,10 @@
 void Node::processEffects()
 {
     auto effects = this->core.takeEffects();
+    if (this->environment.membershipChanged) {
+        for (const auto& change : effects.membershipChanges)
+            this->environment.membershipChanged(change);
+    }
     if (!effects.operations.empty())
         this->submit(effects.ticket, std::move(effects.operations));
     for (const auto& message : effects.immediateMessages)
--- a/Libraries/LibLedger/Node.h
+++ b/Libraries/LibLedger/Node.h
@@ -25,6 +25,8 @@
         std::function<void(bool full)> storageFullChanged {};
         /// Called with a message that no correct replica sends; it has no effect. May be empty.
         std::function<void(const Message&)> messageRefused {};
+        /// Called when this replica, as the leader, has proposed a membership change. May be empty.
+        std::function<void(const MembershipChange&)> membershipChanged {};
     };
 
     struct Options {
@@ -48,7 +50,6 @@
     /// Proposes a command. Fails with Reason::NotLeader, Reason::StorageFull or Reason::Overloaded.
     void propose(std::string command, Completion);
     void requestJoin(const std::string& host, const std::string& identity);
-    [[nodiscard]] ErrorOr<Index> proposeRemoval(std::string_view identity);
 
     [[nodiscard]] const Replica& replica() const { return this->core; }
     [[nodiscard]] Index appliedIndex() const { return this->lastAppliedIndex; }
--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -15,7 +15,7 @@
 bool Replica::Effects::isEmpty() const
 {
     return this->operations.empty() && this->immediateMessages.empty() && this->messagesAfterStore.empty()
-        && !this->restoredSnapshot && this->committedEntries.empty();
+        && !this->restoredSnapshot && this->committedEntries.empty() && this->membershipChanges.empty();
 }
 
 Replica::Replica(Options options, const StoredState& stored, Random random, Instant now)
@@ -293,7 +293,7 @@
     // The initial membership is part of the initial stored state, not of the log. A replica that starts with an empty log learns
     // it only from an entry.
     if (this->log.membershipIndex() == 0)
-        this->proposeMembership(Membership(this->log.membership()));
+        this->proposeMembership(Membership(this->log.membership()), MembershipChangeKind::Initial, {});
     this->nextHeartbeat = this->now;
 }
 
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibBase/Error.h>
 #include <LibBase/Random.h>
+#include <LibLedger/MembershipChange.h>
 #include <LibLedger/ReplicaLog.h>
 #include <LibLedger/Types.h>
 #include <deque>
@@ -56,6 +57,8 @@
         /// A snapshot that replaces the state of the state machine. It is restored before the committed entries are applied.
         std::optional<Snapshot> restoredSnapshot;
         std::vector<Entry> committedEntries;
+        /// The membership changes that this replica has proposed, for the log of the process.
+        std::vector<MembershipChange> membershipChanges;
 
         [[nodiscard]] bool isEmpty() const;
     };
@@ -75,11 +78,6 @@
     /// not the leader.
     void requestJoin(const std::string& host, const std::string& identity);
 
-    /// Proposes the removal of a member and returns the index of the membership entry. Fails with Reason::NotLeader if this
-    /// replica is not the leader, with Reason::NotFound if there is no such member, and with Reason::Conflict while another
-    /// membership change is in progress or if the member is the leader itself.
-    [[nodiscard]] ErrorOr<Index> proposeRemoval(std::string_view identity);
-
     /// Gives up the leadership, for an owner that cannot take more commands. Ignored if this replica is not the leader.
     void stepDown();
 
@@ -87,6 +85,9 @@
     /// disk. Meaningful on the leader only.
     [[nodiscard]] bool hasReachableQuorumOfOthers() const;
 
+    /// The number of voters that this replica reaches, with itself. Meaningful on the leader only.
+    [[nodiscard]] size_t reachableVoterCount() const { return this->reachableVotersOf(this->log.membership()); }
+
     [[nodiscard]] Effects takeEffects();
 
     /// Reports that the operations of all tickets up to and including this one are durable.
@@ -162,8 +163,9 @@
     /// Advances the pending joins by one membership change if the group permits a change now.
     void advanceJoins();
     void advanceJoin(const std::string& host, const std::string& identity);
-    void proposeMembership(const Membership&);
+    void proposeMembership(const Membership&, MembershipChangeKind, const Member& changed);
     void removeLostVoter();
+    [[nodiscard]] size_t reachableVotersOf(const Membership&) const;
     [[nodiscard]] bool hasReachableQuorum(const Membership&) const;
     [[nodiscard]] bool canChangeMembership() const;
     void sendAppends();
--- a/Libraries/LibLedger/ReplicaMembership.cpp
+++ b/Libraries/LibLedger/ReplicaMembership.cpp
@@ -12,25 +12,13 @@
     return this->isEstablishedLeader() && this->log.membershipIndex() <= this->committedIndex;
 }
 
-void Replica::proposeMembership(const Membership& membership)
+void Replica::proposeMembership(const Membership& membership, MembershipChangeKind kind, const Member& changed)
 {
+    const auto& former = this->log.membership();
+    this->effects.membershipChanges.push_back(MembershipChange { kind, changed.identity, changed.host, former.voterCount(), former.quorum(), membership.voterCount(), membership.quorum(), this->reachableVotersOf(membership) });
     this->appendAsLeader(EntryKind::Membership, Transport::encodeValue(membership));
 }
 
-ErrorOr<Index> Replica::proposeRemoval(std::string_view identity)
-{
-    if (this->currentRole != Role::Leader)
-        return tl::unexpected(Error::notRun(Reason::NotLeader, "this replica is not the leader"));
-    if (!this->log.membership().find(identity))
-        return tl::unexpected(Error::notRun(Reason::NotFound, "no member has the identity \"" + std::string(identity) + "\""));
-    if (identity == this->options.identity)
-        return tl::unexpected(Error::notRun(Reason::Conflict, "the leader cannot remove itself; stop its process first so that another replica becomes the leader"));
-    if (!this->canChangeMembership())
-        return tl::unexpected(Error::notRun(Reason::Conflict, "another membership change is in progress"));
-    this->proposeMembership(this->log.membership().without(identity));
-    return this->log.lastIndex();
-}
-
 void Replica::requestJoin(const std::string& host, const std::string& identity)
 {
     if (this->currentRole == Role::Leader && !this->log.membership().isVoter(identity))
@@ -55,7 +43,8 @@
 {
     const auto& membership = this->log.membership();
     if (!membership.find(identity)) {
-        this->proposeMembership(membership.with(Member { identity, host, MemberRole::Learner }));
+        Member learner { identity, host, MemberRole::Learner };
+        this->proposeMembership(membership.with(learner), MembershipChangeKind::Join, learner);
         return;
     }
     // A learner is promoted to voter only after it has replicated all committed entries.
@@ -64,21 +53,26 @@
     auto sameHost = [&](const Member& member) { return member.host == host && member.identity != identity; };
     auto formerMember = std::find_if(membership.members.begin(), membership.members.end(), sameHost);
     if (formerMember == membership.members.end()) {
-        this->proposeMembership(membership.with(Member { identity, host, MemberRole::Voter }));
+        Member voter { identity, host, MemberRole::Voter };
+        this->proposeMembership(membership.with(voter), MembershipChangeKind::Promotion, voter);
         return;
     }
     if (formerMember->identity == this->options.identity)
         return;
     auto remaining = membership.without(formerMember->identity);
     if (this->hasReachableQuorum(remaining))
-        this->proposeMembership(remaining);
+        this->proposeMembership(remaining, MembershipChangeKind::Replacement, Member(*formerMember));
 }
 
-bool Replica::hasReachableQuorum(const Membership& membership) const
+size_t Replica::reachableVotersOf(const Membership& membership) const
 {
     auto isReachableVoter = [&](const Member& member) { return member.role == MemberRole::Voter && this->isReachable(member.identity); };
-    auto reachable = std::count_if(membership.members.begin(), membership.members.end(), isReachableVoter);
-    return static_cast<size_t>(reachable) >= membership.quorum();
+    return static_cast<size_t>(std::count_if(membership.members.begin(), membership.members.end(), isReachableVoter));
+}
+
+bool Replica::hasReachableQuorum(const Membership& membership) const
+{
+    return this->reachableVotersOf(membership) >= membership.quorum();
 }
 
 bool Replica::hasReachableQuorumOfOthers() const
@@ -105,7 +99,7 @@
         auto remaining = membership.without(member.identity);
         if (!isLost || !this->hasReachableQuorum(remaining))
             continue;
-        this->proposeMembership(remaining);
+        this->proposeMembership(remaining, MembershipChangeKind::Silence, Member(member));
         return;
     }
 }
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -18,6 +18,7 @@
 static constexpr Milliseconds proposalResendInterval { 300 };
 static constexpr Milliseconds joinRequestInterval { 300 };
 static constexpr Milliseconds openRetryInterval { 200 };
+static constexpr Milliseconds gaugeInterval { 1000 };
 static constexpr Milliseconds jobKeyRetention { 3'600'000 };
 static constexpr size_t maximumPendingProposals = 4096;
 // The number of log entries after which a snapshot replaces the log. It is low, since documents in the log may be large.
@@ -126,6 +127,7 @@
         Telemetry::log(LogLevel::Warning, "ledger-message-refused", "another replica sent a message that no correct replica sends; it is ignored", { { "from", message.fromHost } });
     };
     environment.storageFullChanged = [this](bool full) { this->logStorageFull(full); };
+    environment.membershipChanged = [](const Ledger::MembershipChange& change) { logMembershipChange(change); };
     this->initialized = initialState || this->pendingStore->isInitialized();
     auto stored = initialState ? *initialState : this->pendingStore->recovered();
     if (!stored.snapshot.state.empty())
@@ -134,6 +136,29 @@
     Telemetry::log(LogLevel::Information, "ledger-started", "the ledger replica has started", { { "identity", this->identity }, { "initialized", this->initialized ? "true" : "false" } });
 }
 
+void DocumentLedger::logMembershipChange(const Ledger::MembershipChange& change)
+{
+    Telemetry::log(LogLevel::Information, "ledger-membership-changed", "the leader of the ledger has proposed a membership change",
+        { { "kind", std::string(toString(change.kind)) }, { "host", change.host }, { "identity", change.identity },
+            { "votersBefore", std::to_string(change.votersBefore) }, { "quorumBefore", std::to_string(change.quorumBefore) },
+            { "voters", std::to_string(change.votersAfter) }, { "quorum", std::to_string(change.quorumAfter) }, { "reachable", std::to_string(change.reachableVoters) } });
+}
+
+void DocumentLedger::updateGaugesIfDue(Instant now)
+{
+    if (!this->node || now < this->nextGaugeUpdate)
+        return;
+    this->nextGaugeUpdate = now + gaugeInterval;
+    const auto& replica = this->node->replica();
+    const auto& membership = replica.membership();
+    bool leads = replica.isEstablishedLeader();
+    auto reachable = leads ? replica.reachableVoterCount() : 0;
+    this->context.metrics.setGauge("ledger_leads", leads ? 1 : 0);
+    this->context.metrics.setGauge("ledger_voters", static_cast<double>(membership.voterCount()));
+    this->context.metrics.setGauge("ledger_quorum", static_cast<double>(membership.quorum()));
+    this->context.metrics.setGauge("ledger_tolerable_losses", reachable > membership.quorum() ? static_cast<double>(reachable - membership.quorum()) : 0);
+}
+
 void DocumentLedger::logStorageFull(bool full)
 {
     this->context.metrics.setGauge("ledger_storage_full", full ? 1 : 0);
@@ -263,6 +288,7 @@
         this->node->tick();
     this->requestJoinIfDue(now);
     this->updateOwnRecord();
+    this->updateGaugesIfDue(now);
     this->proposals.expire(now);
     this->sendProposals(now);
 }
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.h
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.h
@@ -50,6 +50,9 @@
     void sendProposals(Instant now);
     void requestJoinIfDue(Instant now);
     void updateOwnRecord();
+    /// Updates the metrics of the membership.
+    void updateGaugesIfDue(Instant now);
+    static void logMembershipChange(const Ledger::MembershipChange&);
     void logStorageFull(bool full);
     /// Logs a storage failure and terminates the process.
     void exitOnStorageFailure(const Error&);
@@ -63,6 +66,7 @@
     std::unique_ptr<Ledger::Node> node;
     Ledger::ProposalQueue proposals;
     Instant nextJoinRequest {};
+    Instant nextGaugeUpdate {};
     /// When the data folder is opened next; nothing unless its disk was full.
     std::optional<Instant> nextOpenAttempt;
     bool initialized { false };
