LibLedger: Keep enough voters for the disks that may be lost

Cause: the leader removes silent voters while more than three are left, whatever number of disks may be lost. Six voters became four with a quorum of three; the two hosts without their disks came back under new identities, and two voters cannot elect a leader.

Ruled out: lost entries (the two voters that were left had them), and hosts that did not ask to join (they had no leader to ask).

Change: the setting toleratedDiskLosses (n, default 1, 0 to 100), which the deployment passes on. No voter is removed for its silence if fewer than 2n + 1, or three, would be left: a group of 2n + 1 has a quorum without n of them. The leader warns while it has fewer voters.

--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -39,8 +39,9 @@
         /// The leader removes a voter that it has not heard from for this long, so that the voter no longer counts toward the
         /// quorum. The voter joins again when it returns. Zero disables the removal.
         Milliseconds lostVoterTimeout { 0 };
-        /// Unreachable voters are removed only while the group has more voters than this.
-        size_t minimumVoters { 3 };
+        /// The number of disks whose loss at the same time the group has to survive. No unreachable voter is removed if fewer
+        /// voters than minimumVoters() would be left.
+        size_t toleratedDiskLosses { 1 };
         /// The maximum size in bytes of the entry payloads in one AppendRequest. A larger single entry is sent alone.
         size_t maximumAppendBytes { 512 * 1024 };
     };
@@ -65,6 +66,9 @@
 
     Replica(Options, const StoredState&, Random, Instant now);
 
+    /// The smallest number of voters that keeps a quorum when the tolerated number of disks is lost, and at least three.
+    [[nodiscard]] size_t minimumVoters() const;
+
     /// Runs the timers for elections and heartbeats. Must be called every few milliseconds.
     void tick(Instant now);
     /// Processes a message of another replica. Returns false, without any effect, for a message that no correct replica sends.
--- a/Libraries/LibLedger/ReplicaMembership.cpp
+++ b/Libraries/LibLedger/ReplicaMembership.cpp
@@ -5,6 +5,9 @@
 // Single-server membership changes (Ongaro, "Consensus", chapter 4).
 namespace Sassafrasshift::Ledger {
 
+// A smaller group has no quorum once a single host is down.
+static constexpr size_t smallestGroup = 3;
+
 bool Replica::canChangeMembership() const
 {
     // A leader proposes a membership change only after the previous change and an entry of its own term are committed (Ongaro,
@@ -85,12 +88,17 @@
     return static_cast<size_t>(reachable) >= membership.quorum();
 }
 
+size_t Replica::minimumVoters() const
+{
+    return std::max(smallestGroup, 2 * this->options.toleratedDiskLosses + 1);
+}
+
 // Removes one voter that has been unreachable for longer than lostVoterTimeout, provided that the group has more than the
 // minimum number of voters and a quorum of the remaining voters is reachable.
 void Replica::removeLostVoter()
 {
     const auto& membership = this->log.membership();
-    if (this->options.lostVoterTimeout.count() == 0 || membership.voterCount() <= this->options.minimumVoters || !this->canChangeMembership())
+    if (this->options.lostVoterTimeout.count() == 0 || membership.voterCount() <= this->minimumVoters() || !this->canChangeMembership())
         return;
     for (const auto& member : membership.members) {
         if (member.role != MemberRole::Voter || member.identity == this->options.identity)
--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -10,6 +10,7 @@
 static const std::array<std::string, 4> logLevels { "debug", "information", "warning", "error" };
 static constexpr int64_t milliCoresPerCore = 1000;
 static constexpr int64_t maximumCores = 1000;
+static constexpr int64_t maximumToleratedDiskLosses = 100;
 
 tl::expected<ClusterSettings, Diagnostics> ClusterSettings::parse(const std::string& text, const std::string& file)
 {
@@ -38,6 +39,7 @@
     }
     settings.dataFolder = reader.text("dataFolder", "");
     settings.firstStart = reader.boolean("firstStart", false);
+    settings.toleratedDiskLosses = static_cast<size_t>(reader.integer("toleratedDiskLosses", 0, maximumToleratedDiskLosses, 1));
     settings.logLevel = reader.oneOf("logLevel", logLevels, "information");
     auto cores = reader.number("dispatchCores", 0, maximumCores, 0);
     settings.dispatchWeight = static_cast<int64_t>(cores * milliCoresPerCore);
--- a/Libraries/LibSettings/ClusterSettings.h
+++ b/Libraries/LibSettings/ClusterSettings.h
@@ -30,6 +30,9 @@
     std::string dataFolder;
     /// Whether the whole cluster starts for the first time, in which case the seeds bootstrap the ledger.
     bool firstStart { false };
+    /// The number of disks whose loss at the same time the ledger has to survive. It takes 2n + 1 hosts with a disk to survive
+    /// the loss of n disks.
+    size_t toleratedDiskLosses { 1 };
     std::string logLevel;
     /// The weight of this process when the dispatcher is chosen, in thousandths of a core. A process with zero never
     /// becomes the dispatcher.
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -19,6 +19,8 @@
 static constexpr Milliseconds joinRequestInterval { 300 };
 static constexpr Milliseconds openRetryInterval { 200 };
 static constexpr Milliseconds gaugeInterval { 1000 };
+// A group that has just been formed, or lost hosts, gets more voters within this time if hosts can join.
+static constexpr Milliseconds voterWarningDelay { 10'000 };
 static constexpr Milliseconds jobKeyRetention { 3'600'000 };
 static constexpr size_t maximumPendingProposals = 4096;
 // The number of log entries after which a snapshot replaces the log. It is low, since documents in the log may be large.
@@ -116,6 +118,7 @@
     options.replica.electionTimeout = electionTimeout;
     options.replica.heartbeatInterval = ledgerHeartbeatInterval;
     options.replica.lostVoterTimeout = lostVoterTimeout;
+    options.replica.toleratedDiskLosses = this->context.settings.toleratedDiskLosses;
     options.snapshotInterval = snapshotInterval;
     Ledger::Node::Environment environment;
     environment.clock = &this->context.loop;
@@ -157,6 +160,25 @@
     this->context.metrics.setGauge("ledger_voters", static_cast<double>(membership.voterCount()));
     this->context.metrics.setGauge("ledger_quorum", static_cast<double>(membership.quorum()));
     this->context.metrics.setGauge("ledger_tolerable_losses", reachable > membership.quorum() ? static_cast<double>(reachable - membership.quorum()) : 0);
+    this->warnIfVotersAreMissing(leads && membership.voterCount() < replica.minimumVoters(), now);
+}
+
+// Logs once while the group has too few voters for the disk losses that it has to survive.
+void DocumentLedger::warnIfVotersAreMissing(bool missing, Instant now)
+{
+    if (!missing) {
+        this->votersMissingSince.reset();
+        this->votersMissingLogged = false;
+        return;
+    }
+    if (!this->votersMissingSince)
+        this->votersMissingSince = now;
+    if (this->votersMissingLogged || now < *this->votersMissingSince + voterWarningDelay)
+        return;
+    this->votersMissingLogged = true;
+    const auto& replica = this->node->replica();
+    Telemetry::log(LogLevel::Warning, "ledger-voters-missing", "the ledger has too few voters to survive the loss of as many disks as the settings name",
+        { { "voters", std::to_string(replica.membership().voterCount()) }, { "needed", std::to_string(replica.minimumVoters()) }, { "toleratedDiskLosses", std::to_string(this->context.settings.toleratedDiskLosses) } });
 }
 
 void DocumentLedger::logStorageFull(bool full)
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.h
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.h
@@ -52,6 +52,7 @@
     void updateOwnRecord();
     /// Updates the metrics of the membership.
     void updateGaugesIfDue(Instant now);
+    void warnIfVotersAreMissing(bool missing, Instant now);
     static void logMembershipChange(const Ledger::MembershipChange&);
     void logStorageFull(bool full);
     /// Logs a storage failure and terminates the process.
@@ -67,6 +68,9 @@
     Ledger::ProposalQueue proposals;
     Instant nextJoinRequest {};
     Instant nextGaugeUpdate {};
+    /// Since when this replica has led a group with too few voters; nothing if it does not.
+    std::optional<Instant> votersMissingSince;
+    bool votersMissingLogged { false };
     /// When the data folder is opened next; nothing unless its disk was full.
     std::optional<Instant> nextOpenAttempt;
     bool initialized { false };
--- a/Tests/LibLedger/SimulatedHosts.cpp
+++ b/Tests/LibLedger/SimulatedHosts.cpp
@@ -144,8 +144,9 @@
     uint64_t boot { 0 };
 };
 
-SimulatedHosts::SimulatedHosts(uint64_t seed, size_t count)
+SimulatedHosts::SimulatedHosts(uint64_t seed, size_t count, size_t toleratedDiskLosses)
     : random(seed)
+    , toleratedDiskLosses(toleratedDiskLosses)
 {
     StoredState initialState;
     for (size_t i = 0; i < count; ++i) {
@@ -211,6 +212,7 @@
     options.replica.electionTimeout = electionTimeout;
     options.replica.heartbeatInterval = heartbeatInterval;
     options.replica.lostVoterTimeout = lostVoterTimeout;
+    options.replica.toleratedDiskLosses = this->toleratedDiskLosses;
     options.snapshotInterval = snapshotInterval;
     options.maximumUnstoredBytes = maximumUnstoredBytes;
     Node::Environment environment;
--- a/Tests/LibLedger/SimulatedHosts.h
+++ b/Tests/LibLedger/SimulatedHosts.h
@@ -70,7 +70,8 @@
     /// A state that no state machine can restore.
     static constexpr const char* unreadableState = "unreadable";
 
-    SimulatedHosts(uint64_t seed, size_t count);
+    /// Starts hosts that are all voters, of which some may lose their disks at the same time.
+    SimulatedHosts(uint64_t seed, size_t count, size_t toleratedDiskLosses = 1);
     ~SimulatedHosts();
 
     void runFor(Milliseconds duration) { this->loop.runFor(duration); }
@@ -112,6 +113,7 @@
 
     SimulatedLoop loop;
     Random random;
+    size_t toleratedDiskLosses;
     std::vector<std::unique_ptr<Host>> hosts;
     uint64_t nextCommand { 1 };
     size_t refusals { 0 };
--- a/Tests/LibSettings/TestClusterSettings.cpp
+++ b/Tests/LibSettings/TestClusterSettings.cpp
@@ -23,6 +23,27 @@
     BOOST_TEST(settings->dispatchWeight == 250);
 }
 
+BOOST_AUTO_TEST_CASE(tolerated_disk_losses_are_read_and_one_without_a_value)
+{
+    auto settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\n", "test");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->toleratedDiskLosses == 1U);
+    settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\ntoleratedDiskLosses: 2\n", "test");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->toleratedDiskLosses == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(tolerated_disk_losses_out_of_range_are_refused_with_the_range)
+{
+    for (const auto* value : { "-1", "101", "many", "1.5" }) {
+        auto settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\ntoleratedDiskLosses: " + value + "\n", "test");
+        BOOST_REQUIRE(!settings.has_value());
+        auto text = toText(settings.error());
+        BOOST_TEST(text.find("toleratedDiskLosses") != std::string::npos);
+        BOOST_TEST(text.find("100") != std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(all_errors_in_cluster_settings_are_reported)
 {
     auto settings = ClusterSettings::parse("host: a\npeerAddress: b\njobsAddress: c\nseeds: []\nseedprt: 1\n", "test");
