LibLedger: Let a replica leave before its process ends

Cause: a replica whose process ended on SIGTERM stayed a voter until it had been silent for 4 s. With its successor the group had four voters and needed three, all that were running.

Ruled out: the floor of voters (the group was above it), lost entries, and a successor that was no voter yet.

Change: a replica whose process is asked to end asks the leader for its removal until that is committed, within the shutdown timeout. The leader removes it only above the minimum number of voters and while it reaches a quorum of the others. It may remove itself, and then steps down. A replica that leaves does not ask to join. At the minimum it stays a voter, unless a learner is about to take its place.

--- a/Libraries/LibLedger/MembershipChange.cpp
+++ b/Libraries/LibLedger/MembershipChange.cpp
@@ -15,6 +15,8 @@
         return "replacement";
     case MembershipChangeKind::Silence:
         return "silence";
+    case MembershipChangeKind::Leave:
+        return "leave";
     }
     return "unknown";
 }
--- a/Libraries/LibLedger/MembershipChange.h
+++ b/Libraries/LibLedger/MembershipChange.h
@@ -19,6 +19,8 @@
     Replacement,
     /// A voter has been unreachable for too long and is removed.
     Silence,
+    /// A member has asked for its removal, since its process is about to end.
+    Leave,
 };
 
 /// The name of a kind in log lines.
--- a/Libraries/LibLedger/Node.cpp
+++ b/Libraries/LibLedger/Node.cpp
@@ -104,6 +104,13 @@
     this->core.requestJoin(host, identity);
 }
 
+ErrorOr<LeaveOutcome> Node::requestLeave(std::string_view identity)
+{
+    auto outcome = this->core.requestLeave(identity);
+    this->scheduleProcessing();
+    return outcome;
+}
+
 // Effects are processed once per event loop iteration, so that all messages and commands that arrive during one iteration
 // share one sync and the same outgoing messages.
 void Node::scheduleProcessing()
--- a/Libraries/LibLedger/Node.h
+++ b/Libraries/LibLedger/Node.h
@@ -50,6 +50,7 @@
     /// Proposes a command. Fails with Reason::NotLeader, Reason::StorageFull or Reason::Overloaded.
     void propose(std::string command, Completion);
     void requestJoin(const std::string& host, const std::string& identity);
+    [[nodiscard]] ErrorOr<LeaveOutcome> requestLeave(std::string_view identity);
 
     [[nodiscard]] const Replica& replica() const { return this->core; }
     [[nodiscard]] Index appliedIndex() const { return this->lastAppliedIndex; }
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -82,6 +82,14 @@
     /// not the leader.
     void requestJoin(const std::string& host, const std::string& identity);
 
+    /// Proposes the removal of a member whose process is about to end, unless the group needs it as a voter. The leader may
+    /// remove itself, and steps down then. To be called again until the outcome is another one than Pending. Fails with
+    /// Reason::NotLeader if this replica is not the leader.
+    [[nodiscard]] ErrorOr<LeaveOutcome> requestLeave(std::string_view identity);
+
+    /// Whether this replica knows that it belongs to no group, or no longer.
+    [[nodiscard]] bool hasLeft() const;
+
     /// Gives up the leadership, for an owner that cannot take more commands. Ignored if this replica is not the leader.
     void stepDown();
 
@@ -172,6 +180,7 @@
     [[nodiscard]] size_t reachableVotersOf(const Membership&) const;
     [[nodiscard]] bool hasReachableQuorum(const Membership&) const;
     [[nodiscard]] bool canChangeMembership() const;
+    [[nodiscard]] bool hasReachableLearner() const;
     void sendAppends();
     void sendHeartbeats();
     void sendAppend(const Member&, Progress&);
--- a/Libraries/LibLedger/ReplicaMembership.cpp
+++ b/Libraries/LibLedger/ReplicaMembership.cpp
@@ -28,6 +28,36 @@
         this->pendingJoins[host] = identity;
 }
 
+bool Replica::hasLeft() const
+{
+    return !this->log.membership().find(this->options.identity) && this->log.membershipIndex() <= this->committedIndex;
+}
+
+bool Replica::hasReachableLearner() const
+{
+    const auto& members = this->log.membership().members;
+    return std::any_of(members.begin(), members.end(), [this](const auto& member) { return member.role == MemberRole::Learner && this->isReachable(member.identity); });
+}
+
+ErrorOr<LeaveOutcome> Replica::requestLeave(std::string_view identity)
+{
+    if (this->currentRole != Role::Leader)
+        return tl::unexpected(Error::notRun(Reason::NotLeader, "this replica is not the leader"));
+    std::erase_if(this->pendingJoins, [&](const auto& join) { return join.second == identity; });
+    const auto& membership = this->log.membership();
+    const auto* member = membership.find(identity);
+    if (!member)
+        return this->log.membershipIndex() <= this->committedIndex ? LeaveOutcome::Left : LeaveOutcome::Pending;
+    bool isNeeded = member->role == MemberRole::Voter && membership.voterCount() <= this->minimumVoters();
+    // A learner that catches up takes the place of the member.
+    if (isNeeded)
+        return this->hasReachableLearner() ? LeaveOutcome::Pending : LeaveOutcome::Kept;
+    auto remaining = membership.without(identity);
+    if (this->canChangeMembership() && this->hasReachableQuorum(remaining))
+        this->proposeMembership(remaining, MembershipChangeKind::Leave, Member(*member));
+    return LeaveOutcome::Pending;
+}
+
 void Replica::advanceJoins()
 {
     for (auto position = this->pendingJoins.begin(); position != this->pendingJoins.end();) {
--- a/Libraries/LibLedger/Types.h
+++ b/Libraries/LibLedger/Types.h
@@ -68,6 +68,16 @@
     friend auto operator<=>(const Membership&, const Membership&) = default;
 };
 
+/// What has become of a member's request to leave the group before its process ends.
+enum class LeaveOutcome {
+    /// The removal is not committed yet, or cannot be proposed now. The member asks again.
+    Pending,
+    /// The member no longer belongs to the group.
+    Left,
+    /// The group has no voter to spare. The process may end all the same.
+    Kept,
+};
+
 /// The term and vote of a replica, which must be durable before the replica answers a message that depends on them.
 struct HardState {
     Term term { 0 };
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -314,6 +314,7 @@
     this->leaving = true;
     this->leavingSince = now;
     this->entry->startLeaving();
+    this->ledger->startLeaving();
     this->lastExchangeOpenAt = now;
     // From now on each response closes its connection. The load balancer routes the caller's next connection to another host.
     if (this->jobsServer)
@@ -349,6 +350,9 @@
     // The last responses have to be transmitted before the process ends.
     if (now - this->lastExchangeOpenAt < idleTimeBeforeExit && !expired)
         return;
+    // A replica that ended as a voter would count toward the quorum of a group that it does not return to.
+    if (!this->ledger->mayEnd() && !expired)
+        return;
     Telemetry::log(expired ? LogLevel::Warning : LogLevel::Information, "shutdown-finished", "the cluster member is stopping", { { "openJobs", std::to_string(this->entry->openJobs()) } });
     this->loop->stop();
 }
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -119,6 +119,6 @@
 /// index.
 using ClusterMessage = std::variant<Gossip, Scheduler::Submission, CancelSubmission, Scheduler::RenewSubmissions, RenewResponse, Scheduler::JobOutcome, ReportNotice, ReportAcknowledgment,
     TargetGone, Ledger::Message, JoinRequest, ProposeRequest, ProposeResponse, DocumentRequest, DocumentTransfer, TargetListRequest, TargetListResponse, RenewalRequest, Scheduler::Placement, RelayedRequest,
-    Scheduler::PlacedJobsRequest, Scheduler::PlacedJobsResponse>;
+    Scheduler::PlacedJobsRequest, Scheduler::PlacedJobsResponse, LeaveRequest, LeaveResponse>;
 
 }
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -275,9 +275,33 @@
         this->node->requestJoin(request.host, request.identity);
 }
 
+void DocumentLedger::onMessage(const std::string& from, const LeaveRequest& request)
+{
+    if (!this->node)
+        return;
+    // A replica that does not lead says nothing; the sender asks the leader that it knows of then.
+    if (auto outcome = this->node->requestLeave(request.identity))
+        this->context.send(from, LeaveResponse { request.identity, *outcome });
+}
+
+void DocumentLedger::onMessage(const std::string&, const LeaveResponse& response)
+{
+    if (response.identity == this->identity)
+        this->departure.onOutcome(response.outcome);
+}
+
+void DocumentLedger::requestLeaveIfDue(Instant now)
+{
+    if (!this->node || !this->departure.takeRequest(this->node->replica(), now))
+        return;
+    auto leader = this->leaderAddress(now);
+    if (!leader.empty())
+        this->context.send(leader, LeaveRequest { this->identity });
+}
+
 void DocumentLedger::requestJoinIfDue(Instant now)
 {
-    if (!this->node || now < this->nextJoinRequest)
+    if (!this->node || this->departure.hasBegun() || now < this->nextJoinRequest)
         return;
     bool isVoter = this->node->replica().membership().isVoter(this->identity);
     this->initialized = this->initialized || isVoter;
@@ -309,6 +333,7 @@
     if (this->node)
         this->node->tick();
     this->requestJoinIfDue(now);
+    this->requestLeaveIfDue(now);
     this->updateOwnRecord();
     this->updateGaugesIfDue(now);
     this->proposals.expire(now);
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.h
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.h
@@ -3,6 +3,7 @@
 #include "Cluster/ClusterContext.h"
 #include "Cluster/DocumentStore.h"
 #include <LibDurableState/DurableState.h>
+#include <LibLedger/Departure.h>
 #include <LibLedger/DiskStore.h>
 #include <LibLedger/Node.h>
 #include <LibLedger/ProposalQueue.h>
@@ -30,10 +31,18 @@
 
     void onMessage(const std::string& from, const Ledger::Message&);
     void onMessage(const std::string& from, const JoinRequest&);
+    void onMessage(const std::string& from, const LeaveRequest&);
+    void onMessage(const std::string& from, const LeaveResponse&);
     void onMessage(const std::string& from, const ProposeRequest&);
     void onMessage(const std::string& from, const ProposeResponse&);
     void tick(Instant now);
 
+    /// Leaves the group of replicas, for a process that is about to end.
+    void startLeaving() { this->departure.begin(); }
+    /// Whether the process may end: it runs no replica, or the group no longer counts on the replica, or needs it as a voter when
+    /// it returns.
+    [[nodiscard]] bool mayEnd() const { return !this->node || this->departure.isFinished(); }
+
     /// The address of the leader that this member knows of; empty if there is none.
     [[nodiscard]] std::string leaderAddress(Instant now) const;
 
@@ -49,6 +58,7 @@
     void startNode(const Ledger::StoredState* initialState);
     void sendProposals(Instant now);
     void requestJoinIfDue(Instant now);
+    void requestLeaveIfDue(Instant now);
     void updateOwnRecord();
     /// Updates the metrics of the membership.
     void updateGaugesIfDue(Instant now);
@@ -66,6 +76,7 @@
     std::string identity;
     std::unique_ptr<Ledger::Node> node;
     Ledger::ProposalQueue proposals;
+    Ledger::Departure departure;
     Instant nextJoinRequest {};
     Instant nextGaugeUpdate {};
     /// Since when this replica has led a group with too few voters; nothing if it does not.
--- a/Services/sassafrasshiftd/PeerMessages.h
+++ b/Services/sassafrasshiftd/PeerMessages.h
@@ -61,6 +61,21 @@
     CODEC_FIELDS(host, identity);
 };
 
+/// Asks the leader of the ledger to remove a replica from the membership, since its process is about to end.
+struct LeaveRequest {
+    std::string identity;
+
+    CODEC_FIELDS(identity);
+};
+
+/// The response to a LeaveRequest.
+struct LeaveResponse {
+    std::string identity;
+    Ledger::LeaveOutcome outcome { Ledger::LeaveOutcome::Pending };
+
+    CODEC_FIELDS(identity, outcome);
+};
+
 /// Asks a peer for the configuration that it has in force.
 struct ConfigurationRequest {
     uint64_t knownVersion { 0 };
--- a/Tests/LibLedger/SimulatedHosts.cpp
+++ b/Tests/LibLedger/SimulatedHosts.cpp
@@ -11,6 +11,8 @@
 static constexpr Milliseconds joinRequestInterval { 300 };
 static constexpr Milliseconds proposalTimeout { 850 };
 static constexpr Milliseconds syncDuration { 9 };
+// A process that was asked to end does so after this time at the latest.
+static constexpr Milliseconds shutdownTimeout { 5700 };
 static constexpr Milliseconds fullRetryInterval { 200 };
 static constexpr Index snapshotInterval = 20;
 
@@ -139,6 +141,7 @@
     std::unique_ptr<CommandList> state;
     std::unique_ptr<Node> node;
     std::unique_ptr<ProposalQueue> proposals;
+    Departure departure;
     Instant nextJoinRequest {};
     /// The number of the present process; functions that an earlier one has scheduled do nothing.
     uint64_t boot { 0 };
@@ -228,19 +231,68 @@
     environment.messageRefused = [this](const Message&) { ++this->refusals; };
     host.state = std::make_unique<CommandList>();
     host.state->restore(host.disk.content.snapshot.state);
+    host.departure = {};
     host.proposals = std::make_unique<ProposalQueue>(ProposalQueue::Options { resendInterval, 4096, true });
     host.node = std::make_unique<Node>(options, std::make_unique<DiskWriter>(this->loop, host.disk), host.disk.content, *host.state, environment, Random(this->random()));
     this->scheduleTick(host, boot);
 }
 
-void SimulatedHosts::stop(size_t number)
+void SimulatedHosts::stop(size_t host)
+{
+    stopProcess(*this->hosts.at(host));
+}
+
+void SimulatedHosts::stopProcess(Host& host)
 {
-    auto& host = *this->hosts.at(number);
     ++host.boot;
     host.node.reset();
     host.proposals.reset();
 }
 
+size_t SimulatedHosts::addHost()
+{
+    auto host = std::make_unique<Host>();
+    host->name = "host-" + std::to_string(this->hosts.size());
+    host->identity = makeRandomIdentity(this->random);
+    this->hosts.push_back(std::move(host));
+    return this->hosts.size() - 1;
+}
+
+bool SimulatedHosts::isRunning(size_t host) const
+{
+    return this->hosts.at(host)->node != nullptr;
+}
+
+void SimulatedHosts::terminate(size_t number)
+{
+    auto& host = *this->hosts.at(number);
+    host.departure.begin();
+    this->loop.after(shutdownTimeout, [&host, boot = host.boot] {
+        if (host.boot == boot)
+            stopProcess(host);
+    });
+}
+
+// Sends the request to leave, as the processes do, and ends the process once it may end.
+void SimulatedHosts::advanceDeparture(Host& host)
+{
+    if (host.departure.isFinished())
+        return stopProcess(host);
+    if (!host.departure.takeRequest(host.node->replica(), this->now()))
+        return;
+    this->loop.after(this->networkDelay(), [this, leader = this->leaderAddress(host), name = host.name, identity = host.identity] {
+        auto* receiver = this->find(leader);
+        auto outcome = receiver ? receiver->node->requestLeave(identity) : tl::unexpected(Error::notRun(Reason::Unreachable, "no leader"));
+        if (!outcome)
+            return;
+        this->loop.after(this->networkDelay(), [this, name, identity, outcome = *outcome] {
+            auto* sender = this->find(name);
+            if (sender && sender->identity == identity)
+                sender->departure.onOutcome(outcome);
+        });
+    });
+}
+
 void SimulatedHosts::deliver(size_t number, const Message& message)
 {
     this->hosts.at(number)->node->receive(message);
@@ -270,6 +322,7 @@
     this->requestJoinIfDue(host);
     host.proposals->expire(this->now());
     this->sendProposals(host);
+    this->advanceDeparture(host);
 }
 
 std::string SimulatedHosts::gossipedLeader() const
@@ -293,7 +346,7 @@
 
 void SimulatedHosts::requestJoinIfDue(Host& host)
 {
-    if (this->now() < host.nextJoinRequest)
+    if (host.departure.hasBegun() || this->now() < host.nextJoinRequest)
         return;
     const auto& replica = host.node->replica();
     bool hasLeader = !replica.leaderHost().empty();
--- a/Tests/LibLedger/SimulatedHosts.h
+++ b/Tests/LibLedger/SimulatedHosts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Random.h>
+#include <LibLedger/Departure.h>
 #include <LibLedger/DiskStore.h>
 #include <LibLedger/Node.h>
 #include <LibLedger/ProposalQueue.h>
@@ -93,6 +94,11 @@
     /// Ends the process, and with it everything that is not on the disk.
     void stop(size_t host);
     void start(size_t host);
+    /// Adds a stopped host with an empty disk, and returns its number.
+    size_t addHost();
+    /// Asks the process to end, which it does once its replica has left the group, or may not.
+    void terminate(size_t host);
+    [[nodiscard]] bool isRunning(size_t host) const;
     /// Empties the disk of a stopped host, which gets a new identity.
     void loseDisk(size_t host);
 
@@ -106,6 +112,8 @@
     void sendProposals(Host&);
     void deliverProposal(const std::string& from, const ProposalQueue::OutgoingProposal&);
     void requestJoinIfDue(Host&);
+    void advanceDeparture(Host&);
+    static void stopProcess(Host&);
     [[nodiscard]] std::string leaderAddress(const Host&) const;
     [[nodiscard]] std::string gossipedLeader() const;
     [[nodiscard]] Host* find(const std::string& name) const;
--- a/Tests/LibLedger/TestLosses.cpp
+++ b/Tests/LibLedger/TestLosses.cpp
@@ -1,4 +1,5 @@
 #include "SimulatedHosts.h"
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -12,6 +13,12 @@
 constexpr uint64_t seeds = 20;
 // How long a group has to recover after all hosts are back.
 constexpr Milliseconds recoveryTime { 12'000 };
+// How long a new host, or one that has returned, counts as lost.
+constexpr Milliseconds catchUpTime { 4000 };
+// How long a process that was asked to end may take.
+constexpr Milliseconds shutdownTimeout { 6000 };
+// How long the acknowledgment of a command may take.
+constexpr Milliseconds acknowledgmentTime { 4000 };
 
 void loseDisks(SimulatedHosts& hosts, std::initializer_list<size_t> lost)
 {
@@ -27,6 +34,20 @@
         hosts.start(host);
 }
 
+// Adds empty hosts, and asks others to end once the new ones had time to catch up. None of the others comes back.
+void replaceAsPlanned(SimulatedHosts& hosts, std::initializer_list<size_t> replaced)
+{
+    for (size_t i = 0; i < replaced.size(); ++i)
+        hosts.start(hosts.addHost());
+    hosts.runFor(catchUpTime + 1s);
+    for (auto host : replaced)
+        hosts.terminate(host);
+    auto isRunning = [&](size_t host) { return hosts.isRunning(host); };
+    for (auto end = hosts.now() + shutdownTimeout; hosts.now() < end && std::any_of(replaced.begin(), replaced.end(), isRunning);)
+        hosts.runFor(20ms);
+    BOOST_TEST(std::none_of(replaced.begin(), replaced.end(), isRunning));
+}
+
 // Checks that the group accepts a command again, and that the hosts have it and the one that was accepted before the losses.
 void checkRecovery(SimulatedHosts& hosts, std::initializer_list<size_t> running, const std::string& accepted)
 {
@@ -65,3 +86,61 @@
         }
     }
 }
+
+// Guards against a replica that has ended for good, and stays a voter: with its successor the group has one voter more and needs all
+// others, so that the loss of one disk takes the quorum.
+BOOST_AUTO_TEST_CASE(disk_lost_right_after_a_planned_replacement_leaves_a_quorum)
+{
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            SimulatedHosts hosts(seed, 3);
+            hosts.runFor(3s);
+            replaceAsPlanned(hosts, { 2 });
+            auto outcome = hosts.propose(0);
+            hosts.runFor(1s);
+            BOOST_REQUIRE(outcome->isAccepted());
+            loseDisks(hosts, { 1 });
+            hosts.runFor(1s);
+            start(hosts, { 1 });
+            checkRecovery(hosts, { 0, 1, 3 }, outcome->command);
+        }
+    }
+}
+
+// Guards against the same with three hosts at once, the leader among them: no loss is needed then.
+BOOST_AUTO_TEST_CASE(three_planned_replacements_at_once_leave_a_quorum)
+{
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            SimulatedHosts hosts(seed, 3);
+            hosts.runFor(3s);
+            auto outcome = hosts.propose(0);
+            hosts.runFor(1s);
+            BOOST_REQUIRE(outcome->isAccepted());
+            replaceAsPlanned(hosts, { 0, 1, 2 });
+            checkRecovery(hosts, { 3, 4, 5 }, outcome->command);
+        }
+    }
+}
+
+// Guards against the same where a host is only down: no command was accepted until it was back.
+BOOST_AUTO_TEST_CASE(commands_are_accepted_while_a_host_is_down_after_a_planned_replacement)
+{
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            SimulatedHosts hosts(seed, 3);
+            hosts.runFor(3s);
+            replaceAsPlanned(hosts, { 2 });
+            hosts.stop(1);
+            std::shared_ptr<const Outcome> outcome;
+            for (auto end = hosts.now() + acknowledgmentTime; hosts.now() < end && !(outcome && outcome->isAccepted());) {
+                outcome = hosts.propose(0);
+                hosts.runFor(1s);
+            }
+            BOOST_TEST(outcome->isAccepted());
+        }
+    }
+}
