LibLedger: Let a replica whose removal is not committed stand for election

What callers would see: no leader of the ledger, for good, after a leader had appended its own removal, was cut off or stopped before another replica had stored it, and another disk was lost.

Cause: such a replica is no voter in its own log, so it did not stand for election. The others need its vote under the membership that they have, and it refuses it, since its log is longer. Raft asks for just this (Ongaro, section 4.2.2).

Ruled out: that the leader should not have begun the removal: it cannot know yet that it is cut off.

Change: a replica stands for election if it is a voter in the membership in effect at its commit index or in any later one.

--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -93,8 +93,9 @@
     }
     if (this->now < this->electionDeadline)
         return;
-    // Only a replica that could store its vote stands for election.
-    if (this->log.membership().isVoter(this->options.identity) && !this->isStorageBlocked()) {
+    // A replica whose removal is not committed may be the only one with the latest entries, so it stands for election too (Ongaro,
+    // section 4.2.2). Only one that could store its vote does.
+    if (this->log.isVoterAtOrAfter(this->committedIndex, this->options.identity) && !this->isStorageBlocked()) {
         this->startPreVote();
         return;
     }
--- a/Libraries/LibLedger/ReplicaLog.cpp
+++ b/Libraries/LibLedger/ReplicaLog.cpp
@@ -1,6 +1,7 @@
 #include <LibBase/Try.h>
 #include <LibLedger/ReplicaLog.h>
 #include <LibTransport/Codec.h>
+#include <algorithm>
 
 namespace Sassafrasshift::Ledger {
 
@@ -99,4 +100,10 @@
     return *result;
 }
 
+bool ReplicaLog::isVoterAtOrAfter(Index index, std::string_view identity) const
+{
+    return this->membershipAt(index).isVoter(identity)
+        || std::any_of(this->memberships.begin(), this->memberships.end(), [&](const auto& record) { return record.index > index && record.membership.isVoter(identity); });
+}
+
 }
--- a/Libraries/LibLedger/ReplicaLog.h
+++ b/Libraries/LibLedger/ReplicaLog.h
@@ -41,6 +41,8 @@
     [[nodiscard]] Index membershipIndex() const { return this->memberships.back().index; }
     /// The membership that was in effect at an index.
     [[nodiscard]] const Membership& membershipAt(Index) const;
+    /// Whether a replica is a voter in the membership that was in effect at an index, or in a later one.
+    [[nodiscard]] bool isVoterAtOrAfter(Index, std::string_view identity) const;
 
 private:
     struct MembershipRecord {
--- a/Tests/LibLedger/LossSchedule.cpp
+++ b/Tests/LibLedger/LossSchedule.cpp
@@ -245,7 +245,7 @@
                 commands.apply(entry.index, entry.payload);
         }
         bool hasAll = std::includes(commands.commands().begin(), commands.commands().end(), accepted.begin(), accepted.end());
-        candidates.push_back(Candidate { this->hosts.identity(host), log.membership(), log.lastTerm(), log.lastIndex(), hasAll });
+        candidates.push_back(Candidate { this->hosts.identity(host), log.membership(), log.isVoterAtOrAfter(content.snapshot.index, this->hosts.identity(host)), log.lastTerm(), log.lastIndex(), hasAll });
     }
     return candidates;
 }
@@ -255,7 +255,7 @@
     bool isElectable = false;
     for (size_t i = 0; i < candidates.size(); ++i) {
         const auto& candidate = candidates[i];
-        if (lost.contains(i) || !candidate.membership.isVoter(candidate.identity))
+        if (lost.contains(i) || !candidate.standsForElection)
             continue;
         size_t votes = 0;
         for (size_t j = 0; j < candidates.size(); ++j) {
--- a/Tests/LibLedger/LossSchedule.h
+++ b/Tests/LibLedger/LossSchedule.h
@@ -45,6 +45,7 @@
     struct Candidate {
         std::string identity;
         Membership membership;
+        bool standsForElection { false };
         Term lastTerm { 0 };
         Index lastIndex { 0 };
         bool hasAcceptedCommands { false };
--- a/Tests/LibLedger/TestMembership.cpp
+++ b/Tests/LibLedger/TestMembership.cpp
@@ -1,4 +1,5 @@
 #include <LibLedger/Replica.h>
+#include <LibTransport/Codec.h>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <map>
@@ -124,3 +125,29 @@
     group.run(2s);
     BOOST_TEST(group.replicas.at("d")->leaderHost() == "");
 }
+
+// Guards against a leader that has removed itself, and is lost before any other replica has stored that: the others need its vote, but
+// its log is longer than theirs, and it would not stand for election itself.
+BOOST_AUTO_TEST_CASE(replica_whose_own_removal_is_not_committed_can_be_elected)
+{
+    Membership four;
+    for (const auto* name : { "a", "b", "c", "d" })
+        four.members.push_back({ name, name, MemberRole::Voter });
+    StoredState stored;
+    stored.snapshot.membership = four;
+    stored.hardState = HardState { 1, "a" };
+    stored.entries = { Entry { 1, 1, EntryKind::Membership, Transport::encodeValue(four) } };
+    Group group({});
+    group.start("b", stored);
+    group.start("c", stored);
+    stored.entries.push_back(Entry { 1, 2, EntryKind::Membership, Transport::encodeValue(four.without("a")) });
+    group.start("a", stored);
+    group.run(5s);
+    BOOST_REQUIRE(group.leader());
+    BOOST_TEST(!group.leader()->membership().find("a"));
+    auto index = group.leader()->propose("command");
+    BOOST_REQUIRE(index.has_value());
+    group.run(1s);
+    BOOST_REQUIRE(group.leader());
+    BOOST_TEST(group.leader()->commitIndex() >= *index);
+}
