LibLedger: Remove the voter that has been silent for longest first

What callers would see: no leader of the ledger, for good, after a host was gone without a word while another one was down, and two disks were lost then (two tolerated).

Cause: with several silent voters the leader removed the first one in the order of the membership. At 2n + 1 voters none may follow, so the one that would never answer stayed until the other one was back.

TestLibLedger, voter_that_was_silent_for_longer_is_removed_first, failed before the change.

Ruled out: the successor had joined in time.

Change: the voter without contact for the longest time is removed first. A leader that was elected meanwhile cannot tell: both have been silent since its election for it.

--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -177,6 +177,7 @@
     void advanceJoin(const std::string& host, const std::string& identity);
     void proposeMembership(const Membership&, MembershipChangeKind, const Member& changed);
     void removeLostVoter();
+    [[nodiscard]] const Member* longestLostVoter();
     [[nodiscard]] size_t reachableVotersOf(const Membership&) const;
     [[nodiscard]] bool hasReachableQuorum(const Membership&) const;
     [[nodiscard]] bool canChangeMembership() const;
--- a/Libraries/LibLedger/ReplicaMembership.cpp
+++ b/Libraries/LibLedger/ReplicaMembership.cpp
@@ -123,6 +123,22 @@
     return std::max(smallestGroup, 2 * this->options.toleratedDiskLosses + 1);
 }
 
+// The voter that has been silent for the longest time, beyond the timeout. A voter that is gone for good has mostly been silent for
+// longer than one that is only down for a while.
+const Member* Replica::longestLostVoter()
+{
+    const Member* longest = nullptr;
+    for (const auto& member : this->log.membership().members) {
+        if (member.role != MemberRole::Voter || member.identity == this->options.identity)
+            continue;
+        auto lastContact = this->progressOf(member.identity).lastContact;
+        bool isLost = this->now >= lastContact + this->options.lostVoterTimeout;
+        if (isLost && (!longest || lastContact < this->progressOf(longest->identity).lastContact))
+            longest = &member;
+    }
+    return longest;
+}
+
 // Removes one voter that has been unreachable for longer than lostVoterTimeout, provided that the group has more than the
 // minimum number of voters and a quorum of the remaining voters is reachable.
 void Replica::removeLostVoter()
@@ -130,16 +146,12 @@
     const auto& membership = this->log.membership();
     if (this->options.lostVoterTimeout.count() == 0 || membership.voterCount() <= this->minimumVoters() || !this->canChangeMembership())
         return;
-    for (const auto& member : membership.members) {
-        if (member.role != MemberRole::Voter || member.identity == this->options.identity)
-            continue;
-        bool isLost = this->now >= this->progressOf(member.identity).lastContact + this->options.lostVoterTimeout;
-        auto remaining = membership.without(member.identity);
-        if (!isLost || !this->hasReachableQuorum(remaining))
-            continue;
-        this->proposeMembership(remaining, MembershipChangeKind::Silence, Member(member));
+    const auto* lost = this->longestLostVoter();
+    if (!lost)
         return;
-    }
+    auto remaining = membership.without(lost->identity);
+    if (this->hasReachableQuorum(remaining))
+        this->proposeMembership(remaining, MembershipChangeKind::Silence, Member(*lost));
 }
 
 }
--- a/Tests/LibLedger/TestMembership.cpp
+++ b/Tests/LibLedger/TestMembership.cpp
@@ -16,8 +16,10 @@
     Instant now { std::chrono::hours(1) };
     std::map<std::string, std::unique_ptr<Replica>> replicas;
     std::deque<Message> network;
+    size_t toleratedDiskLosses;
 
-    explicit Group(const std::vector<std::string>& names)
+    explicit Group(const std::vector<std::string>& names, size_t toleratedDiskLosses = 1)
+        : toleratedDiskLosses(toleratedDiskLosses)
     {
         StoredState initialState;
         for (const auto& name : names)
@@ -32,6 +34,7 @@
         options.identity = name;
         options.host = name;
         options.lostVoterTimeout = 4s;
+        options.toleratedDiskLosses = this->toleratedDiskLosses;
         this->replicas[name] = std::make_unique<Replica>(options, stored, Random(std::hash<std::string> {}(name)), this->now);
     }
 
@@ -151,3 +154,32 @@
     BOOST_REQUIRE(group.leader());
     BOOST_TEST(group.leader()->commitIndex() >= *index);
 }
+
+// Guards against a voter that is gone for good, and stays one, because another one that is only down for a while was removed instead:
+// the group may not shrink further then.
+BOOST_AUTO_TEST_CASE(voter_that_was_silent_for_longer_is_removed_first)
+{
+    // Members are listed by name, so that the one that is only down comes first.
+    Group group({ "a", "b", "c", "d", "e" }, 2);
+    group.run(3s);
+    BOOST_REQUIRE(group.leader());
+    auto leader = group.leader()->leaderHost();
+    std::vector<std::string> others { "a", "b", "c", "d", "e" };
+    std::erase(others, leader);
+    auto down = others.front();
+    auto gone = others.back();
+    group.replicas.erase(gone);
+    group.run(1s);
+    group.replicas.erase(down);
+    group.run(5s);
+    BOOST_REQUIRE(group.leader());
+    BOOST_REQUIRE(group.leader()->leaderHost() == leader);
+    BOOST_TEST(group.leader()->membership().voterCount() == 5U);
+    group.start("successor", {});
+    group.leader()->requestJoin("successor", "successor");
+    group.run(2s);
+    BOOST_REQUIRE(group.leader());
+    BOOST_TEST(group.leader()->membership().isVoter("successor"));
+    BOOST_TEST(group.leader()->membership().isVoter(down));
+    BOOST_TEST(!group.leader()->membership().isVoter(gone));
+}
