LibLedger: Let hosts that end together leave one after the other

What callers would see: no leader of the ledger, for good, after one host was replaced as planned while another one was restarted, and a disk was lost then.

Cause: the restarted host had left just before, so that the group had no voter to spare. The other one was told so, ended for good as a voter, and counted until the first one was back and 2 s had passed.

Ruled out: that a signal for a restart differs from one for good.

Change: a member that the group needs is asked to wait, within its shutdown timeout, while a voter has been removed in the last 5 s, by the log of the replica that leads: it may be back soon.

--- a/Libraries/LibLedger/Replica.cpp
+++ b/Libraries/LibLedger/Replica.cpp
@@ -308,10 +308,18 @@
     return position->second;
 }
 
+void Replica::appendToLog(const Entry& entry)
+{
+    auto votersBefore = this->log.membership().voterCount();
+    this->log.append(entry);
+    if (this->log.membership().voterCount() < votersBefore)
+        this->lastVoterRemoval = this->now;
+}
+
 void Replica::appendAsLeader(EntryKind kind, std::string payload)
 {
     Entry entry { this->hardState.term, this->log.lastIndex() + 1, kind, std::move(payload) };
-    this->log.append(entry);
+    this->appendToLog(entry);
     if (!this->effects.operations.empty()) {
         if (auto* append = std::get_if<AppendOperation>(&this->effects.operations.back())) {
             append->entries.push_back(std::move(entry));
@@ -442,7 +450,7 @@
             this->storedIndex = std::min(this->storedIndex, entry.index - 1);
             this->effects.operations.emplace_back(TruncateOperation { entry.index });
         }
-        this->log.append(entry);
+        this->appendToLog(entry);
         append.entries.push_back(entry);
     }
     if (!append.entries.empty())
--- a/Libraries/LibLedger/Replica.h
+++ b/Libraries/LibLedger/Replica.h
@@ -169,6 +169,7 @@
     [[nodiscard]] bool isQuorum(const std::set<std::string>& identities) const;
     void appendAsLeader(EntryKind, std::string payload);
     void appendReceived(const std::vector<Entry>&);
+    void appendToLog(const Entry&);
     void advanceCommitIndex();
     void commitUpTo(Index);
     void checkQuorum();
@@ -181,7 +182,8 @@
     [[nodiscard]] size_t reachableVotersOf(const Membership&) const;
     [[nodiscard]] bool hasReachableQuorum(const Membership&) const;
     [[nodiscard]] bool canChangeMembership() const;
-    [[nodiscard]] bool hasReachableLearner() const;
+    /// Whether the group is about to get another voter: a learner catches up, or a member that has left may be back soon.
+    [[nodiscard]] bool expectsVoter() const;
     void sendAppends();
     void sendHeartbeats();
     void sendAppend(const Member&, Progress&);
@@ -215,6 +217,8 @@
     Index firstIndexOfTerm { 0 };
     /// The identities of the replicas that have requested to join, by host.
     std::map<std::string, std::string> pendingJoins;
+    /// When an entry that removes a voter was last appended to the log of this replica.
+    std::optional<Instant> lastVoterRemoval;
 
     Effects effects;
     uint64_t nextTicket { 1 };
--- a/Libraries/LibLedger/ReplicaMembership.cpp
+++ b/Libraries/LibLedger/ReplicaMembership.cpp
@@ -7,6 +7,8 @@
 
 // A smaller group has no quorum once a single host is down.
 static constexpr size_t smallestGroup = 3;
+// A member that has left for a planned restart is mostly back as a learner within this time.
+static constexpr Milliseconds restartTime { 5000 };
 
 bool Replica::canChangeMembership() const
 {
@@ -33,8 +35,10 @@
     return !this->log.membership().find(this->options.identity) && this->log.membershipIndex() <= this->committedIndex;
 }
 
-bool Replica::hasReachableLearner() const
+bool Replica::expectsVoter() const
 {
+    if (this->lastVoterRemoval && this->now < *this->lastVoterRemoval + restartTime)
+        return true;
     const auto& members = this->log.membership().members;
     return std::any_of(members.begin(), members.end(), [this](const auto& member) { return member.role == MemberRole::Learner && this->isReachable(member.identity); });
 }
@@ -49,9 +53,8 @@
     if (!member)
         return this->log.membershipIndex() <= this->committedIndex ? LeaveOutcome::Left : LeaveOutcome::Pending;
     bool isNeeded = member->role == MemberRole::Voter && membership.voterCount() <= this->minimumVoters();
-    // A learner that catches up takes the place of the member.
     if (isNeeded)
-        return this->hasReachableLearner() ? LeaveOutcome::Pending : LeaveOutcome::Kept;
+        return this->expectsVoter() ? LeaveOutcome::Pending : LeaveOutcome::Kept;
     auto remaining = membership.without(identity);
     if (this->canChangeMembership() && this->hasReachableQuorum(remaining))
         this->proposeMembership(remaining, MembershipChangeKind::Leave, Member(*member));
--- a/Tests/LibLedger/TestLosses.cpp
+++ b/Tests/LibLedger/TestLosses.cpp
@@ -36,6 +36,15 @@
         hosts.start(host);
 }
 
+// Waits for the end of processes that were asked to end.
+void runUntilEnded(SimulatedHosts& hosts, std::initializer_list<size_t> ending)
+{
+    auto isRunning = [&](size_t host) { return hosts.isRunning(host); };
+    for (auto end = hosts.now() + shutdownTimeout; hosts.now() < end && std::any_of(ending.begin(), ending.end(), isRunning);)
+        hosts.runFor(20ms);
+    BOOST_TEST(std::none_of(ending.begin(), ending.end(), isRunning));
+}
+
 // Adds empty hosts, and asks others to end once the new ones had time to catch up. None of the others comes back.
 void replaceAsPlanned(SimulatedHosts& hosts, std::initializer_list<size_t> replaced)
 {
@@ -44,10 +53,7 @@
     hosts.runFor(catchUpTime + 1s);
     for (auto host : replaced)
         hosts.terminate(host);
-    auto isRunning = [&](size_t host) { return hosts.isRunning(host); };
-    for (auto end = hosts.now() + shutdownTimeout; hosts.now() < end && std::any_of(replaced.begin(), replaced.end(), isRunning);)
-        hosts.runFor(20ms);
-    BOOST_TEST(std::none_of(replaced.begin(), replaced.end(), isRunning));
+    runUntilEnded(hosts, replaced);
 }
 
 // Checks that the group accepts a command again, and that the hosts have it and the one that was accepted before the losses.
@@ -147,6 +153,31 @@
     }
 }
 
+// Guards against a replica that ends for good as a voter, because another one that is only restarted has left just before.
+BOOST_AUTO_TEST_CASE(disk_lost_after_a_replacement_beside_a_planned_restart_leaves_a_quorum)
+{
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            SimulatedHosts hosts(seed, 4);
+            hosts.runFor(3s);
+            hosts.terminate(3);
+            runUntilEnded(hosts, { 3 });
+            hosts.terminate(2);
+            hosts.runFor(1s);
+            start(hosts, { 3 });
+            runUntilEnded(hosts, { 2 });
+            auto outcome = hosts.propose(0);
+            hosts.runFor(1s);
+            BOOST_REQUIRE(outcome->isAccepted());
+            loseDisks(hosts, { 1 });
+            hosts.runFor(1s);
+            start(hosts, { 1 });
+            checkRecovery(hosts, { 0, 1, 3 }, outcome->command);
+        }
+    }
+}
+
 // The number of drawn schedules for each size of a group. The environment variable SASSAFRASSHIFT_SCHEDULES overrides it for longer
 // searches, and SASSAFRASSHIFT_FIRST_SEED the seed of the first one.
 static uint64_t numberFromEnvironment(const char* name, uint64_t fallback)
