--- a/Tests/Cluster/run.py
+++ b/Tests/Cluster/run.py
@@ -45,8 +45,8 @@
 class Member:
     """A process of the cluster: a core host with a ledger replica, or an entry host."""
 
-    def __init__(self, folder, address, is_core):
-        self.address, self.is_core = address, is_core
+    def __init__(self, folder, address, is_core, seeds=CORE_ADDRESSES, tolerated_disk_losses=1):
+        self.address, self.is_core, self.seeds, self.tolerated_disk_losses = address, is_core, seeds, tolerated_disk_losses
         self.name = ("core-" if is_core else "entry-") + address.rsplit(".", 1)[1]
         self.log_path = os.path.join(folder, self.name + ".log")
         self.settings_path = os.path.join(folder, self.name + ".yaml")
@@ -54,8 +54,8 @@
         self.process = None
 
     def write_settings(self, first_start):
-        lines = [f"host: {self.name}", "failureDomain: north", f'peerAddress: "{self.address}:7501"', f"firstStart: {str(first_start).lower()}", "maximumLease: 1s", "shutdownTimeout: 10s", "seeds:"]
-        lines += [f'  - "{address}:7501"' for address in CORE_ADDRESSES]
+        lines = [f"host: {self.name}", "failureDomain: north", f'peerAddress: "{self.address}:7501"', f"firstStart: {str(first_start).lower()}", "maximumLease: 1s", "shutdownTimeout: 10s", f"toleratedDiskLosses: {self.tolerated_disk_losses}", "seeds:"]
+        lines += [f'  - "{address}:7501"' for address in self.seeds]
         if self.is_core:
             os.makedirs(self.data_folder, exist_ok=True)
             lines += [f'controlAddress: "{self.address}:7503"', f'dataFolder: "{self.data_folder}"']
