--- a/Meta/model.sh
+++ b/Meta/model.sh
@@ -36,5 +36,7 @@
 for variant in REACHED NO_INTENT NO_FENCE BLIND_REFUSAL; do check jobs $variant; done
 check ledger
 for variant in REACHED NO_REMOVAL OLD_IDENTITY EARLY_ANSWER; do check ledger $variant; done
+check membership
+for variant in REACHED FIXED_FLOOR NO_LEAVE ANY_LEAVE; do check membership $variant; done
 [ $failed = 0 ] && echo "models: all hold, and every broken variant is detected"
 exit $failed
