--- a/Tests/LibLedger/LossSchedule.cpp
+++ b/Tests/LibLedger/LossSchedule.cpp
@@ -238,7 +238,7 @@
     std::vector<Candidate> candidates;
     auto accepted = this->acceptedCommands();
     for (auto host : this->present()) {
-        const auto& content = const_cast<SimulatedHosts&>(this->hosts).disk(host).content;
+        const auto& content = this->hosts.disk(host).content;
         ReplicaLog log(content);
         CommandList commands;
         commands.restore(content.snapshot.state);
--- a/Tests/LibLedger/SimulatedHosts.cpp
+++ b/Tests/LibLedger/SimulatedHosts.cpp
@@ -173,6 +173,11 @@
     return this->hosts.at(host)->disk;
 }
 
+const SimulatedDisk& SimulatedHosts::disk(size_t host) const
+{
+    return this->hosts.at(host)->disk;
+}
+
 const std::set<std::string>& SimulatedHosts::commands(size_t host) const
 {
     return this->hosts.at(host)->state->commands();
--- a/Tests/LibLedger/SimulatedHosts.h
+++ b/Tests/LibLedger/SimulatedHosts.h
@@ -79,6 +79,7 @@
     [[nodiscard]] Instant now() const { return this->loop.now(); }
     [[nodiscard]] size_t count() const { return this->hosts.size(); }
     [[nodiscard]] SimulatedDisk& disk(size_t host);
+    [[nodiscard]] const SimulatedDisk& disk(size_t host) const;
     [[nodiscard]] const std::set<std::string>& commands(size_t host) const;
     /// The node of a running host.
     [[nodiscard]] const Node& node(size_t host) const;
--- a/Tests/LibLedger/TestLosses.cpp
+++ b/Tests/LibLedger/TestLosses.cpp
@@ -56,6 +56,15 @@
     runUntilEnded(hosts, replaced);
 }
 
+// Proposes a command, and returns it once it is accepted.
+std::string acceptCommand(SimulatedHosts& hosts)
+{
+    auto outcome = hosts.propose(0);
+    hosts.runFor(1s);
+    BOOST_REQUIRE(outcome->isAccepted());
+    return outcome->command;
+}
+
 // Checks that the group accepts a command again, and that the hosts have it and the one that was accepted before the losses.
 void checkRecovery(SimulatedHosts& hosts, std::initializer_list<size_t> running, const std::string& accepted)
 {
@@ -84,13 +93,11 @@
             hosts.stop(4);
             hosts.stop(5);
             hosts.runFor(9500ms);
-            auto outcome = hosts.propose(0);
-            hosts.runFor(1s);
-            BOOST_REQUIRE(outcome->isAccepted());
+            auto command = acceptCommand(hosts);
             loseDisks(hosts, { 0, 1 });
             hosts.runFor(1s);
             start(hosts, { 0, 1, 4, 5 });
-            checkRecovery(hosts, { 0, 1, 2, 3, 4, 5 }, outcome->command);
+            checkRecovery(hosts, { 0, 1, 2, 3, 4, 5 }, command);
         }
     }
 }
@@ -105,13 +112,11 @@
             SimulatedHosts hosts(seed, 3);
             hosts.runFor(3s);
             replaceAsPlanned(hosts, { 2 });
-            auto outcome = hosts.propose(0);
-            hosts.runFor(1s);
-            BOOST_REQUIRE(outcome->isAccepted());
+            auto command = acceptCommand(hosts);
             loseDisks(hosts, { 1 });
             hosts.runFor(1s);
             start(hosts, { 1 });
-            checkRecovery(hosts, { 0, 1, 3 }, outcome->command);
+            checkRecovery(hosts, { 0, 1, 3 }, command);
         }
     }
 }
@@ -124,11 +129,9 @@
         {
             SimulatedHosts hosts(seed, 3);
             hosts.runFor(3s);
-            auto outcome = hosts.propose(0);
-            hosts.runFor(1s);
-            BOOST_REQUIRE(outcome->isAccepted());
+            auto command = acceptCommand(hosts);
             replaceAsPlanned(hosts, { 0, 1, 2 });
-            checkRecovery(hosts, { 3, 4, 5 }, outcome->command);
+            checkRecovery(hosts, { 3, 4, 5 }, command);
         }
     }
 }
@@ -167,13 +170,11 @@
             hosts.runFor(1s);
             start(hosts, { 3 });
             runUntilEnded(hosts, { 2 });
-            auto outcome = hosts.propose(0);
-            hosts.runFor(1s);
-            BOOST_REQUIRE(outcome->isAccepted());
+            auto command = acceptCommand(hosts);
             loseDisks(hosts, { 1 });
             hosts.runFor(1s);
             start(hosts, { 1 });
-            checkRecovery(hosts, { 0, 1, 3 }, outcome->command);
+            checkRecovery(hosts, { 0, 1, 3 }, command);
         }
     }
 }
@@ -194,13 +195,11 @@
             hosts.runFor(700ms);
             hosts.terminate(4);
             hosts.runFor(catchUpTime);
-            auto outcome = hosts.propose(0);
-            hosts.runFor(1s);
-            BOOST_REQUIRE(outcome->isAccepted());
+            auto command = acceptCommand(hosts);
             loseDisks(hosts, { 0, 1 });
             hosts.runFor(1s);
             start(hosts, { 0, 1, 4 });
-            checkRecovery(hosts, { 0, 1, 3, 4, successor }, outcome->command);
+            checkRecovery(hosts, { 0, 1, 3, 4, successor }, command);
         }
     }
 }
--- a/Tests/LibLedger/TestMembership.cpp
+++ b/Tests/LibLedger/TestMembership.cpp
@@ -16,6 +16,7 @@
     Instant now { std::chrono::hours(1) };
     std::map<std::string, std::unique_ptr<Replica>> replicas;
     std::deque<Message> network;
+    std::vector<MembershipChange> changes;
     size_t toleratedDiskLosses;
 
     explicit Group(const std::vector<std::string>& names, size_t toleratedDiskLosses = 1)
@@ -61,6 +62,7 @@
     {
         auto effects = replica.takeEffects();
         replica.markStored(effects.ticket);
+        this->changes.insert(this->changes.end(), effects.membershipChanges.begin(), effects.membershipChanges.end());
         for (const auto* messages : { &effects.immediateMessages, &effects.messagesAfterStore })
             this->network.insert(this->network.end(), messages->begin(), messages->end());
     }
@@ -183,3 +185,16 @@
     BOOST_TEST(group.leader()->membership().isVoter(down));
     BOOST_TEST(!group.leader()->membership().isVoter(gone));
 }
+
+BOOST_AUTO_TEST_CASE(leader_reports_what_a_change_does_to_the_voters)
+{
+    Group group({ "a", "b", "c", "d" });
+    group.run(3s);
+    BOOST_REQUIRE(group.leader());
+    auto lost = group.leader()->leaderHost() == "d" ? "c" : "d";
+    group.replicas.erase(lost);
+    group.changes.clear();
+    group.run(6s);
+    BOOST_REQUIRE(group.changes.size() == 1U);
+    BOOST_TEST((group.changes.front() == MembershipChange { MembershipChangeKind::Silence, lost, lost, 4, 3, 3, 2, 3 }));
+}
