--- a/Tests/LibSettings/TestClusterSettings.cpp
+++ b/Tests/LibSettings/TestClusterSettings.cpp
@@ -1,6 +1,8 @@
 #include <LibLedger/FileOperations.h>
 #include <LibSettings/ClusterSettings.h>
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <regex>
 
 using namespace Sassafrasshift;
 using namespace Sassafrasshift::Settings;
@@ -53,3 +55,48 @@
     BOOST_TEST(text.find("readinessAddress") != std::string::npos);
     BOOST_TEST(text.find("seedprt") != std::string::npos);
 }
+
+namespace {
+
+// Fills in the settings template of the deployment: values by name, and sections that are left out where there is no value. A section of
+// a list is rendered once for its only value.
+std::string renderTemplate(const std::map<std::string, std::string>& values)
+{
+    auto text = Ledger::readFile(std::string(SOURCE_DIRECTORY) + "/deploy/settings.yaml.template").value_or("");
+    static const std::regex section(R"(\{\{#([^}]+)\}\}\n([^]*?)\{\{/\1\}\}\n)");
+    static const std::regex placeholder(R"(\{\{([^}]+)\}\})");
+    for (std::smatch match; std::regex_search(text, match, section);) {
+        auto inner = values.contains(match[1]) ? match[2].str() : std::string();
+        text = match.prefix().str() + inner + match.suffix().str();
+    }
+    for (std::smatch match; std::regex_search(text, match, placeholder);) {
+        auto position = values.find(match[1]);
+        text = match.prefix().str() + (position == values.end() ? std::string() : position->second) + match.suffix().str();
+    }
+    return text;
+}
+
+std::map<std::string, std::string> valuesOfLedgerHost()
+{
+    return { { "node", "core-1" }, { "zone", "eros" }, { "ip", "10.1.0.1" }, { "internal_ports.0", "7720" }, { "listen.control", "10.1.0.1:8166" },
+        { "seeds", "" }, { ".", "10.1.0.1:8166" }, { "data_dir", "/data" }, { "bootstrap", "true" }, { "bounds.hold_max_ms", "1000" }, { "bounds.grace_s", "6" } };
+}
+
+}
+
+// Guards against a deployment that does not pass on how many disks may be lost: the ledger would keep voters for one.
+BOOST_AUTO_TEST_CASE(deployment_passes_on_how_many_disks_may_be_lost)
+{
+    auto values = valuesOfLedgerHost();
+    values["fault_tolerance.machines"] = "2";
+    auto settings = ClusterSettings::parse(renderTemplate(values), "template");
+    BOOST_TEST_REQUIRE(settings.has_value(), (settings ? "" : toText(settings.error())));
+    BOOST_TEST(settings->toleratedDiskLosses == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(deployment_without_a_number_of_disks_is_valid)
+{
+    auto settings = ClusterSettings::parse(renderTemplate(valuesOfLedgerHost()), "template");
+    BOOST_TEST_REQUIRE(settings.has_value(), (settings ? "" : toText(settings.error())));
+    BOOST_TEST(settings->toleratedDiskLosses == 1U);
+}
