LibScheduler: Put each of its jobs into a folder of its own

Cause: 52 files lay in one folder: the home of jobs, the dispatcher with its queue, the sessions of targets, and the entry hosts' side.

Change: Home/, Dispatcher/, Target/ and Entry/; types that all of them use stay at the top. Library sources are found below their folder. No code has changed but for the include paths.

--- a/Libraries/LibScheduler/Decision.h
+++ b/Libraries/LibScheduler/Dispatcher/Decision.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibScheduler/RunEvidence.h>
+#include <LibScheduler/Target/RunEvidence.h>
 #include <compare>
 #include <cstdint>
 #include <optional>
--- a/Libraries/LibScheduler/EntryInbox.cpp
+++ b/Libraries/LibScheduler/Dispatcher/EntryInbox.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/EntryInbox.h>
+#include <LibScheduler/Dispatcher/EntryInbox.h>
 #include <algorithm>
 
 namespace Sassafrasshift::Scheduler {
--- a/Libraries/LibScheduler/EntryInbox.h
+++ b/Libraries/LibScheduler/Dispatcher/EntryInbox.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <LibScheduler/JobHome.h>
-#include <LibScheduler/RenewSubmissions.h>
-#include <LibScheduler/TaskScheduler.h>
-#include <LibScheduler/TransitTimes.h>
+#include <LibScheduler/Dispatcher/RenewSubmissions.h>
+#include <LibScheduler/Dispatcher/TaskScheduler.h>
+#include <LibScheduler/Dispatcher/TransitTimes.h>
+#include <LibScheduler/Home/JobHome.h>
 #include <optional>
 #include <string>
 #include <vector>
--- a/Libraries/LibScheduler/FinishedJobs.cpp
+++ b/Libraries/LibScheduler/Dispatcher/FinishedJobs.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/FinishedJobs.h>
+#include <LibScheduler/Dispatcher/FinishedJobs.h>
 #include <functional>
 #include <utility>
 
--- a/Libraries/LibScheduler/LapsedRuns.cpp
+++ b/Libraries/LibScheduler/Dispatcher/LapsedRuns.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/LapsedRuns.h>
+#include <LibScheduler/Dispatcher/LapsedRuns.h>
 #include <algorithm>
 #include <utility>
 
--- a/Libraries/LibScheduler/LapsedRuns.h
+++ b/Libraries/LibScheduler/Dispatcher/LapsedRuns.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibScheduler/RunEvidence.h>
+#include <LibScheduler/Target/RunEvidence.h>
 #include <LibScheduler/Types.h>
 #include <deque>
 #include <optional>
--- a/Libraries/LibScheduler/RenewSubmissions.h
+++ b/Libraries/LibScheduler/Dispatcher/RenewSubmissions.h
@@ -2,7 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibScheduler/ClockEcho.h>
-#include <LibScheduler/TaskScheduler.h>
+#include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <LibTransport/CodecFields.h>
 #include <cstdint>
 #include <string>
--- a/Libraries/LibScheduler/SpeedEstimator.cpp
+++ b/Libraries/LibScheduler/Dispatcher/SpeedEstimator.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/SpeedEstimator.h>
+#include <LibScheduler/Dispatcher/SpeedEstimator.h>
 #include <algorithm>
 
 namespace Sassafrasshift::Scheduler {
--- a/Libraries/LibScheduler/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <LibMembership/TargetRegistry.h>
-#include <LibScheduler/Decision.h>
-#include <LibScheduler/FinishedJobs.h>
-#include <LibScheduler/LapsedRuns.h>
-#include <LibScheduler/PlacedJobs.h>
-#include <LibScheduler/SpeedEstimator.h>
-#include <LibScheduler/TargetSession.h>
-#include <LibScheduler/TargetSpeed.h>
+#include <LibScheduler/Dispatcher/Decision.h>
+#include <LibScheduler/Dispatcher/FinishedJobs.h>
+#include <LibScheduler/Dispatcher/LapsedRuns.h>
+#include <LibScheduler/Dispatcher/SpeedEstimator.h>
+#include <LibScheduler/Home/PlacedJobs.h>
+#include <LibScheduler/Target/TargetSession.h>
+#include <LibScheduler/Target/TargetSpeed.h>
 #include <functional>
 #include <map>
 #include <memory>
--- a/Libraries/LibScheduler/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/TaskScheduler.h>
+#include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <algorithm>
 
 // Placement of tasks on targets of different kinds, some of which may be temporarily slow.
--- a/Libraries/LibScheduler/TaskSchedulerRecords.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerRecords.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/TaskScheduler.h>
+#include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <algorithm>
 #include <utility>
 
--- a/Libraries/LibScheduler/TaskSchedulerRestarts.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerRestarts.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/TaskScheduler.h>
+#include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <vector>
 
 // Restarts of runs that stand still, where another run of the task would end in time. The load that this answers: the tasks on some
--- a/Libraries/LibScheduler/TransitTimes.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TransitTimes.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/TransitTimes.h>
+#include <LibScheduler/Dispatcher/TransitTimes.h>
 #include <algorithm>
 
 namespace Sassafrasshift::Scheduler {
--- a/Libraries/LibScheduler/ClockEchoes.cpp
+++ b/Libraries/LibScheduler/Entry/ClockEchoes.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/ClockEchoes.h>
+#include <LibScheduler/Entry/ClockEchoes.h>
 
 namespace Sassafrasshift::Scheduler {
 
--- a/Libraries/LibScheduler/DispatcherDirectory.cpp
+++ b/Libraries/LibScheduler/Entry/DispatcherDirectory.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/DispatcherDirectory.h>
+#include <LibScheduler/Entry/DispatcherDirectory.h>
 #include <algorithm>
 #include <cmath>
 #include <utility>
--- a/Libraries/LibScheduler/DispatcherDirectory.h
+++ b/Libraries/LibScheduler/Entry/DispatcherDirectory.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibScheduler/ShardChoice.h>
+#include <LibScheduler/Entry/ShardChoice.h>
 #include <LibScheduler/Types.h>
 #include <compare>
 #include <map>
--- a/Libraries/LibScheduler/HandoverCause.cpp
+++ b/Libraries/LibScheduler/Entry/HandoverCause.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/HandoverCause.h>
+#include <LibScheduler/Entry/HandoverCause.h>
 
 namespace Sassafrasshift::Scheduler {
 
--- a/Libraries/LibScheduler/JobOwner.cpp
+++ b/Libraries/LibScheduler/Entry/JobOwner.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/JobOwner.h>
+#include <LibScheduler/Entry/JobOwner.h>
 #include <algorithm>
 #include <utility>
 
--- a/Libraries/LibScheduler/JobOwner.h
+++ b/Libraries/LibScheduler/Entry/JobOwner.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <LibScheduler/DispatcherDirectory.h>
-#include <LibScheduler/HandoverCause.h>
-#include <LibScheduler/ShardChoice.h>
-#include <LibScheduler/TaskScheduler.h>
+#include <LibScheduler/Dispatcher/TaskScheduler.h>
+#include <LibScheduler/Entry/DispatcherDirectory.h>
+#include <LibScheduler/Entry/HandoverCause.h>
+#include <LibScheduler/Entry/ShardChoice.h>
 #include <LibScheduler/Types.h>
 #include <functional>
 #include <map>
--- a/Libraries/LibScheduler/ShardChoice.cpp
+++ b/Libraries/LibScheduler/Entry/ShardChoice.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/ShardChoice.h>
+#include <LibScheduler/Entry/ShardChoice.h>
 
 namespace Sassafrasshift::Scheduler {
 
--- a/Libraries/LibScheduler/HomeReadiness.cpp
+++ b/Libraries/LibScheduler/Home/HomeReadiness.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/HomeReadiness.h>
+#include <LibScheduler/Home/HomeReadiness.h>
 #include <algorithm>
 #include <utility>
 
--- a/Libraries/LibScheduler/HomeReadiness.h
+++ b/Libraries/LibScheduler/Home/HomeReadiness.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibScheduler/DispatcherDirectory.h>
-#include <LibScheduler/HostSurvey.h>
+#include <LibScheduler/Dispatcher/HostSurvey.h>
+#include <LibScheduler/Entry/DispatcherDirectory.h>
 #include <cstdint>
 #include <map>
 #include <optional>
--- a/Libraries/LibScheduler/HomeTerms.cpp
+++ b/Libraries/LibScheduler/Home/HomeTerms.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/HomeTerms.h>
+#include <LibScheduler/Home/HomeTerms.h>
 #include <algorithm>
 
 namespace Sassafrasshift::Scheduler {
--- a/Libraries/LibScheduler/JobHome.cpp
+++ b/Libraries/LibScheduler/Home/JobHome.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/JobHome.h>
+#include <LibScheduler/Home/JobHome.h>
 #include <algorithm>
 #include <iterator>
 #include <utility>
--- a/Libraries/LibScheduler/JobHome.h
+++ b/Libraries/LibScheduler/Home/JobHome.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibScheduler/HomeEvent.h>
-#include <LibScheduler/HomeReadiness.h>
-#include <LibScheduler/HomeTerms.h>
-#include <LibScheduler/PlacedJobs.h>
-#include <LibScheduler/PlacementRegistry.h>
-#include <LibScheduler/RenewSubmissions.h>
-#include <LibScheduler/TaskScheduler.h>
+#include <LibScheduler/Dispatcher/RenewSubmissions.h>
+#include <LibScheduler/Dispatcher/TaskScheduler.h>
+#include <LibScheduler/Home/HomeEvent.h>
+#include <LibScheduler/Home/HomeReadiness.h>
+#include <LibScheduler/Home/HomeTerms.h>
+#include <LibScheduler/Home/PlacedJobs.h>
+#include <LibScheduler/Home/PlacementRegistry.h>
 #include <map>
 #include <optional>
 #include <string>
--- a/Libraries/LibScheduler/PlacementRegistry.cpp
+++ b/Libraries/LibScheduler/Home/PlacementRegistry.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/PlacementRegistry.h>
+#include <LibScheduler/Home/PlacementRegistry.h>
 #include <algorithm>
 #include <utility>
 
--- a/Libraries/LibScheduler/PlacementRegistry.h
+++ b/Libraries/LibScheduler/Home/PlacementRegistry.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
-#include <LibScheduler/PlacedJobs.h>
+#include <LibScheduler/Home/PlacedJobs.h>
 #include <LibScheduler/Types.h>
 #include <cstdint>
 #include <map>
--- a/Libraries/LibScheduler/RunEvidence.cpp
+++ b/Libraries/LibScheduler/Target/RunEvidence.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/RunEvidence.h>
+#include <LibScheduler/Target/RunEvidence.h>
 
 namespace Sassafrasshift::Scheduler {
 
--- a/Libraries/LibScheduler/StallDetector.cpp
+++ b/Libraries/LibScheduler/Target/StallDetector.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/StallDetector.h>
+#include <LibScheduler/Target/StallDetector.h>
 
 namespace Sassafrasshift::Scheduler {
 
--- a/Libraries/LibScheduler/TargetSession.cpp
+++ b/Libraries/LibScheduler/Target/TargetSession.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/TargetSession.h>
+#include <LibScheduler/Target/TargetSession.h>
 #include <algorithm>
 #include <utility>
 
--- a/Libraries/LibScheduler/TargetSession.h
+++ b/Libraries/LibScheduler/Target/TargetSession.h
@@ -2,9 +2,9 @@
 
 #include <LibMembership/TargetReport.h>
 #include <LibScheduler/JobLease.h>
-#include <LibScheduler/OrderAnswer.h>
-#include <LibScheduler/RunEvidence.h>
-#include <LibScheduler/StallDetector.h>
+#include <LibScheduler/Target/OrderAnswer.h>
+#include <LibScheduler/Target/RunEvidence.h>
+#include <LibScheduler/Target/StallDetector.h>
 #include <LibScheduler/Types.h>
 #include <map>
 #include <memory>
--- a/Libraries/LibScheduler/TargetSessionLeases.cpp
+++ b/Libraries/LibScheduler/Target/TargetSessionLeases.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/TargetSession.h>
+#include <LibScheduler/Target/TargetSession.h>
 #include <algorithm>
 
 // The leases of the runs on a target: how long they may be granted, and when all of them have expired.
--- a/Libraries/LibScheduler/TargetSpeed.cpp
+++ b/Libraries/LibScheduler/Target/TargetSpeed.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/TargetSpeed.h>
+#include <LibScheduler/Target/TargetSpeed.h>
 #include <algorithm>
 #include <cmath>
 
--- a/Meta/CMake/Library.cmake
+++ b/Meta/CMake/Library.cmake
@@ -1,7 +1,7 @@
-# Adds a static library from all .cpp files of the current folder. USES lists the libraries that it may depend on.
+# Adds a static library from all .cpp files below the current folder. USES lists the libraries that it may depend on.
 function(sassafrasshift_library name)
     cmake_parse_arguments(ARG "" "" "USES" ${ARGN})
-    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
     add_library(${name} STATIC ${sources})
     target_include_directories(${name} PUBLIC
         $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/Libraries>
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -5,8 +5,8 @@
 #include <LibLedger/Types.h>
 #include <LibMembership/Cluster.h>
 #include <LibMembership/TargetReport.h>
-#include <LibScheduler/PlacedJobs.h>
-#include <LibScheduler/RenewSubmissions.h>
+#include <LibScheduler/Dispatcher/RenewSubmissions.h>
+#include <LibScheduler/Home/PlacedJobs.h>
 #include <LibScheduler/Types.h>
 #include <variant>
 #include <vector>
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -1,5 +1,5 @@
 #include "Cluster/DispatchService.h"
-#include <LibScheduler/JobOwner.h>
+#include <LibScheduler/Entry/JobOwner.h>
 #include <LibTelemetry/Log.h>
 #include <algorithm>
 #include <arpa/inet.h>
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Cluster/ClusterContext.h"
-#include <LibScheduler/EntryInbox.h>
-#include <LibScheduler/HostSurvey.h>
-#include <LibScheduler/TaskScheduler.h>
+#include <LibScheduler/Dispatcher/EntryInbox.h>
+#include <LibScheduler/Dispatcher/HostSurvey.h>
+#include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <LibTelemetry/LogBudget.h>
 #include <platform/TargetClient.h>
 
--- a/Services/sassafrasshiftd/Cluster/JobEntry.h
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.h
@@ -2,8 +2,8 @@
 
 #include "Cluster/ClusterContext.h"
 #include "Cluster/DocumentStore.h"
-#include <LibScheduler/ClockEchoes.h>
-#include <LibScheduler/JobOwner.h>
+#include <LibScheduler/Entry/ClockEchoes.h>
+#include <LibScheduler/Entry/JobOwner.h>
 #include <LibTelemetry/LogBudget.h>
 #include <LibTransport/HttpServer.h>
 #include <memory>
--- a/Tests/LibScheduler/SimulatedShards.h
+++ b/Tests/LibScheduler/SimulatedShards.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "SimulatedTargets.h"
-#include <LibScheduler/ClockEchoes.h>
-#include <LibScheduler/EntryInbox.h>
-#include <LibScheduler/JobOwner.h>
+#include <LibScheduler/Dispatcher/EntryInbox.h>
+#include <LibScheduler/Entry/ClockEchoes.h>
+#include <LibScheduler/Entry/JobOwner.h>
 #include <functional>
 #include <map>
 #include <memory>
--- a/Tests/LibScheduler/SimulatedTargets.h
+++ b/Tests/LibScheduler/SimulatedTargets.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibScheduler/TaskScheduler.h>
+#include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <functional>
 #include <map>
 #include <optional>
--- a/Tests/LibScheduler/TestDecisions.cpp
+++ b/Tests/LibScheduler/TestDecisions.cpp
@@ -1,5 +1,5 @@
 #include "SimulatedTargets.h"
-#include <LibScheduler/LapsedRuns.h>
+#include <LibScheduler/Dispatcher/LapsedRuns.h>
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
--- a/Tests/LibScheduler/TestDispatcherDirectory.cpp
+++ b/Tests/LibScheduler/TestDispatcherDirectory.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/DispatcherDirectory.h>
+#include <LibScheduler/Entry/DispatcherDirectory.h>
 #include <boost/test/unit_test.hpp>
 
 using namespace Sassafrasshift;
--- a/Tests/LibScheduler/TestEntryInbox.cpp
+++ b/Tests/LibScheduler/TestEntryInbox.cpp
@@ -1,6 +1,6 @@
 #include "SimulatedShards.h"
-#include <LibScheduler/ClockEchoes.h>
-#include <LibScheduler/EntryInbox.h>
+#include <LibScheduler/Dispatcher/EntryInbox.h>
+#include <LibScheduler/Entry/ClockEchoes.h>
 #include <boost/test/unit_test.hpp>
 
 using namespace Sassafrasshift;
--- a/Tests/LibScheduler/TestHomeReadiness.cpp
+++ b/Tests/LibScheduler/TestHomeReadiness.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/HomeReadiness.h>
+#include <LibScheduler/Home/HomeReadiness.h>
 #include <boost/test/unit_test.hpp>
 
 using namespace Sassafrasshift;
--- a/Tests/LibScheduler/TestHostSurvey.cpp
+++ b/Tests/LibScheduler/TestHostSurvey.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/HostSurvey.h>
+#include <LibScheduler/Dispatcher/HostSurvey.h>
 #include <boost/test/unit_test.hpp>
 
 using namespace Sassafrasshift;
--- a/Tests/LibScheduler/TestJobHome.cpp
+++ b/Tests/LibScheduler/TestJobHome.cpp
@@ -1,5 +1,5 @@
 #include "SimulatedTargets.h"
-#include <LibScheduler/JobHome.h>
+#include <LibScheduler/Home/JobHome.h>
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
--- a/Tests/LibScheduler/TestJobOwner.cpp
+++ b/Tests/LibScheduler/TestJobOwner.cpp
@@ -1,5 +1,5 @@
 #include "SimulatedTargets.h"
-#include <LibScheduler/JobOwner.h>
+#include <LibScheduler/Entry/JobOwner.h>
 #include <boost/test/unit_test.hpp>
 
 using namespace Sassafrasshift;
--- a/Tests/LibScheduler/TestPlacementRegistry.cpp
+++ b/Tests/LibScheduler/TestPlacementRegistry.cpp
@@ -1,5 +1,5 @@
 #include "SimulatedTargets.h"
-#include <LibScheduler/PlacementRegistry.h>
+#include <LibScheduler/Home/PlacementRegistry.h>
 #include <boost/test/unit_test.hpp>
 
 using namespace Sassafrasshift;
--- a/Tests/LibScheduler/TestStalledRuns.cpp
+++ b/Tests/LibScheduler/TestStalledRuns.cpp
@@ -1,5 +1,5 @@
 #include "SimulatedTargets.h"
-#include <LibScheduler/StallDetector.h>
+#include <LibScheduler/Target/StallDetector.h>
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
--- a/Tests/LibScheduler/TestTargetSpeed.cpp
+++ b/Tests/LibScheduler/TestTargetSpeed.cpp
@@ -1,5 +1,5 @@
-#include <LibScheduler/SpeedEstimator.h>
-#include <LibScheduler/TargetSpeed.h>
+#include <LibScheduler/Dispatcher/SpeedEstimator.h>
+#include <LibScheduler/Target/TargetSpeed.h>
 #include <boost/test/unit_test.hpp>
 
 using namespace Sassafrasshift;
--- a/Tests/LibScheduler/TestTransitTimes.cpp
+++ b/Tests/LibScheduler/TestTransitTimes.cpp
@@ -1,4 +1,4 @@
-#include <LibScheduler/TransitTimes.h>
+#include <LibScheduler/Dispatcher/TransitTimes.h>
 #include <boost/test/unit_test.hpp>
 
 using namespace Sassafrasshift;
