Cluster: Send the orders of a small dispatcher through relays

A dispatcher with 0.12 core cannot exchange orders and answers with 117 targets over HTTP itself. With `orderRelayCores` above its `dispatchCores`, and more than 30 targets, it now sends its orders in batches to other entry hosts of its failure domain, which execute them and return the answers in batches, collected for 3 ms.

RelayAssignment and RelayedCalls (LibScheduler/Relay) are pure. A relay keeps its place until it is lost, so that the targets of the others are not reassigned. A call that is not answered within the timeout of the order and 100 ms is unknown, as an unanswered direct order is, and its relay gets no orders for 2 s. Open hold orders of a lost relay end at once, so that leases are renewed through another relay. Expiry needs two checks, so that a process that lags first reads the answers that have arrived.

Orders that were in transit for more than 250 ms are not executed by the relay: a process that has replaced a target would grant a late start a lease on its own clock. Members say in their gossip record whether they execute relayed orders, since those of an earlier version ignore them.

Tests: Tests/Cluster/relays.py kills, pauses and shuts down relays and kills the dispatcher of a cluster of real processes with 34 executors.

--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -52,8 +52,10 @@
     DispatchLayout layout { DispatchLayout::WholeCluster };
     /// The shard to which the member's failure domain belongs: the member is its dispatcher or a candidate for that role.
     std::string dispatchShard;
+    /// Whether the member executes RelayedOrders; members of an earlier version ignore them.
+    bool relaysOrders { false };
 
-    CODEC_FIELDS(address, name, failureDomain, incarnation, heartbeat, state, isEntry, dispatchWeight, dispatchEpoch, configurationVersion, replicaIdentity, replicaInitialized, ledgerLeader, ledgerTerm, layout, dispatchShard);
+    CODEC_FIELDS(address, name, failureDomain, incarnation, heartbeat, state, isEntry, dispatchWeight, dispatchEpoch, configurationVersion, replicaIdentity, replicaInitialized, ledgerLeader, ledgerTerm, layout, dispatchShard, relaysOrders);
     friend auto operator<=>(const MemberRecord&, const MemberRecord&) = default;
 };
 
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -127,6 +127,8 @@
     [[nodiscard]] TargetCounts countTargets(Instant now) const;
     /// Whether another dispatcher has claimed any target of the shard with a higher fencing token.
     [[nodiscard]] bool hasFencedTargets() const;
+    /// The number of targets with a session.
+    [[nodiscard]] size_t targetCount() const { return this->targets.size(); }
     [[nodiscard]] size_t openJobs() const { return this->jobs.size(); }
     [[nodiscard]] size_t waitingTasks() const;
     [[nodiscard]] size_t openRuns() const;
--- a/Libraries/LibScheduler/Target/OrderAnswer.h
+++ b/Libraries/LibScheduler/Target/OrderAnswer.h
@@ -11,6 +11,7 @@
     /// The current time on the target's clock, in milliseconds.
     int64_t clock { 0 };
 
+    CODEC_FIELDS(clock);
     friend auto operator<=>(const Acknowledged&, const Acknowledged&) = default;
 };
 
@@ -18,6 +19,7 @@
 struct Refused {
     OrderRefusal reason { OrderRefusal::Malformed };
 
+    CODEC_FIELDS(reason);
     friend auto operator<=>(const Refused&, const Refused&) = default;
 };
 
@@ -26,6 +28,7 @@
     /// NotRun if no byte of the order can have reached the target.
     Verdict verdict { Verdict::MayHaveRun };
 
+    CODEC_FIELDS(verdict);
     friend auto operator<=>(const Unanswered&, const Unanswered&) = default;
 };
 
--- a/Libraries/LibScheduler/Types.h
+++ b/Libraries/LibScheduler/Types.h
@@ -32,6 +32,7 @@
     TaskId task;
     uint64_t number { 0 };
 
+    CODEC_FIELDS(task, number);
     friend auto operator<=>(const RunId&, const RunId&) = default;
 };
 
@@ -189,6 +190,7 @@
     RunId run;
     RunEnd end { RunEnd::Done };
 
+    CODEC_FIELDS(sequence, run, end);
     friend auto operator<=>(const EndedRun&, const EndedRun&) = default;
 };
 
@@ -209,6 +211,7 @@
     /// How far running runs are done, in percent; without the runs of which the target does not say it.
     std::map<RunId, int> progress;
 
+    CODEC_FIELDS(clock, incarnation, running, ended, isComplete, lastReadableEnd, progress);
     friend auto operator<=>(const RunList&, const RunList&) = default;
 };
 
@@ -236,6 +239,7 @@
     /// The address that the target serves requests on, as "address:port".
     std::string address;
 
+    CODEC_FIELDS(identity, incarnation, address);
     friend auto operator<=>(const TargetInstance&, const TargetInstance&) = default;
 };
 
@@ -251,6 +255,7 @@
     /// How long the target may wait for a run to end before it answers.
     Milliseconds wait { 0 };
 
+    CODEC_FIELDS(instance, number, fence, lastEndSeen, leaseEnd, wait);
     friend auto operator<=>(const HoldOrder&, const HoldOrder&) = default;
 };
 
@@ -263,6 +268,7 @@
     /// The end of the lease on the target's clock, in milliseconds.
     int64_t leaseEnd { 0 };
 
+    CODEC_FIELDS(instance, fence, run, payload, leaseEnd);
     friend auto operator<=>(const StartOrder&, const StartOrder&) = default;
 };
 
@@ -272,6 +278,7 @@
     uint64_t fence { 0 };
     RunId run;
 
+    CODEC_FIELDS(instance, fence, run);
     friend auto operator<=>(const StopOrder&, const StopOrder&) = default;
 };
 
--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -43,6 +43,8 @@
     settings.logLevel = reader.oneOf("logLevel", logLevels, "information");
     auto cores = reader.number("dispatchCores", 0, maximumCores, 0);
     settings.dispatchWeight = static_cast<int64_t>(cores * milliCoresPerCore);
+    auto relayCores = reader.number("orderRelayCores", 0, maximumCores, 0);
+    settings.orderRelayWeight = static_cast<int64_t>(relayCores * milliCoresPerCore);
     settings.maximumLease = reader.duration("maximumLease", 100ms, 600s, 1s);
     settings.shutdownTimeout = reader.duration("shutdownTimeout", 1s, 600s, 30s);
     if (settings.jobsAddress.empty() != settings.readinessAddress.empty())
--- a/Libraries/LibSettings/ClusterSettings.h
+++ b/Libraries/LibSettings/ClusterSettings.h
@@ -37,6 +37,10 @@
     /// The weight of this process when the dispatcher is chosen, in thousandths of a core. A process with zero never
     /// becomes the dispatcher.
     int64_t dispatchWeight { 0 };
+    /// A dispatcher with less weight than this, in thousandths of a core, sends its orders through relays; zero for never.
+    int64_t orderRelayWeight { 0 };
+    /// Whether this process, as a dispatcher, sends its orders through other entry hosts if it has many targets.
+    [[nodiscard]] bool usesOrderRelays() const { return this->dispatchWeight < this->orderRelayWeight; }
     /// The longest lease that targets grant for their runs. The dispatcher never requests a longer one.
     Milliseconds maximumLease { 0 };
     /// How long a graceful shutdown of this process may take.
--- a/Libraries/LibTransport/Codec.h
+++ b/Libraries/LibTransport/Codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Error.h>
+#include <chrono>
 #include <msgpack.hpp>
 #include <string>
 #include <string_view>
@@ -102,6 +103,25 @@
         }
     };
 
+    // A duration is encoded as its number of milliseconds.
+    template <>
+    struct convert<std::chrono::milliseconds> {
+        const msgpack::object& operator()(const msgpack::object& object, std::chrono::milliseconds& value) const
+        {
+            value = std::chrono::milliseconds(object.as<std::chrono::milliseconds::rep>());
+            return object;
+        }
+    };
+
+    template <>
+    struct pack<std::chrono::milliseconds> {
+        template <typename Stream>
+        msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& packer, const std::chrono::milliseconds& value) const
+        {
+            return packer.pack(value.count());
+        }
+    };
+
     // A variant is encoded as an array of the alternative's index and its value.
     template <typename... Alternatives>
     struct convert<std::variant<Alternatives...>> {
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -51,6 +51,7 @@
     self.failureDomain = this->settings.failureDomain;
     self.incarnation = static_cast<uint64_t>(toUnixMilliseconds(this->loop->wallNow()));
     self.isEntry = !this->settings.jobsAddress.empty();
+    self.relaysOrders = self.isEntry;
     self.dispatchWeight = static_cast<uint32_t>(this->settings.dispatchWeight);
     this->lastActiveAt = this->loop->now();
     this->cluster = std::make_unique<Membership::Cluster>(self, this->settings.seeds, Membership::Cluster::Options {}, Random(this->random()), this->loop->now());
@@ -61,6 +62,7 @@
     this->documents = std::make_unique<DocumentStore>(*this->context);
     this->ledger = std::make_unique<DocumentLedger>(*this->context, *this->documents);
     this->dispatch = std::make_unique<DispatchService>(*this->context, *this->client);
+    this->relay = std::make_unique<OrderRelay>(*this->context, *this->client);
     this->entry = std::make_unique<JobEntry>(*this->context, *this->documents);
     this->control = std::make_unique<ControlApi>(*this->context, *this->ledger, *this->documents, this->dispatch->taskScheduler());
     TRY_VOID(this->ledger->start());
@@ -152,6 +154,7 @@
 {
     auto now = this->loop->now();
     this->dispatch->observeTransitTime(from, gossip);
+    this->relay->observeTransitTime(from, gossip);
     this->entry->observeClock(from, gossip.senderIncarnation, gossip.sentAt);
     this->cluster->mergeRecords(gossip.members, now);
     if (this->cluster->shouldSendAllRecords(gossip.knownMembers, now))
@@ -184,6 +187,8 @@
 {
     if constexpr (requires { this->dispatch->onMessage(from, message); })
         this->dispatch->onMessage(from, message);
+    else if constexpr (requires { this->relay->onMessage(from, message); })
+        this->relay->onMessage(from, message);
     else if constexpr (requires { this->entry->onMessage(from, message); })
         this->entry->onMessage(from, message);
     else if constexpr (requires { this->ledger->onMessage(from, message); })
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -6,6 +6,7 @@
 #include "Cluster/DocumentLedger.h"
 #include "Cluster/DocumentStore.h"
 #include "Cluster/JobEntry.h"
+#include "Cluster/OrderRelay.h"
 #include <LibTransport/HttpClient.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/PeerHub.h>
@@ -76,6 +77,7 @@
     std::unique_ptr<DocumentStore> documents;
     std::unique_ptr<DocumentLedger> ledger;
     std::unique_ptr<DispatchService> dispatch;
+    std::unique_ptr<OrderRelay> relay;
     std::unique_ptr<JobEntry> entry;
     std::unique_ptr<ControlApi> control;
     std::unique_ptr<Transport::HttpServer> jobsServer;
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -7,6 +7,7 @@
 #include <LibMembership/TargetReport.h>
 #include <LibScheduler/Dispatcher/RenewSubmissions.h>
 #include <LibScheduler/Home/PlacedJobs.h>
+#include <LibScheduler/Relay/RelayMessages.h>
 #include <LibScheduler/Types.h>
 #include <variant>
 #include <vector>
@@ -119,6 +120,6 @@
 /// index.
 using ClusterMessage = std::variant<Gossip, Scheduler::Submission, CancelSubmission, Scheduler::RenewSubmissions, RenewResponse, Scheduler::JobOutcome, ReportNotice, ReportAcknowledgment,
     TargetGone, Ledger::Message, JoinRequest, ProposeRequest, ProposeResponse, DocumentRequest, DocumentTransfer, TargetListRequest, TargetListResponse, RenewalRequest, Scheduler::Placement, RelayedRequest,
-    Scheduler::PlacedJobsRequest, Scheduler::PlacedJobsResponse, LeaveRequest, LeaveResponse>;
+    Scheduler::PlacedJobsRequest, Scheduler::PlacedJobsResponse, LeaveRequest, LeaveResponse, Scheduler::RelayedOrders, Scheduler::RelayedAnswers>;
 
 }
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -33,13 +33,13 @@
     options.leases.maximumLease = std::min(settings.maximumLease, options.leases.maximumLeaseOfOthers);
     options.leases.maximumGrantedLease = settings.maximumLease;
     options.leases.holdWait = std::min(options.leases.holdWait, options.leases.maximumLease / 2);
-    options.leases.answerTimeout = Platform::TargetClient::holdTimeout;
+    options.leases.answerTimeout = OrderSender::holdAnswerTimeout(settings);
     return options;
 }
 
 DispatchService::DispatchService(ClusterContext& context, Transport::HttpClient& client)
     : context(context)
-    , targets(context.loop, client)
+    , orders(context, client, this->makeAnswerHandlers())
     , scheduler(makeOptions(context.settings))
     , inbox(jobOwnerOptions.scheduler.maximumTransitTime, context.cluster.processIncarnation())
     , home({})
@@ -47,6 +47,29 @@
 {
 }
 
+OrderSender::AnswerHandlers DispatchService::makeAnswerHandlers()
+{
+    OrderSender::AnswerHandlers handlers;
+    handlers.onHoldAnswer = [this](const auto& instance, uint64_t number, const auto& answer) {
+        this->scheduler.onHoldAnswer(instance, number, answer, this->context.now());
+        this->scheduleEffects();
+    };
+    handlers.onStartAnswer = [this](const auto& instance, const auto& run, const auto& answer) {
+        this->scheduler.onStartAnswer(instance, run, answer, this->context.now());
+        this->scheduleEffects();
+    };
+    handlers.onStopAnswer = [this](const auto& instance, const auto& run, const auto& answer) {
+        this->scheduler.onStopAnswer(instance, run, answer, this->context.now());
+        this->scheduleEffects();
+    };
+    return handlers;
+}
+
+void DispatchService::onMessage(const std::string& from, const Scheduler::RelayedAnswers& answers)
+{
+    this->orders.onMessage(from, answers);
+}
+
 // The token is unique to the claimant and its claim, and higher than the tokens of all earlier claims.
 static uint64_t fencingToken(uint64_t epoch, const std::string& address)
 {
@@ -236,6 +259,7 @@
     this->applyClaim(now);
     this->continueSurvey(now);
     this->updateHome(now);
+    this->orders.tick(this->activeShard, this->scheduler.targetCount(), now);
     this->scheduler.tick(now);
     this->raiseEpochIfFenced(now);
     this->executeEffects();
@@ -402,27 +426,10 @@
 void DispatchService::executeEffects()
 {
     auto effects = this->scheduler.takeEffects(this->context.now());
-    for (const auto& order : effects.orders.starts) {
-        this->targets.send(order, [this, instance = order.instance, run = order.run](const Scheduler::OrderAnswer& answer) {
-            this->scheduler.onStartAnswer(instance, run, answer, this->context.now());
-            this->scheduleEffects();
-        });
-    }
-    for (const auto& order : effects.orders.stops) {
-        this->targets.send(order, [this, instance = order.instance, run = order.run](const Scheduler::OrderAnswer& answer) {
-            this->scheduler.onStopAnswer(instance, run, answer, this->context.now());
-            this->scheduleEffects();
-        });
-    }
-    for (const auto& order : effects.orders.holds) {
-        this->targets.send(order, [this, instance = order.instance, number = order.number](const Scheduler::HoldAnswer& answer) {
-            this->scheduler.onHoldAnswer(instance, number, answer, this->context.now());
-            this->scheduleEffects();
-        });
-    }
     this->context.metrics.count("orders_total{kind=\"start\"}", effects.orders.starts.size());
     this->context.metrics.count("orders_total{kind=\"stop\"}", effects.orders.stops.size());
     this->context.metrics.count("orders_total{kind=\"hold\"}", effects.orders.holds.size());
+    this->orders.send(std::move(effects.orders));
     for (const auto& answer : this->home.takeAnswers())
         this->context.send(answer.to, answer.placement);
     for (const auto& event : this->home.takeEvents())
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "Cluster/ClusterContext.h"
+#include "Cluster/OrderSender.h"
 #include <LibScheduler/Dispatcher/EntryInbox.h>
 #include <LibScheduler/Dispatcher/HostSurvey.h>
 #include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <LibTelemetry/LogBudget.h>
-#include <platform/TargetClient.h>
 
 namespace Sassafrasshift::Daemon {
 
@@ -23,6 +23,7 @@
     void onMessage(const std::string& from, const TargetListResponse&);
     void onMessage(const std::string& from, const Scheduler::PlacedJobsRequest&);
     void onMessage(const std::string& from, const Scheduler::PlacedJobsResponse&);
+    void onMessage(const std::string& from, const Scheduler::RelayedAnswers&);
     /// Records the transit time of a message that every member sends, so that the first submission of an entry host can be compared
     /// with earlier messages.
     void observeTransitTime(const std::string& from, const Gossip&);
@@ -44,6 +45,7 @@
     /// Raises this member's epoch if targets reject its fencing token.
     void raiseEpochIfFenced(Instant now);
     void continueSurvey(Instant now);
+    [[nodiscard]] OrderSender::AnswerHandlers makeAnswerHandlers();
     /// Sends the orders and messages that the scheduler has produced, and logs its decisions.
     void executeEffects();
     void logStateIfDue(Instant now);
@@ -56,7 +58,7 @@
     [[nodiscard]] bool isOutranked() const;
 
     ClusterContext& context;
-    Platform::TargetClient targets;
+    OrderSender orders;
     Scheduler::TaskScheduler scheduler;
     Scheduler::EntryInbox inbox;
     Scheduler::JobHome home;
