LibDurableState: Store the set of evacuated failure domains

An evacuation has to be stored by a quorum before it is acknowledged, and must not be undone by a copy of an earlier command that arrives late.

The state has the set with a revision as its last field, and a command that changes the set only if its proposer knew the current revision.

--- a/Libraries/LibDurableState/Commands.h
+++ b/Libraries/LibDurableState/Commands.h
@@ -5,6 +5,7 @@
 #include <LibTransport/CodecFields.h>
 #include <compare>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -155,7 +156,20 @@
     friend auto operator<=>(const ReadDocumentCommand&, const ReadDocumentCommand&) = default;
 };
 
-using Command = std::variant<PublishCommand, AcceptJobCommand, RecordIntentsCommand, RecordOutcomeCommand, TakeOverCommand, CancelJobCommand, RefuseJobCommand, PublishDocumentCommand, ReadDocumentCommand>;
+/// Starts or ends the evacuation of a failure domain. A copy of the command that arrives after a later change must not undo that change,
+/// so the command changes the set only if its proposer knew the current revision.
+struct EvacuateCommand {
+    std::string failureDomain;
+    /// Whether the evacuation ends.
+    bool isWithdrawn { false };
+    /// The revision of the set that the proposer knows; zero if it knows none.
+    uint64_t knownRevision { 0 };
+
+    CODEC_FIELDS(failureDomain, isWithdrawn, knownRevision);
+    friend auto operator<=>(const EvacuateCommand&, const EvacuateCommand&) = default;
+};
+
+using Command = std::variant<PublishCommand, AcceptJobCommand, RecordIntentsCommand, RecordOutcomeCommand, TakeOverCommand, CancelJobCommand, RefuseJobCommand, PublishDocumentCommand, ReadDocumentCommand, EvacuateCommand>;
 
 /// The result of a PublishDocumentCommand or a ReadDocumentCommand.
 struct DocumentResult {
@@ -166,6 +180,35 @@
     friend auto operator<=>(const DocumentResult&, const DocumentResult&) = default;
 };
 
+/// The failure domains on whose targets no tasks are started.
+struct EvacuatedDomains {
+    /// Increases with each change. The empty set before the first change has revision 1, so that zero means that no set is known.
+    uint64_t revision { 1 };
+    std::set<std::string> domains;
+
+    CODEC_FIELDS(revision, domains);
+    friend auto operator<=>(const EvacuatedDomains&, const EvacuatedDomains&) = default;
+};
+
+enum class EvacuationStatus {
+    /// The set is as the command requests, whether this command or an earlier one changed it.
+    Accepted,
+    /// The set has changed since the revision that the proposer knew; the command has changed nothing.
+    Outdated,
+    /// The set has as many domains as it may have; the command has changed nothing.
+    TooMany,
+};
+
+struct EvacuationResult {
+    /// The set after the command. It is the first field, so that the result of a replica of an earlier version, which does not know the
+    /// command, cannot be decoded as this one.
+    EvacuatedDomains evacuated;
+    EvacuationStatus status { EvacuationStatus::Outdated };
+
+    CODEC_FIELDS(evacuated, status);
+    friend auto operator<=>(const EvacuationResult&, const EvacuationResult&) = default;
+};
+
 enum class PublishStatus {
     Accepted,
     /// The base version is not the current version; another change was accepted first.
--- a/Libraries/LibDurableState/DurableState.cpp
+++ b/Libraries/LibDurableState/DurableState.cpp
@@ -62,6 +62,28 @@
     return Transport::encodeValue(DocumentResult { this->content.document.version });
 }
 
+// A proposer that knows a higher revision than this state has it from members that outlived the disks of an earlier ledger. The next
+// revision is above theirs, since they ignore lower ones.
+std::string DurableState::handle(const EvacuateCommand& command)
+{
+    auto& evacuated = this->content.evacuated;
+    bool isFromEarlierLedger = command.knownRevision > evacuated.revision;
+    bool isInForce = evacuated.domains.contains(command.failureDomain) != command.isWithdrawn;
+    auto resultWith = [&](EvacuationStatus status) { return Transport::encodeValue(EvacuationResult { evacuated, status }); };
+    if (isInForce && !isFromEarlierLedger)
+        return resultWith(EvacuationStatus::Accepted);
+    if (command.knownRevision < evacuated.revision)
+        return resultWith(EvacuationStatus::Outdated);
+    if (!isInForce && !command.isWithdrawn && evacuated.domains.size() >= maximumEvacuatedDomains)
+        return resultWith(EvacuationStatus::TooMany);
+    if (command.isWithdrawn)
+        evacuated.domains.erase(command.failureDomain);
+    else
+        evacuated.domains.insert(command.failureDomain);
+    evacuated.revision = command.knownRevision + 1;
+    return resultWith(EvacuationStatus::Accepted);
+}
+
 const JobRecord* DurableState::findJob(std::string_view key) const
 {
     auto position = this->content.jobs.find(key);
--- a/Libraries/LibDurableState/DurableState.h
+++ b/Libraries/LibDurableState/DurableState.h
@@ -16,6 +16,9 @@
 /// ledger, so that a refusal outlasts every submission that was in transit when it was recorded.
 inline constexpr Milliseconds refusalRetention { 10'000 };
 
+/// How many failure domains may be evacuated at the same time.
+inline constexpr size_t maximumEvacuatedDomains = 1000;
+
 struct PublishedConfiguration {
     /// Zero if no configuration has been published.
     uint64_t version { 0 };
@@ -72,8 +75,8 @@
     friend auto operator<=>(const PublishedDocument&, const PublishedDocument&) = default;
 };
 
-/// The replicated state machine: the current configuration and the history of its changes, the published document, and the
-/// jobs. It survives the loss of a minority of its replicas.
+/// The replicated state machine: the current configuration and the history of its changes, the published document, the evacuated
+/// failure domains, and the jobs. It survives the loss of a minority of its replicas.
 class DurableState final : public Ledger::StateMachine {
 public:
     /// Called when a command changes the state, and for the whole state when a snapshot is restored.
@@ -93,6 +96,7 @@
 
     [[nodiscard]] const PublishedConfiguration& configuration() const { return this->content.configuration; }
     [[nodiscard]] const PublishedDocument& document() const { return this->content.document; }
+    [[nodiscard]] const EvacuatedDomains& evacuated() const { return this->content.evacuated; }
     [[nodiscard]] const std::deque<HistoryEntry>& history() const { return this->content.history; }
     [[nodiscard]] const JobRecord* findJob(std::string_view key) const;
     /// The keys of the jobs that have no outcome yet.
@@ -116,8 +120,9 @@
         /// The latest proposal time of a command that accepts or refuses a job, in milliseconds since the Unix epoch.
         int64_t latestProposalTime { 0 };
         PublishedDocument document;
+        EvacuatedDomains evacuated;
 
-        CODEC_FIELDS(configuration, history, publishResults, publishOrder, jobs, openJobs, finishedJobsByCreation, refusals, refusalsByTime, latestProposalTime, document);
+        CODEC_FIELDS(configuration, history, publishResults, publishOrder, jobs, openJobs, finishedJobsByCreation, refusals, refusalsByTime, latestProposalTime, document, evacuated);
     };
 
     [[nodiscard]] std::string handle(const PublishCommand&);
@@ -129,6 +134,7 @@
     [[nodiscard]] std::string handle(const RefuseJobCommand&);
     [[nodiscard]] std::string handle(const PublishDocumentCommand&);
     [[nodiscard]] std::string handle(const ReadDocumentCommand&) const;
+    [[nodiscard]] std::string handle(const EvacuateCommand&);
     /// The result for a submission whose key is known or expired; nothing if the key is new.
     [[nodiscard]] std::optional<JobUpdateResult> resultForKnownKey(std::string_view key, uint64_t contentHash, int64_t createdAt) const;
     [[nodiscard]] JobUpdateResult accept(const AcceptJobCommand&);
