LibScheduler: Start no tasks in evacuated domains, and ramp up cold targets

Targets of an evacuated failure domain must get no more tasks, and a shard that has no others must refuse its jobs at once, since a capacity of 0 makes the expected wait 0. Targets that have just started are slow, and were filled like all others, since their report's cold_left_ms was not read.

TaskScheduler::setEvacuatedDomains() takes the set. Evacuated targets count neither as capacity nor in the loads, and jobs that wait for nothing else are refused with no-target. Without a set no task starts. ColdStart limits the used share of a cold target to the part of its cold time that is over; targets that are not cold are preferred. A report that differs only in the remaining cold time counts as a repetition and is not passed on to all members.

--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -52,8 +52,10 @@
     DispatchLayout layout { DispatchLayout::WholeCluster };
     /// The shard to which the member's failure domain belongs: the member is its dispatcher or a candidate for that role.
     std::string dispatchShard;
+    /// The revision of the set of evacuated failure domains in force on the member; zero if it has none.
+    uint64_t evacuationRevision { 0 };
 
-    CODEC_FIELDS(address, name, failureDomain, incarnation, heartbeat, state, isEntry, dispatchWeight, dispatchEpoch, configurationVersion, replicaIdentity, replicaInitialized, ledgerLeader, ledgerTerm, layout, dispatchShard);
+    CODEC_FIELDS(address, name, failureDomain, incarnation, heartbeat, state, isEntry, dispatchWeight, dispatchEpoch, configurationVersion, replicaIdentity, replicaInitialized, ledgerLeader, ledgerTerm, layout, dispatchShard, evacuationRevision);
     friend auto operator<=>(const MemberRecord&, const MemberRecord&) = default;
 };
 
--- a/Libraries/LibMembership/TargetRegistry.cpp
+++ b/Libraries/LibMembership/TargetRegistry.cpp
@@ -14,9 +14,12 @@
     return known.removedAt ? report.sequence <= known.report.sequence : report.sequence < known.report.sequence;
 }
 
-static bool differOnlyInSequence(TargetReport report, const TargetReport& other)
+// The remaining cold time differs in each report of a cold target; only its end is news.
+static bool isRepetition(TargetReport report, const TargetReport& other)
 {
     report.sequence = other.sequence;
+    if (report.coldLeftMilliseconds > 0 && other.coldLeftMilliseconds > 0)
+        report.coldLeftMilliseconds = other.coldLeftMilliseconds;
     return report == other;
 }
 
@@ -28,7 +31,7 @@
     auto& known = position->second;
     if (isOutdated(known, report))
         return Update::Outdated;
-    bool isRepeated = !known.removedAt && differOnlyInSequence(known.report, report);
+    bool isRepeated = !known.removedAt && isRepetition(known.report, report);
     known = Entry { report, now, {} };
     return isRepeated ? Update::Repeated : Update::Changed;
 }
--- a/Libraries/LibMembership/TargetReport.h
+++ b/Libraries/LibMembership/TargetReport.h
@@ -35,8 +35,10 @@
     std::vector<std::string> labels;
     /// Increases with each report of one incarnation, so that an outdated report which arrives late is recognized.
     uint64_t sequence { 0 };
+    /// How long the target will still be slow after its start, in milliseconds.
+    int64_t coldLeftMilliseconds { 0 };
 
-    CODEC_FIELDS(identity, incarnation, pool, failureDomain, rack, address, capacity, connections, state, kind, labels, sequence);
+    CODEC_FIELDS(identity, incarnation, pool, failureDomain, rack, address, capacity, connections, state, kind, labels, sequence, coldLeftMilliseconds);
     friend auto operator<=>(const TargetReport&, const TargetReport&) = default;
 };
 
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
@@ -37,6 +37,7 @@
         if (isGone || known.report.address.empty() || !this->isSelected(known.report))
             continue;
         auto& session = this->targets.emplace(TargetKey { identity, known.report.address }, Target { TargetSession(known.report, token, this->options.leases, now), {} }).first->second.session;
+        this->targets.at(TargetKey { identity, known.report.address }).coldStart.observe(known.report.incarnation, Milliseconds(known.report.coldLeftMilliseconds), known.reportedAt);
         if (known.removedAt)
             session.retire(now);
     }
@@ -75,6 +76,8 @@
     this->removeGoneTargets();
     if (!this->targets.contains(current) && this->isSelected(report))
         this->targets.emplace(current, Target { TargetSession(report, this->fence, this->options.leases, now), {} });
+    if (auto* target = this->findTarget(TargetInstance { report.identity, report.incarnation, report.address }))
+        target->coldStart.observe(report.incarnation, Milliseconds(report.coldLeftMilliseconds), now);
     this->needsPlacement = true;
 }
 
@@ -671,7 +674,9 @@
     this->observeUnfinishedRuns(now);
     this->restartStalledRuns(now);
     this->demoteLateJobs(now);
+    this->refuseJobsWithoutTarget(now);
     this->refuseJobsMissingDeadline(now);
+    this->needsPlacement = this->needsPlacement || this->hasColdTargets(now);
     this->removeExpiredOutcomes(now);
 }
 
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -2,10 +2,12 @@
 
 #include <LibMembership/TargetRegistry.h>
 #include <LibScheduler/Dispatcher/Decision.h>
+#include <LibScheduler/Dispatcher/EvacuationFilter.h>
 #include <LibScheduler/Dispatcher/FinishedJobs.h>
 #include <LibScheduler/Dispatcher/LapsedRuns.h>
 #include <LibScheduler/Dispatcher/SpeedEstimator.h>
 #include <LibScheduler/Home/PlacedJobs.h>
+#include <LibScheduler/Target/ColdStart.h>
 #include <LibScheduler/Target/TargetSession.h>
 #include <LibScheduler/Target/TargetSpeed.h>
 #include <functional>
@@ -61,6 +63,9 @@
     void activate(uint64_t fence, Instant now, TargetSelector = {});
     /// Stops dispatching. Runs on targets continue and are left to the next dispatcher.
     void deactivate();
+    /// Sets the failure domains on whose targets no tasks are started; they count neither as capacity nor in the loads. Null if they are not
+    /// known yet: no task is started then.
+    void setEvacuatedDomains(const std::set<std::string>*);
     [[nodiscard]] bool isActive() const { return this->fence != 0; }
 
     /// Stores the report of a target, unless it is outdated. A report with a new address retires the target at its former address.
@@ -216,6 +221,7 @@
         TargetSpeed speed;
         /// Whether the target still belongs to the shard.
         bool isSelected { true };
+        ColdStart coldStart {};
     };
 
     /// Caches the expected run time of a job's tasks by target kind, so that each kind is looked up once per placement.
@@ -266,7 +272,12 @@
     void observeProgress();
     [[nodiscard]] bool shouldRestart(const Job&, const Task&, const TargetSession::Run&, Instant now) const;
     [[nodiscard]] Task* findTask(const RunId&, const std::string& target);
-    [[nodiscard]] static bool countsAsCapacity(const TargetSession&);
+    [[nodiscard]] bool countsAsCapacity(const TargetSession&) const;
+    [[nodiscard]] bool isEvacuated(const Membership::TargetReport& report) const { return this->evacuations.contains(report.failureDomain); }
+    [[nodiscard]] bool mayStartOn(const Target&, const Catalog::Resources& needs, Instant now) const;
+    [[nodiscard]] bool hasTargetFor(const Submission&) const;
+    void refuseJobsWithoutTarget(Instant now);
+    [[nodiscard]] bool hasColdTargets(Instant now) const;
     [[nodiscard]] double usableCapacity() const;
     [[nodiscard]] bool isSelected(const Membership::TargetReport& report) const { return !this->selector || this->selector(report); }
     void releaseUnselectedTargets();
@@ -292,6 +303,7 @@
     std::map<Rank, Job*> jobsByRank;
     FinishedJobs finishedJobs;
     LapsedRuns lapsedRuns;
+    EvacuationFilter evacuations;
     bool knowsAllTargets { true };
     bool isHomeSuperseded { false };
     uint64_t lastRenewalRequest { 0 };
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
@@ -20,9 +20,9 @@
 }
 
 // A target that does not answer finishes nothing that could be counted on.
-bool TaskScheduler::countsAsCapacity(const TargetSession& session)
+bool TaskScheduler::countsAsCapacity(const TargetSession& session) const
 {
-    return session.target().state == TargetState::Serving && !session.isFenced() && !session.isRetired() && !session.isSilent();
+    return session.target().state == TargetState::Serving && !session.isFenced() && !session.isRetired() && !session.isSilent() && !this->isEvacuated(session.target());
 }
 
 // Returns the usable capacity of all targets that count, in thousandths of a core.
@@ -30,7 +30,7 @@
 {
     double capacity = 0;
     for (const auto& [key, target] : this->targets) {
-        if (countsAsCapacity(target.session))
+        if (this->countsAsCapacity(target.session))
             capacity += static_cast<double>(target.session.target().capacity.milliCores);
     }
     return capacity * usableCapacityShare;
@@ -43,7 +43,7 @@
     std::map<std::string, double> capacity;
     for (const auto& [key, target] : this->targets) {
         const auto& report = target.session.target();
-        if (countsAsCapacity(target.session))
+        if (this->countsAsCapacity(target.session))
             capacity[report.pool] += static_cast<double>(report.capacity.milliCores) * usableCapacityShare;
     }
     std::map<std::string, double> openWork;
@@ -78,14 +78,9 @@
     JobOutcome outcome { submission.job, JobEnd::Refused, "overloaded", minimumRetryAfter.count(), 0, 0, submission.firstRunNumber };
     if (this->jobs.size() >= this->options.maximumJobs || this->openTasks + submission.taskCount > this->options.maximumTasks)
         return outcome;
-    bool anyTarget = false;
-    for (const auto& [key, target] : this->targets) {
-        const auto& report = target.session.target();
-        anyTarget = anyTarget || (report.pool == submission.pool && !target.session.isRetired() && submission.needs.fitInto(report.capacity));
-    }
     if (!this->knowsAllTargets)
         return {};
-    if (!anyTarget) {
+    if (!this->hasTargetFor(submission)) {
         outcome.reason = "no-target";
         outcome.retryAfterMilliseconds = 1000;
         return outcome;
--- /dev/null
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerEvacuation.cpp
@@ -0,0 +1,56 @@
+#include <LibScheduler/Dispatcher/TaskScheduler.h>
+#include <algorithm>
+#include <vector>
+
+// Evacuated failure domains, and targets that are slow after their start.
+namespace Sassafrasshift::Scheduler {
+
+static constexpr Milliseconds noTargetRetryAfter { 1000 };
+
+void TaskScheduler::setEvacuatedDomains(const std::set<std::string>* domains)
+{
+    if (this->evacuations.set(domains))
+        this->needsPlacement = true;
+}
+
+bool TaskScheduler::mayStartOn(const Target& target, const Catalog::Resources& needs, Instant now) const
+{
+    const auto& report = target.session.target();
+    return !this->isEvacuated(report) && target.coldStart.admits(report.capacity, target.session.freeCapacity(), needs, now);
+}
+
+// Whether there is a target that could take a task of the job if nothing else ran there. While a domain is evacuated, the label counts
+// too: the targets that have it may all be there.
+bool TaskScheduler::hasTargetFor(const Submission& submission) const
+{
+    return std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& entry) {
+        const auto& session = entry.second.session;
+        const auto& report = session.target();
+        if (report.pool != submission.pool || session.isRetired() || !submission.needs.fitInto(report.capacity) || this->isEvacuated(report))
+            return false;
+        return this->evacuations.isEmpty() || submission.requiredLabel.empty() || std::find(report.labels.begin(), report.labels.end(), submission.requiredLabel) != report.labels.end();
+    });
+}
+
+// Refuses the jobs that wait for targets of evacuated domains only, so that their entry hosts offer them to other shards. A job of which
+// tasks have run stays: another shard would run them again.
+void TaskScheduler::refuseJobsWithoutTarget(Instant now)
+{
+    if (this->evacuations.isEmpty() || !this->knowsAllTargets)
+        return;
+    std::vector<std::string> refused;
+    for (const auto& [name, job] : this->jobs) {
+        if (job.starts == 0 && job.waiting == job.tasks.size() && !this->hasTargetFor(job.submission))
+            refused.push_back(name);
+    }
+    for (const auto& name : refused)
+        this->finishJob(name, JobEnd::Refused, "no-target", now, noTargetRetryAfter);
+}
+
+// A cold target takes more tasks as time passes, without any event.
+bool TaskScheduler::hasColdTargets(Instant now) const
+{
+    return std::any_of(this->targets.begin(), this->targets.end(), [now](const auto& entry) { return entry.second.coldStart.isCold(now); });
+}
+
+}
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
@@ -1,5 +1,6 @@
 #include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <algorithm>
+#include <tuple>
 
 // Placement of tasks on targets of different kinds, some of which may be temporarily slow.
 namespace Sassafrasshift::Scheduler {
@@ -61,17 +62,17 @@
     std::vector<std::pair<const std::string*, Milliseconds>> durations;
 };
 
-// Returns the target with the shortest expected run time, and among equal ones the target with the least free capacity after the
+// Returns a target that is not slow after its start if there is one, of these the target with the shortest expected run time, and among equal ones the target with the least free capacity after the
 // task is placed (best fit); null if the task cannot be placed now.
 TargetSession* TaskScheduler::chooseTarget(const Job& job, ExpectedRunTimes& expectedRunTimes, Instant now)
 {
     const auto& submission = job.submission;
     TargetSession* best = nullptr;
-    std::pair<Milliseconds, int64_t> bestScore {};
+    std::tuple<bool, Milliseconds, int64_t> bestScore {};
     for (auto& [key, target] : this->targets) {
         auto& session = target.session;
         const auto& report = session.target();
-        if (!submission.needs.fitInto(session.freeCapacity()) || report.pool != submission.pool || !session.canStartRuns(now) || !target.isSelected)
+        if (!submission.needs.fitInto(session.freeCapacity()) || report.pool != submission.pool || !session.canStartRuns(now) || !target.isSelected || !this->mayStartOn(target, submission.needs, now))
             continue;
         if (!submission.requiredLabel.empty() && std::find(report.labels.begin(), report.labels.end(), submission.requiredLabel) == report.labels.end())
             continue;
@@ -81,7 +82,7 @@
         if (slowness > maximumUsableSlowness)
             continue;
         auto expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expectedRunTimes.onKind(report.kind)) * slowness));
-        std::pair score { expected, session.freeCapacity().minus(submission.needs).milliCores };
+        std::tuple score { target.coldStart.isCold(now), expected, session.freeCapacity().minus(submission.needs).milliCores };
         if ((!best || score < bestScore) && session.canLease(*job.lease, now)) {
             best = &session;
             bestScore = score;
@@ -125,7 +126,7 @@
 void TaskScheduler::placeWaitingTasks(Instant now)
 {
     this->needsPlacement = false;
-    if (!this->isActive() || this->jobsByRank.empty())
+    if (!this->isActive() || this->jobsByRank.empty() || !this->evacuations.isKnown())
         return;
     auto largestFree = this->largestFreeCapacity(now);
     for (const auto& [rank, job] : this->jobsByRank) {
--- a/Tests/LibMembership/TestTargetRegistry.cpp
+++ b/Tests/LibMembership/TestTargetRegistry.cpp
@@ -101,3 +101,16 @@
     this->registry.forgetSilentTargets(8s, this->now);
     BOOST_TEST(this->registry.entries().empty());
 }
+
+// Otherwise each report of a cold target would be passed on to all candidates and to all hosts that take reports.
+BOOST_FIXTURE_TEST_CASE(remaining_cold_time_is_no_change_until_it_ends, Fixture)
+{
+    auto report = makeReport(4);
+    report.coldLeftMilliseconds = 900;
+    BOOST_TEST((this->update(report) == Update::Changed));
+    report.coldLeftMilliseconds = 400;
+    BOOST_TEST((this->update(report) == Update::Repeated));
+    BOOST_TEST(this->registry.find("target")->coldLeftMilliseconds == 400);
+    report.coldLeftMilliseconds = 0;
+    BOOST_TEST((this->update(report) == Update::Changed));
+}
--- a/Tests/Platform/TestPlatform.cpp
+++ b/Tests/Platform/TestPlatform.cpp
@@ -165,6 +165,17 @@
         BOOST_TEST(std::holds_alternative<Unanswered>(holdAnswer(std::string(R"("clock_ms":9,"running":[],"ended":[],"born":)") + born)), born);
 }
 
+// The field is a hint: a target whose report was accepted before must not be lost for it.
+BOOST_AUTO_TEST_CASE(remaining_cold_time_is_read_and_an_odd_one_reads_as_zero)
+{
+    auto coldTime = [](const std::string& value) { return Platform::decodeTargetReport("i-1", reportWith("cold_left_ms", value)).value().coldLeftMilliseconds; };
+    BOOST_TEST(coldTime("1500") == 1500);
+    BOOST_TEST(coldTime("1500.5") == 1500);
+    BOOST_TEST(coldTime("1e30") == 24 * 3'600'000);
+    for (const auto* value : { "-1", "\"9\"", "null", "{}" })
+        BOOST_TEST(coldTime(value) == 0, value);
+}
+
 BOOST_AUTO_TEST_CASE(odd_numbers_in_a_report_refuse_the_report)
 {
     BOOST_TEST(Platform::decodeTargetReport("i-1", reportWith("sequence", "4")).has_value());
