sassafrasshiftd: Evacuate failure domains on request

Operators need to take a failure domain out of use, in force at all dispatchers within seconds.

POST and DELETE of /api/evacuate/DOMAIN propose the change to the ledger. The leader and the host that was called send the new set to all members; others notice the revision in gossip and request the set from a member that has it. Only an established leader publishes the set of its state first, since the state of a replica that has just started may be older. The new setting failureDomains lists the domains that may be evacuated.

--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -11,6 +11,7 @@
 static constexpr int64_t milliCoresPerCore = 1000;
 static constexpr int64_t maximumCores = 1000;
 static constexpr int64_t maximumToleratedDiskLosses = 100;
+static constexpr size_t maximumFailureDomains = 1000;
 
 tl::expected<ClusterSettings, Diagnostics> ClusterSettings::parse(const std::string& text, const std::string& file)
 {
@@ -40,6 +41,9 @@
     settings.dataFolder = reader.text("dataFolder", "");
     settings.firstStart = reader.boolean("firstStart", false);
     settings.toleratedDiskLosses = static_cast<size_t>(reader.integer("toleratedDiskLosses", 0, maximumToleratedDiskLosses, 1));
+    settings.failureDomains = reader.textList("failureDomains");
+    if (settings.failureDomains.size() > maximumFailureDomains)
+        reader.report("failureDomains", "\"failureDomains\" must have at most " + std::to_string(maximumFailureDomains) + " entries");
     settings.logLevel = reader.oneOf("logLevel", logLevels, "information");
     auto cores = reader.number("dispatchCores", 0, maximumCores, 0);
     settings.dispatchWeight = static_cast<int64_t>(cores * milliCoresPerCore);
--- a/Libraries/LibSettings/ClusterSettings.h
+++ b/Libraries/LibSettings/ClusterSettings.h
@@ -33,6 +33,8 @@
     /// The number of disks whose loss at the same time the ledger has to survive. It takes 2n + 1 hosts with a disk to survive
     /// the loss of n disks.
     size_t toleratedDiskLosses { 1 };
+    /// The failure domains that may be evacuated, besides those of known members and targets.
+    std::vector<std::string> failureDomains;
     std::string logLevel;
     /// The weight of this process when the dispatcher is chosen, in thousandths of a core. A process with zero never
     /// becomes the dispatcher.
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -59,10 +59,11 @@
     Transport::HttpClient::Limits limits;
     this->client = Transport::HttpClient::create(*this->loop, limits);
     this->documents = std::make_unique<DocumentStore>(*this->context);
-    this->ledger = std::make_unique<DocumentLedger>(*this->context, *this->documents);
+    this->evacuations = std::make_unique<EvacuationStore>(*this->context);
+    this->ledger = std::make_unique<DocumentLedger>(*this->context, *this->documents, *this->evacuations);
     this->dispatch = std::make_unique<DispatchService>(*this->context, *this->client);
     this->entry = std::make_unique<JobEntry>(*this->context, *this->documents);
-    this->control = std::make_unique<ControlApi>(*this->context, *this->ledger, *this->documents, this->dispatch->taskScheduler());
+    this->control = std::make_unique<ControlApi>(*this->context, *this->ledger, *this->documents, *this->evacuations, this->dispatch->taskScheduler());
     TRY_VOID(this->ledger->start());
     TRY_VOID(this->openServers());
     if (auto text = Ledger::readFile(this->settingsFile))
@@ -190,6 +191,8 @@
         this->ledger->onMessage(from, message);
     else if constexpr (requires { this->documents->onMessage(from, message); })
         this->documents->onMessage(from, message);
+    else if constexpr (requires { this->evacuations->onMessage(from, message); })
+        this->evacuations->onMessage(from, message);
     else
         this->control->onMessage(from, message);
 }
@@ -204,7 +207,7 @@
 void ClusterDaemon::gossip(Instant now)
 {
     const auto& self = this->cluster->self();
-    bool changed = self.dispatchEpoch != this->gossipedEpoch || self.configurationVersion != this->gossipedVersion;
+    bool changed = self.dispatchEpoch != this->gossipedEpoch || self.configurationVersion != this->gossipedVersion || self.evacuationRevision != this->gossipedEvacuation;
     if (now < this->nextGossip && !changed)
         return;
     this->nextGossip = now + this->cluster->gossipInterval(now);
@@ -213,6 +216,7 @@
         this->broadcast(this->makeGossip({ self }), now);
     this->gossipedEpoch = self.dispatchEpoch;
     this->gossipedVersion = self.configurationVersion;
+    this->gossipedEvacuation = self.evacuationRevision;
     auto message = this->makeGossip(this->cluster->liveRecords(now));
     for (const auto& address : recipients)
         this->send(address, message);
@@ -257,12 +261,14 @@
     if (signals.reload || now >= this->nextSettingsCheck)
         this->reloadSettings(signals.reload);
     this->cluster->updateClaim(now, this->epochFloor());
+    this->dispatch->setEvacuatedDomains(this->evacuations->domainsForDispatch());
     this->dispatch->tick(now);
     if (this->jobsServer)
         this->tickEntry();
     this->ledger->tick(now);
     this->control->tick(now);
     this->documents->synchronize(now);
+    this->evacuations->synchronize(now);
     this->applyConnectionTimeouts();
     this->gossip(now);
     if (this->leaving)
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -5,6 +5,7 @@
 #include "Cluster/DispatchService.h"
 #include "Cluster/DocumentLedger.h"
 #include "Cluster/DocumentStore.h"
+#include "Cluster/EvacuationStore.h"
 #include "Cluster/JobEntry.h"
 #include <LibTransport/HttpClient.h>
 #include <LibTransport/HttpServer.h>
@@ -74,6 +75,7 @@
     std::unique_ptr<Transport::PeerHub> hub;
     std::unique_ptr<Transport::HttpClient> client;
     std::unique_ptr<DocumentStore> documents;
+    std::unique_ptr<EvacuationStore> evacuations;
     std::unique_ptr<DocumentLedger> ledger;
     std::unique_ptr<DispatchService> dispatch;
     std::unique_ptr<JobEntry> entry;
@@ -88,9 +90,10 @@
     Instant nextUnknownMessageLog {};
     Instant nextGossip {};
     Instant nextSettingsCheck {};
-    /// The epoch and the configuration version in the last gossip message; a change is gossiped immediately.
+    /// The epoch, the configuration version and the evacuation revision in the last gossip message; a change is gossiped immediately.
     uint64_t gossipedEpoch { 0 };
     uint64_t gossipedVersion { 0 };
+    uint64_t gossipedEvacuation { 0 };
     bool leaving { false };
     bool acceptingConnections { true };
     Instant leavingSince {};
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -115,10 +115,24 @@
     CODEC_FIELDS(document);
 };
 
+/// Asks a member for its set of evacuated failure domains, if that is newer than `knownRevision`.
+struct EvacuationRequest {
+    uint64_t knownRevision { 0 };
+
+    CODEC_FIELDS(knownRevision);
+};
+
+/// Transfers the set of evacuated failure domains in force on the sender.
+struct EvacuationTransfer {
+    DurableState::EvacuatedDomains evacuated;
+
+    CODEC_FIELDS(evacuated);
+};
+
 /// All messages between processes of a cluster. New alternatives are added at the end, since an alternative is encoded by its
 /// index.
 using ClusterMessage = std::variant<Gossip, Scheduler::Submission, CancelSubmission, Scheduler::RenewSubmissions, RenewResponse, Scheduler::JobOutcome, ReportNotice, ReportAcknowledgment,
     TargetGone, Ledger::Message, JoinRequest, ProposeRequest, ProposeResponse, DocumentRequest, DocumentTransfer, TargetListRequest, TargetListResponse, RenewalRequest, Scheduler::Placement, RelayedRequest,
-    Scheduler::PlacedJobsRequest, Scheduler::PlacedJobsResponse, LeaveRequest, LeaveResponse>;
+    Scheduler::PlacedJobsRequest, Scheduler::PlacedJobsResponse, LeaveRequest, LeaveResponse, EvacuationRequest, EvacuationTransfer>;
 
 }
--- a/Services/sassafrasshiftd/Cluster/ControlApi.cpp
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.cpp
@@ -1,5 +1,6 @@
 #include "Cluster/ControlApi.h"
 #include <LibTelemetry/Log.h>
+#include <algorithm>
 #include <platform/Decode.h>
 #include <platform/Paths.h>
 
@@ -12,6 +13,10 @@
 
 // Shorter than one second, after which a caller that has received no response tries another host.
 static constexpr Milliseconds responseTimeout { 850 };
+// The response to an evacuation is sent within 850 ms. A timeout is noticed by the next tick, and a stalled host may take longer.
+static constexpr Milliseconds evacuationTimeout { 780 };
+// Within this time after its start, a host learns of the members, targets and evacuations from which it knows failure domains.
+static constexpr Milliseconds discoveryTime { 2000 };
 // A target that has not reported itself for this long is forgotten, and no longer announced to new members.
 static constexpr Milliseconds reportRetention { 8'000 };
 
@@ -29,11 +34,13 @@
     respond(exchange, status, Platform::encodeError(detail));
 }
 
-ControlApi::ControlApi(ClusterContext& context, DocumentLedger& ledger, DocumentStore& documents, const Scheduler::TaskScheduler& scheduler)
+ControlApi::ControlApi(ClusterContext& context, DocumentLedger& ledger, DocumentStore& documents, EvacuationStore& evacuations, const Scheduler::TaskScheduler& scheduler)
     : context(context)
     , ledger(ledger)
     , documents(documents)
+    , evacuations(evacuations)
     , scheduler(scheduler)
+    , startedAt(context.now())
 {
 }
 
@@ -52,6 +59,8 @@
         if (request.method == "DELETE" && Platform::isValidName(identity))
             return this->removeTarget(exchange, identity);
     }
+    if (path.starts_with(Platform::evacuationPathPrefix) && (request.method == "POST" || request.method == "DELETE"))
+        return this->evacuate(exchange, std::string(path.substr(Platform::evacuationPathPrefix.size())));
     refuse(exchange, 404, "no resource exists at this path");
 }
 
@@ -87,6 +96,36 @@
     });
 }
 
+bool ControlApi::isKnownDomain(const std::string& failureDomain) const
+{
+    const auto& listed = this->context.settings.failureDomains;
+    auto members = this->context.cluster.liveMembers(this->context.now());
+    auto targets = this->reports.presentReports();
+    auto isHere = [&](const auto& object) { return object.failureDomain == failureDomain; };
+    return std::ranges::find(listed, failureDomain) != listed.end()
+        || this->evacuations.evacuated().domains.contains(failureDomain)
+        || std::ranges::any_of(members, [&](const auto* member) { return isHere(*member); })
+        || std::ranges::any_of(targets, isHere);
+}
+
+void ControlApi::evacuate(const Exchange& exchange, const std::string& failureDomain)
+{
+    if (!Platform::isValidName(failureDomain) || !this->isKnownDomain(failureDomain)) {
+        // A call that another host has accepted must not be refused by one that does not know the domain yet.
+        bool isStarting = this->context.settings.failureDomains.empty() && this->context.now() - this->startedAt < discoveryTime;
+        return refuse(exchange, isStarting ? 503 : 404, isStarting ? "this host does not know all failure domains yet" : "no member, target or setting names this failure domain");
+    }
+    bool isWithdrawn = exchange->request().method == "DELETE";
+    this->ledger.evacuate(failureDomain, isWithdrawn, evacuationTimeout, [exchange, failureDomain, isWithdrawn](ErrorOr<DurableState::EvacuatedDomains> result) {
+        if (!result) {
+            Telemetry::log(LogLevel::Warning, "evacuation-unconfirmed", "the ledger did not confirm an evacuation in time", { { "domain", failureDomain }, { "withdrawn", isWithdrawn ? "true" : "false" }, { "detail", result.error().detail } });
+            return refuse(exchange, 503, result.error().detail);
+        }
+        Telemetry::log(LogLevel::Information, "evacuation-accepted", "the ledger stored the evacuation of a failure domain or its end", { { "domain", failureDomain }, { "withdrawn", isWithdrawn ? "true" : "false" }, { "revision", std::to_string(result->revision) } });
+        respond(exchange, 200);
+    });
+}
+
 // The response to the report of a leaving target is sent only after the dispatcher has acknowledged the report, so that the
 // target gets no new work after the response.
 void ControlApi::acceptReport(const Exchange& exchange, const std::string& identity)
--- a/Services/sassafrasshiftd/Cluster/ControlApi.h
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.h
@@ -3,6 +3,7 @@
 #include "Cluster/ClusterContext.h"
 #include "Cluster/DocumentLedger.h"
 #include "Cluster/DocumentStore.h"
+#include "Cluster/EvacuationStore.h"
 #include <LibMembership/TargetRegistry.h>
 #include <LibTransport/HttpServer.h>
 #include <map>
@@ -13,7 +14,7 @@
 /// The HTTP interface for targets, which report themselves, and for operators, who publish and read the document.
 class ControlApi {
 public:
-    ControlApi(ClusterContext&, DocumentLedger&, DocumentStore&, const Scheduler::TaskScheduler&);
+    ControlApi(ClusterContext&, DocumentLedger&, DocumentStore&, EvacuationStore&, const Scheduler::TaskScheduler&);
 
     void handle(const std::shared_ptr<Transport::HttpExchange>&);
     void onMessage(const std::string& from, const ReportAcknowledgment&);
@@ -38,6 +39,8 @@
 
     void publish(const std::shared_ptr<Transport::HttpExchange>&);
     void read(const std::shared_ptr<Transport::HttpExchange>&);
+    void evacuate(const std::shared_ptr<Transport::HttpExchange>&, const std::string& failureDomain);
+    [[nodiscard]] bool isKnownDomain(const std::string& failureDomain) const;
     void acceptReport(const std::shared_ptr<Transport::HttpExchange>&, const std::string& identity);
     void logRefusedReport(const std::string& identity, const Error&);
     void removeTarget(const std::shared_ptr<Transport::HttpExchange>&, const std::string& identity);
@@ -49,6 +52,7 @@
     ClusterContext& context;
     DocumentLedger& ledger;
     DocumentStore& documents;
+    EvacuationStore& evacuations;
     const Scheduler::TaskScheduler& scheduler;
     /// Of the targets that report to this host or to another one that accepts reports.
     Membership::TargetRegistry reports;
@@ -60,6 +64,7 @@
     Instant nextRefusalLog {};
     /// The incarnations of the members to which all known targets have been sent, by address.
     std::map<std::string, uint64_t> informedMembers;
+    Instant startedAt;
 };
 
 }
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -26,6 +26,8 @@
     /// Records the transit time of a message that every member sends, so that the first submission of an entry host can be compared
     /// with earlier messages.
     void observeTransitTime(const std::string& from, const Gossip&);
+    /// Null if they are not known yet.
+    void setEvacuatedDomains(const std::set<std::string>* domains) { this->scheduler.setEvacuatedDomains(domains); }
     void tick(Instant now);
     /// To be called after a pause of this process.
     void onPause(Instant now);
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.cpp
@@ -28,9 +28,10 @@
 static constexpr Ledger::Index snapshotInterval = 256;
 static constexpr int storageFailureExitCode = 74;
 
-DocumentLedger::DocumentLedger(ClusterContext& context, DocumentStore& documents)
+DocumentLedger::DocumentLedger(ClusterContext& context, DocumentStore& documents, EvacuationStore& evacuations)
     : context(context)
     , documents(documents)
+    , evacuations(evacuations)
     , state(jobKeyRetention, DurableState::DurableState::Observer { {}, {}, [this](const auto& document) { this->documents.activateIfNewer(document); } })
     , proposals({ proposalResendInterval, maximumPendingProposals, true })
 {
@@ -223,21 +224,60 @@
     return leader;
 }
 
-void DocumentLedger::propose(const DurableState::Command& command, Milliseconds timeout, Completion completion)
+template <typename Result>
+void DocumentLedger::proposeFor(const DurableState::Command& command, Milliseconds timeout, std::function<void(ErrorOr<Result>)> completion)
 {
     auto now = this->context.now();
     auto decode = [completion = std::move(completion)](ErrorOr<std::string> encoded) {
         if (!encoded)
             return completion(tl::unexpected(encoded.error()));
-        auto result = Transport::decodeValue<DurableState::DocumentResult>(*encoded);
-        if (!result)
-            return completion(tl::unexpected(result.error()));
-        completion(result->version);
+        completion(Transport::decodeValue<Result>(*encoded));
     };
     this->proposals.add(Transport::encodeValue(command), timeout, std::move(decode), now);
     this->sendProposals(now);
 }
 
+void DocumentLedger::propose(const DurableState::Command& command, Milliseconds timeout, Completion completion)
+{
+    this->proposeFor<DurableState::DocumentResult>(command, timeout, [completion = std::move(completion)](ErrorOr<DurableState::DocumentResult> result) {
+        if (!result)
+            return completion(tl::unexpected(result.error()));
+        completion(result->version);
+    });
+}
+
+void DocumentLedger::evacuate(const std::string& failureDomain, bool isWithdrawn, Milliseconds timeout, EvacuationCompletion completion)
+{
+    DurableState::EvacuateCommand command { failureDomain, isWithdrawn, this->evacuations.evacuated().revision };
+    this->proposeEvacuation(std::move(command), this->context.now() + timeout, std::move(completion));
+}
+
+void DocumentLedger::proposeEvacuation(DurableState::EvacuateCommand command, Instant deadline, EvacuationCompletion completion)
+{
+    auto timeout = std::chrono::duration_cast<Milliseconds>(deadline - this->context.now());
+    this->proposeFor<DurableState::EvacuationResult>(command, timeout, [this, command, deadline, completion = std::move(completion)](ErrorOr<DurableState::EvacuationResult> result) {
+        if (!result)
+            return completion(tl::unexpected(result.error()));
+        if (result->status == DurableState::EvacuationStatus::TooMany)
+            return completion(tl::unexpected(Error::notRun(Reason::Overloaded, "too many failure domains are evacuated")));
+        if (result->status == DurableState::EvacuationStatus::Outdated)
+            return this->proposeEvacuation({ command.failureDomain, command.isWithdrawn, result->evacuated.revision }, deadline, completion);
+        this->evacuations.activateIfNewer(result->evacuated, EvacuationStore::Distribution::ToAllMembers);
+        completion(result->evacuated);
+    });
+}
+
+// The state of a replica may be older than the set that was acknowledged last: only a leader that has committed an entry of its own term
+// has applied all earlier ones. Other replicas follow their log once they have a set of that origin.
+void DocumentLedger::publishEvacuations()
+{
+    if (!this->node)
+        return;
+    bool leads = this->node->replica().isEstablishedLeader();
+    if (leads || this->evacuations.isKnown())
+        this->evacuations.activateIfNewer(this->state.evacuated(), leads ? EvacuationStore::Distribution::ToAllMembers : EvacuationStore::Distribution::None);
+}
+
 void DocumentLedger::sendProposals(Instant now)
 {
     for (auto& proposal : this->proposals.takeDue(this->leaderAddress(now), now))
@@ -333,6 +373,7 @@
     this->initializeLedgerIfReady(now);
     if (this->node)
         this->node->tick();
+    this->publishEvacuations();
     this->requestJoinIfDue(now);
     this->requestLeaveIfDue(now);
     this->updateOwnRecord();
--- a/Services/sassafrasshiftd/Cluster/DocumentLedger.h
+++ b/Services/sassafrasshiftd/Cluster/DocumentLedger.h
@@ -2,6 +2,7 @@
 
 #include "Cluster/ClusterContext.h"
 #include "Cluster/DocumentStore.h"
+#include "Cluster/EvacuationStore.h"
 #include <LibDurableState/DurableState.h>
 #include <LibLedger/Departure.h>
 #include <LibLedger/DiskStore.h>
@@ -20,7 +21,7 @@
     /// Called once with the document version in force after the command, or with the error.
     using Completion = std::function<void(ErrorOr<uint64_t>)>;
 
-    DocumentLedger(ClusterContext&, DocumentStore&);
+    DocumentLedger(ClusterContext&, DocumentStore&, EvacuationStore&);
 
     /// Opens the data folder, if one is configured, and starts the replica unless this member has to create the initial
     /// membership first. Fails if the data folder cannot be opened. If its disk is full, the folder is opened later.
@@ -28,6 +29,11 @@
 
     /// Proposes a command to the current leader. The command may be sent more than once, since commands are idempotent.
     void propose(const DurableState::Command&, Milliseconds timeout, Completion);
+    /// Called once with the set after the change, or with the error.
+    using EvacuationCompletion = std::function<void(ErrorOr<DurableState::EvacuatedDomains>)>;
+    /// Starts or ends the evacuation of a failure domain. The command is proposed again with the current revision if the set has
+    /// changed meanwhile.
+    void evacuate(const std::string& failureDomain, bool isWithdrawn, Milliseconds timeout, EvacuationCompletion);
 
     void onMessage(const std::string& from, const Ledger::Message&);
     void onMessage(const std::string& from, const JoinRequest&);
@@ -56,6 +62,10 @@
     /// Starts the replica of an initial member once the initial membership is known or the ledger has been initialized.
     void initializeLedgerIfReady(Instant now);
     void startNode(const Ledger::StoredState* initialState);
+    template <typename Result>
+    void proposeFor(const DurableState::Command&, Milliseconds timeout, std::function<void(ErrorOr<Result>)>);
+    void proposeEvacuation(DurableState::EvacuateCommand, Instant deadline, EvacuationCompletion);
+    void publishEvacuations();
     void sendProposals(Instant now);
     void requestJoinIfDue(Instant now);
     void requestLeaveIfDue(Instant now);
@@ -70,6 +80,7 @@
 
     ClusterContext& context;
     DocumentStore& documents;
+    EvacuationStore& evacuations;
     DurableState::DurableState state;
     /// The opened store, until the node is started with it.
     std::unique_ptr<Ledger::DiskStore> pendingStore;
--- a/Tests/LibSettings/TestClusterSettings.cpp
+++ b/Tests/LibSettings/TestClusterSettings.cpp
@@ -94,6 +94,29 @@
     BOOST_TEST(settings->toleratedDiskLosses == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(deployment_lists_its_failure_domains)
+{
+    auto values = valuesOfLedgerHost();
+    auto settings = ClusterSettings::parse(renderTemplate(values), "template");
+    BOOST_TEST_REQUIRE(settings.has_value(), (settings ? "" : toText(settings.error())));
+    BOOST_TEST(settings->failureDomains.empty());
+    values["zones"] = "yes";
+    values["@"] = "north";
+    settings = ClusterSettings::parse(renderTemplate(values), "template");
+    BOOST_TEST_REQUIRE(settings.has_value(), (settings ? "" : toText(settings.error())));
+    BOOST_TEST(settings->failureDomains == std::vector<std::string> { "north" });
+}
+
+BOOST_AUTO_TEST_CASE(failure_domains_are_bounded)
+{
+    std::string list;
+    for (int index = 0; index <= 1000; ++index)
+        list += "d" + std::to_string(index) + ",";
+    auto settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\nfailureDomains: [" + list + "]\n", "test");
+    BOOST_REQUIRE(!settings.has_value());
+    BOOST_TEST(toText(settings.error()).find("failureDomains") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(deployment_without_a_number_of_disks_is_valid)
 {
     auto settings = ClusterSettings::parse(renderTemplate(valuesOfLedgerHost()), "template");
