Tests: Evacuate the cluster of real processes and restart all of it

The unit tests do not show that the set is on disk, and that a dispatcher which starts after a loss of power waits for it.

The scenario evacuates the only domain through each control host, kills and starts all members, and checks that jobs are refused, that no task was started, and that the withdrawal makes the cluster usable.

--- a/Tests/Cluster/run.py
+++ b/Tests/Cluster/run.py
@@ -230,6 +230,32 @@
     assert answers == [200], f"the response to the caller has status {answers}"
 
 
+def evacuate_and_restart_all(members, run_log):
+    """No task may start in an evacuated failure domain, also not after a loss of power of all hosts; the jobs are refused."""
+    assert call(CONTROL_ADDRESSES[0], "POST", "/api/evacuate/nowhere")[0] == 404, "an unknown failure domain was evacuated"
+    for control_address in CONTROL_ADDRESSES:
+        assert call(control_address, "POST", "/api/evacuate/north")[0] == 200, "an evacuation was refused when it was called again"
+    for member in members:
+        member.process.kill()
+        member.process.wait()
+    with run_log.lock:
+        starts = sum(run_log.started.values())
+    for member in members:
+        member.start()
+    entries = [member for member in members if not member.is_core]
+    wait_until(lambda: all(entry.is_ready() for entry in entries), "all entries are ready after a loss of power")
+    body = {"spec": "text", "best_effort": True, "steps": [{"count": 1, "cpu": TASK_CPU, "estimate_ms": 50}]}
+    for number, entry in enumerate(entries * 3):
+        status = call(f"{entry.address}:7502", "POST", f"/q/evacuated-{number}", body, {"host": "rota.example", "deadline-ms": "3000"})[0]
+        assert status == 503, f"the response to a job of an evacuated cluster has status {status}"
+    with run_log.lock:
+        assert sum(run_log.started.values()) == starts, "a task was started in an evacuated failure domain"
+    assert call(CONTROL_ADDRESSES[1], "DELETE", "/api/evacuate/north")[0] == 200, "the end of an evacuation was refused"
+    load = Load(seed=3)
+    load.wait_for_more(20, "the evacuation was withdrawn")
+    load.stop()
+
+
 def run_scenario(folder):
     members = [Member(folder, address, True) for address in CORE_ADDRESSES] + [Member(folder, address, False) for address in ENTRY_ADDRESSES]
     run_log = RunLog()
@@ -282,6 +308,7 @@
         members[0].start()
         load.wait_for_more(50, "a replica was killed")
         load.stop()
+        evacuate_and_restart_all(members, run_log)
         return find_faults(run_log, load), load
     finally:
         if load:
