LibScheduler: Keep jobs with done tasks that wait for evacuated targets

A job that was dropped and is submitted again was refused with no-target when its shard was evacuated. Its entry host then offered it to another shard, which would have run the done tasks again.

Such a job waits for the withdrawal until its deadline.

Tests: a case in TestEvacuation; TestLibScheduler passed.

--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
@@ -133,7 +133,7 @@
     if (this->answerAgain(entry, submission))
         return;
     const auto* earlier = this->finishedJobs.find(submission.job);
-    if (auto refusal = this->refusalFor(submission)) {
+    if (auto refusal = this->refusalFor(submission); refusal && !this->awaitsEvacuatedTargets(submission, earlier)) {
         if (earlier)
             refusal->starts = earlier->outcome.starts;
         return this->refuse(entry, std::move(*refusal), now + Milliseconds(submission.untilUnknownRunsEnd), now);
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -276,6 +276,7 @@
     [[nodiscard]] bool isEvacuated(const Membership::TargetReport& report) const { return this->evacuations.contains(report.failureDomain); }
     [[nodiscard]] bool mayStartOn(const Target&, const Catalog::Resources& needs, Instant now) const;
     [[nodiscard]] bool hasTargetFor(const Submission&) const;
+    [[nodiscard]] bool awaitsEvacuatedTargets(const Submission&, const FinishedJob* earlier) const;
     void refuseJobsWithoutTarget(Instant now);
     [[nodiscard]] bool hasColdTargets(Instant now) const;
     [[nodiscard]] double usableCapacity() const;
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerEvacuation.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerEvacuation.cpp
@@ -32,6 +32,15 @@
     });
 }
 
+// Whether a job that is submitted again has done tasks and could end only on evacuated targets. It waits for these until its deadline:
+// another shard, which it would be offered to, would run the done tasks again.
+bool TaskScheduler::awaitsEvacuatedTargets(const Submission& submission, const FinishedJob* earlier) const
+{
+    if (!earlier || this->evacuations.isEmpty() || this->hasTargetFor(submission))
+        return false;
+    return earlier->fingerprint == JobFingerprint::of(submission) && std::find(earlier->doneTasks.begin(), earlier->doneTasks.end(), true) != earlier->doneTasks.end();
+}
+
 // Refuses the jobs that wait for targets of evacuated domains only, so that their entry hosts offer them to other shards. A job of which
 // tasks have run stays: another shard would run them again.
 void TaskScheduler::refuseJobsWithoutTarget(Instant now)
--- a/Tests/LibScheduler/TestEvacuation.cpp
+++ b/Tests/LibScheduler/TestEvacuation.cpp
@@ -105,6 +105,26 @@
     BOOST_TEST((this->fleet.outcome("running")->end == JobEnd::Completed));
 }
 
+// If it were refused, its entry host would offer it to another shard, which would run the done tasks again.
+BOOST_FIXTURE_TEST_CASE(job_with_done_tasks_that_is_submitted_again_waits_for_evacuated_targets, Fixture)
+{
+    auto job = makeJob("job", 3, 16);
+    this->fleet.submit(0, job);
+    this->fleet.run(150ms);
+    this->dispatcher.cancel("entry", "job", this->fleet.now);
+    this->fleet.run(100ms);
+    auto starts = this->starts("north") + this->starts("south");
+    this->evacuate({ "north", "south" });
+    job.firstRunNumber = 100;
+    this->fleet.submit(0, job);
+    this->fleet.run(200ms);
+    BOOST_TEST(this->refusal("job") == "");
+    this->evacuate({});
+    BOOST_TEST(this->ends("job"));
+    BOOST_TEST((this->fleet.outcome("job")->end == JobEnd::Completed));
+    BOOST_TEST(this->starts("north") + this->starts("south") == starts + 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(no_task_starts_before_the_evacuated_domains_are_known, Fixture)
 {
     this->dispatcher.setEvacuatedDomains(nullptr);
