sassafrasshiftd: Bound the log of evacuations, and refuse them with older replicas

A caller that repeats its call wrote one line each time. A replica of an earlier version applies the command without effect, after which its state differs from that of the others.

The lines are limited to ten a second. Calls get 503 while a live ledger host has no set of evacuated domains.

Tests: no unit test covers ControlApi; Tests/Cluster/run.py passed.

--- a/Services/sassafrasshiftd/Cluster/ControlApi.cpp
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.cpp
@@ -20,6 +20,7 @@
 // A target that has not reported itself for this long is forgotten, and no longer announced to new members.
 static constexpr Milliseconds reportRetention { 8'000 };
 
+static constexpr unsigned evacuationLogLinesPerSecond = 10;
 static constexpr Milliseconds refusalLogInterval { 1000 };
 
 using Exchange = std::shared_ptr<HttpExchange>;
@@ -41,6 +42,7 @@
     , evacuations(evacuations)
     , scheduler(scheduler)
     , startedAt(context.now())
+    , evacuationLog(evacuationLogLinesPerSecond)
 {
 }
 
@@ -108,6 +110,13 @@
         || std::ranges::any_of(targets, isHere);
 }
 
+// A replica of an earlier version never has a set. It would apply the command without effect, and have another state than the others.
+bool ControlApi::allReplicasKnowEvacuations() const
+{
+    auto members = this->context.cluster.liveMembers(this->context.now());
+    return std::ranges::none_of(members, [](const auto* member) { return !member->replicaIdentity.empty() && member->evacuationRevision == 0; });
+}
+
 void ControlApi::evacuate(const Exchange& exchange, const std::string& failureDomain)
 {
     if (!Platform::isValidName(failureDomain) || !this->isKnownDomain(failureDomain)) {
@@ -115,17 +124,31 @@
         bool isStarting = this->context.settings.failureDomains.empty() && this->context.now() - this->startedAt < discoveryTime;
         return refuse(exchange, isStarting ? 503 : 404, isStarting ? "this host does not know all failure domains yet" : "no member, target or setting names this failure domain");
     }
+    if (!this->allReplicasKnowEvacuations())
+        return refuse(exchange, 503, "a ledger host is of an earlier version, or has just started");
     bool isWithdrawn = exchange->request().method == "DELETE";
-    this->ledger.evacuate(failureDomain, isWithdrawn, evacuationTimeout, [exchange, failureDomain, isWithdrawn](ErrorOr<DurableState::EvacuatedDomains> result) {
-        if (!result) {
-            Telemetry::log(LogLevel::Warning, "evacuation-unconfirmed", "the ledger did not confirm an evacuation in time", { { "domain", failureDomain }, { "withdrawn", isWithdrawn ? "true" : "false" }, { "detail", result.error().detail } });
+    this->ledger.evacuate(failureDomain, isWithdrawn, evacuationTimeout, [this, exchange, failureDomain, isWithdrawn](ErrorOr<DurableState::EvacuatedDomains> result) {
+        this->logEvacuation(failureDomain, isWithdrawn, result);
+        if (!result)
             return refuse(exchange, 503, result.error().detail);
-        }
-        Telemetry::log(LogLevel::Information, "evacuation-accepted", "the ledger stored the evacuation of a failure domain or its end", { { "domain", failureDomain }, { "withdrawn", isWithdrawn ? "true" : "false" }, { "revision", std::to_string(result->revision) } });
         respond(exchange, 200);
     });
 }
 
+// The number of lines is limited, since a caller may repeat its call without a pause.
+void ControlApi::logEvacuation(const std::string& failureDomain, bool isWithdrawn, const ErrorOr<DurableState::EvacuatedDomains>& result)
+{
+    this->context.metrics.count(std::string("evacuation_calls_total{result=\"") + (result ? "accepted" : "unconfirmed") + "\"}");
+    if (!this->evacuationLog.take(this->context.now()))
+        return this->context.metrics.count("log_lines_dropped_total");
+    std::vector<Telemetry::EventField> fields { { "domain", failureDomain }, { "withdrawn", isWithdrawn ? "true" : "false" } };
+    fields.push_back(result ? Telemetry::EventField { "revision", std::to_string(result->revision) } : Telemetry::EventField { "detail", result.error().detail });
+    if (result)
+        Telemetry::log(LogLevel::Information, "evacuation-accepted", "the ledger stored the evacuation of a failure domain or its end", fields);
+    else
+        Telemetry::log(LogLevel::Warning, "evacuation-unconfirmed", "the ledger did not confirm the evacuation of a failure domain or its end in time", fields);
+}
+
 // The response to the report of a leaving target is sent only after the dispatcher has acknowledged the report, so that the
 // target gets no new work after the response.
 void ControlApi::acceptReport(const Exchange& exchange, const std::string& identity)
--- a/Services/sassafrasshiftd/Cluster/ControlApi.h
+++ b/Services/sassafrasshiftd/Cluster/ControlApi.h
@@ -5,6 +5,7 @@
 #include "Cluster/DocumentStore.h"
 #include "Cluster/EvacuationStore.h"
 #include <LibMembership/TargetRegistry.h>
+#include <LibTelemetry/LogBudget.h>
 #include <LibTransport/HttpServer.h>
 #include <map>
 #include <memory>
@@ -40,6 +41,8 @@
     void publish(const std::shared_ptr<Transport::HttpExchange>&);
     void read(const std::shared_ptr<Transport::HttpExchange>&);
     void evacuate(const std::shared_ptr<Transport::HttpExchange>&, const std::string& failureDomain);
+    void logEvacuation(const std::string& failureDomain, bool isWithdrawn, const ErrorOr<DurableState::EvacuatedDomains>&);
+    [[nodiscard]] bool allReplicasKnowEvacuations() const;
     [[nodiscard]] bool isKnownDomain(const std::string& failureDomain) const;
     void acceptReport(const std::shared_ptr<Transport::HttpExchange>&, const std::string& identity);
     void logRefusedReport(const std::string& identity, const Error&);
@@ -65,6 +68,7 @@
     /// The incarnations of the members to which all known targets have been sent, by address.
     std::map<std::string, uint64_t> informedMembers;
     Instant startedAt;
+    Telemetry::LogBudget evacuationLog;
 };
 
 }
