--- a/Tests/Cluster/executors.py
+++ b/Tests/Cluster/executors.py
@@ -37,6 +37,10 @@
             if self.running[task] > 1:
                 self.faults.append(f"{task} has two concurrent runs")
 
+    def count_starts(self):
+        with self.lock:
+            return sum(self.started.values())
+
     def end(self, task, outcome):
         with self.lock:
             self.running[task] -= 1
