--- a/Libraries/LibMembership/Cluster.h
+++ b/Libraries/LibMembership/Cluster.h
@@ -54,8 +54,10 @@
     std::string dispatchShard;
     /// Whether the member executes RelayedOrders; members of an earlier version ignore them.
     bool relaysOrders { false };
+    /// The revision of the set of evacuated failure domains in force on the member; zero if it has none.
+    uint64_t evacuationRevision { 0 };
 
-    CODEC_FIELDS(address, name, failureDomain, incarnation, heartbeat, state, isEntry, dispatchWeight, dispatchEpoch, configurationVersion, replicaIdentity, replicaInitialized, ledgerLeader, ledgerTerm, layout, dispatchShard, relaysOrders);
+    CODEC_FIELDS(address, name, failureDomain, incarnation, heartbeat, state, isEntry, dispatchWeight, dispatchEpoch, configurationVersion, replicaIdentity, replicaInitialized, ledgerLeader, ledgerTerm, layout, dispatchShard, relaysOrders, evacuationRevision);
     friend auto operator<=>(const MemberRecord&, const MemberRecord&) = default;
 };
 
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
@@ -40,6 +40,7 @@
         if (isGone || known.report.address.empty() || !this->isSelected(known.report))
             continue;
         auto& target = this->targets.emplace(TargetKey { identity, known.report.address }, Target { TargetSession(known.report, token, this->options.leases, now), {} }).first->second;
+        target.coldStart.observe(known.report.incarnation, Milliseconds(known.report.coldLeftMilliseconds), known.reportedAt);
         if (known.removedAt)
             target.session.retire(now);
         this->updateCapacity(target);
@@ -87,6 +88,8 @@
     this->removeGoneTargets();
     if (!this->targets.contains(current) && this->isSelected(report))
         this->updateCapacity(this->targets.emplace(current, Target { TargetSession(report, this->fence, this->options.leases, now), {} }).first->second);
+    if (auto* target = this->findTarget(TargetInstance { report.identity, report.incarnation, report.address }))
+        target->coldStart.observe(report.incarnation, Milliseconds(report.coldLeftMilliseconds), now);
     this->needsPlacement = true;
 }
 
@@ -142,7 +145,7 @@
     if (this->answerAgain(entry, submission))
         return;
     const auto* earlier = this->finishedJobs.find(submission.job);
-    if (auto refusal = this->refusalFor(submission)) {
+    if (auto refusal = this->refusalFor(submission); refusal && !this->awaitsEvacuatedTargets(submission, earlier)) {
         if (earlier)
             refusal->starts = earlier->outcome.starts;
         return this->refuse(entry, std::move(*refusal), now + Milliseconds(submission.untilUnknownRunsEnd), now);
@@ -700,7 +703,9 @@
     this->observeUnfinishedRuns(now);
     this->restartStalledRuns(now);
     this->demoteLateJobs(now);
+    this->refuseJobsWithoutTarget(now);
     this->refuseJobsMissingDeadline(now);
+    this->needsPlacement = this->needsPlacement || this->hasColdTargets(now);
     this->removeExpiredOutcomes(now);
 }
 
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -2,6 +2,7 @@
 
 #include <LibMembership/TargetRegistry.h>
 #include <LibScheduler/Dispatcher/Decision.h>
+#include <LibScheduler/Dispatcher/EvacuationFilter.h>
 #include <LibScheduler/Dispatcher/FinishedJobs.h>
 #include <LibScheduler/Dispatcher/JobRank.h>
 #include <LibScheduler/Dispatcher/LapsedRuns.h>
@@ -9,6 +10,7 @@
 #include <LibScheduler/Dispatcher/WaitingJobs.h>
 #include <LibScheduler/Dispatcher/WorkSums.h>
 #include <LibScheduler/Home/PlacedJobs.h>
+#include <LibScheduler/Target/ColdStart.h>
 #include <LibScheduler/Target/TargetSession.h>
 #include <LibScheduler/Target/TargetSpeed.h>
 #include <functional>
@@ -65,6 +67,9 @@
     void activate(uint64_t fence, Instant now, TargetSelector = {});
     /// Stops dispatching. Runs on targets continue and are left to the next dispatcher.
     void deactivate();
+    /// Sets the failure domains on whose targets no tasks are started; they count neither as capacity nor in the loads. Null if they are not
+    /// known yet: no task is started then.
+    void setEvacuatedDomains(const std::set<std::string>*);
     [[nodiscard]] bool isActive() const { return this->fence != 0; }
 
     /// Stores the report of a target, unless it is outdated. A report with a new address retires the target at its former address.
@@ -221,6 +226,7 @@
         TargetSpeed speed;
         /// Whether the target still belongs to the shard.
         bool isSelected { true };
+        ColdStart coldStart {};
         /// What the target adds to the sums.
         std::string countedPool {};
         int64_t countedMilliCores { 0 };
@@ -305,7 +311,13 @@
     void observeProgress();
     [[nodiscard]] bool shouldRestart(const Job&, const Task&, const TargetSession::Run&, Instant now) const;
     [[nodiscard]] Task* findTask(const RunId&, const std::string& target);
-    [[nodiscard]] static bool countsAsCapacity(const TargetSession&);
+    [[nodiscard]] bool countsAsCapacity(const TargetSession&) const;
+    [[nodiscard]] bool isEvacuated(const Membership::TargetReport& report) const { return this->evacuations.contains(report.failureDomain); }
+    [[nodiscard]] bool mayStartOn(const Target&, const Catalog::Resources& needs, Instant now) const;
+    [[nodiscard]] bool hasTargetFor(const Submission&) const;
+    [[nodiscard]] bool awaitsEvacuatedTargets(const Submission&, const FinishedJob* earlier) const;
+    void refuseJobsWithoutTarget(Instant now);
+    [[nodiscard]] bool hasColdTargets(Instant now) const;
     [[nodiscard]] double usableCapacity() const;
     [[nodiscard]] static int64_t expectedWork(const Job&, size_t tasks);
     [[nodiscard]] bool isSelected(const Membership::TargetReport& report) const { return !this->selector || this->selector(report); }
@@ -343,6 +355,7 @@
     std::vector<FreeTarget> freeTargets;
     FinishedJobs finishedJobs;
     LapsedRuns lapsedRuns;
+    EvacuationFilter evacuations;
     bool knowsAllTargets { true };
     bool isHomeSuperseded { false };
     /// Whether any job may have `awaitsHome` set.
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
@@ -14,9 +14,9 @@
 static constexpr Milliseconds maximumRetryAfter { 5000 };
 
 // A target that does not answer finishes nothing that could be counted on.
-bool TaskScheduler::countsAsCapacity(const TargetSession& session)
+bool TaskScheduler::countsAsCapacity(const TargetSession& session) const
 {
-    return session.target().state == TargetState::Serving && !session.isFenced() && !session.isRetired() && !session.isSilent();
+    return session.target().state == TargetState::Serving && !session.isFenced() && !session.isRetired() && !session.isSilent() && !this->isEvacuated(session.target());
 }
 
 // Returns the usable capacity of all targets that count, in thousandths of a core.
@@ -51,11 +51,7 @@
         return outcome;
     if (!this->knowsAllTargets)
         return {};
-    bool anyTarget = std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& entry) {
-        const auto& session = entry.second.session;
-        return session.target().pool == submission.pool && !session.isRetired() && submission.needs.fitInto(session.target().capacity);
-    });
-    if (!anyTarget) {
+    if (!this->hasTargetFor(submission)) {
         outcome.reason = "no-target";
         outcome.retryAfterMilliseconds = 1000;
         return outcome;
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
@@ -1,5 +1,6 @@
 #include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 // Placement of tasks on targets of different kinds, some of which may be temporarily slow.
@@ -62,19 +63,19 @@
     std::vector<std::pair<const std::string*, Milliseconds>> durations;
 };
 
-// Returns the target with the shortest expected run time, and among equal ones the target with the least free capacity after the
-// task is placed (best fit); null if the task cannot be placed now.
+// Chooses a target that is not cold if there is one, of these the target with the shortest expected run time, and among equal ones the target
+// with the least free capacity after the task is placed (best fit); none if the task cannot be placed now.
 TaskScheduler::Choice TaskScheduler::chooseTarget(const Job& job, ExpectedRunTimes& expectedRunTimes, Instant now)
 {
     const auto& submission = job.submission;
     Choice choice { nullptr, false, true };
-    std::pair<Milliseconds, int64_t> bestScore {};
+    std::tuple<bool, Milliseconds, int64_t> bestScore {};
     for (auto& candidate : this->freeTargets) {
         if (!submission.needs.fitInto(candidate.free))
             continue;
         const auto& session = candidate.target->session;
         const auto& report = session.target();
-        if (report.pool != submission.pool || !candidate.target->isSelected)
+        if (report.pool != submission.pool || !candidate.target->isSelected || !this->mayStartOn(*candidate.target, submission.needs, now))
             continue;
         if (!submission.requiredLabel.empty() && std::find(report.labels.begin(), report.labels.end(), submission.requiredLabel) == report.labels.end())
             continue;
@@ -86,7 +87,7 @@
         if (submission.maximumPerTarget > 0 && session.countRuns(submission.job) >= submission.maximumPerTarget)
             continue;
         auto expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expectedRunTimes.onKind(report.kind)) * *candidate.slowness));
-        std::pair score { expected, candidate.free.minus(submission.needs).milliCores };
+        std::tuple score { candidate.target->coldStart.isCold(now), expected, candidate.free.minus(submission.needs).milliCores };
         if ((!choice.target || score < bestScore) && session.canLease(*job.lease, now)) {
             choice.target = &candidate;
             bestScore = score;
@@ -146,7 +147,7 @@
 void TaskScheduler::placeWaitingTasks(Instant now)
 {
     this->needsPlacement = false;
-    if (!this->isActive() || this->waitingJobs.isEmpty())
+    if (!this->isActive() || this->waitingJobs.isEmpty() || !this->evacuations.isKnown())
         return;
     using Result = WaitingJobs<Job>::Result;
     this->findFreeTargets(now);
