--- a/Tests/LibScheduler/SimulatedShards.h
+++ b/Tests/LibScheduler/SimulatedShards.h
@@ -58,6 +58,12 @@
     [[nodiscard]] std::string dispatcherOf(size_t shard, Role role) const { return this->dispatcher(shard, role).address; }
     [[nodiscard]] bool isDispatching(size_t shard, Role role) const { return isActive(this->dispatcher(shard, role)); }
     [[nodiscard]] uint64_t fenceOf(size_t shard, Role role) const { return this->dispatcher(shard, role).fence; }
+    /// Tells the dispatcher of a shard that the failure domain of all its targets is evacuated.
+    void evacuate(size_t shard)
+    {
+        const std::set<std::string> domains { "" };
+        this->shards[shard].scheduler->setEvacuatedDomains(&domains);
+    }
     /// Ends an entry host, and starts another process there after the delay. Its callers submit their open jobs again through the
     /// next entry host, `callerRetryDelay` after the loss of their connections.
     void killEntry(size_t entry, Milliseconds restartDelay);
--- a/Tests/LibScheduler/TestShards.cpp
+++ b/Tests/LibScheduler/TestShards.cpp
@@ -46,6 +46,28 @@
         BOOST_TEST((shards.answer("job-" + std::to_string(i))->kind == Kind::Completed));
 }
 
+// The entry hosts of the domain are not evacuated, and their callers must not notice.
+BOOST_AUTO_TEST_CASE(jobs_of_entry_hosts_in_an_evacuated_domain_run_in_another_shard)
+{
+    SimulatedShards shards(2, 1, 1);
+    shards.run(600ms);
+    shards.runTime = 500ms;
+    shards.submit(makeUrgentJob("running", 1, 60));
+    shards.run(50ms);
+    shards.submit(makeUrgentJob("waiting", 1, 60));
+    shards.run(50ms);
+    shards.evacuate(0);
+    shards.submit(makeUrgentJob("new", 1, 4));
+    shards.run(2s);
+    for (const auto* job : { "running", "waiting", "new" })
+        BOOST_TEST((shards.answer(job) && shards.answer(job)->kind == Kind::Completed), job);
+    BOOST_TEST(shards.startsOn(0) == 1U);
+    shards.evacuate(1);
+    shards.submit(makeUrgentJob("late", 1, 4));
+    shards.run(100ms);
+    BOOST_TEST((shards.answer("late") && shards.answer("late")->kind == Kind::Refused));
+}
+
 BOOST_AUTO_TEST_CASE(jobs_of_a_silent_dispatcher_run_in_another_shard)
 {
     SimulatedShards shards(2, 4, 1);
