LibScheduler: Share capacity between domains and queues while it is short

Under shortage, the queue order by priority and objective starves the queue of the lowest priority and its large jobs, starts work that ends late, and gives a domain more the more it asks for.

While waiting work cannot all end within its objectives, CapacityShares now orders jobs within a priority by start-time fair queueing between domains of origin and queues, and guarantees each queue a minimum. Jobs that have started some tasks come first, and no job starts on a target where it is expected to end late. Submission names the domain of origin. Off by default; without shortage the order is unchanged.

--- a/Libraries/LibScheduler/Dispatcher/Decision.h
+++ b/Libraries/LibScheduler/Dispatcher/Decision.h
@@ -46,6 +46,9 @@
         JobSubmittedAgain,
         /// The entry host cancelled the job, no longer listed it in a renewal or became silent, or the deadline of the job passed.
         JobDropped,
+        /// Capacity is short, and is shared from now on; or it no longer is.
+        SharingBegan,
+        SharingEnded,
     };
 
     Kind kind { Kind::TargetAnswers };
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
@@ -17,6 +17,7 @@
 TaskScheduler::TaskScheduler(Options options)
     : options(options)
     , finishedJobs(options.outcomeRetention)
+    , shares({})
 {
 }
 
@@ -51,6 +52,7 @@
     this->jobsByRank.clear();
     this->finishedJobs.clear();
     this->lapsedRuns.clear();
+    this->shares.clear();
     this->isHomeSuperseded = false;
     this->effects = {};
 }
@@ -131,6 +133,8 @@
         return;
     const auto* earlier = this->finishedJobs.find(submission.job);
     if (auto refusal = this->refusalFor(submission)) {
+        if (this->options.shareCapacity)
+            this->shares.count({ submission.originDomain, submission.queue }, { 1, 0, 1, 0 });
         if (earlier)
             refusal->starts = earlier->outcome.starts;
         return this->refuse(entry, std::move(*refusal), now + Milliseconds(submission.untilUnknownRunsEnd), now);
@@ -225,11 +229,12 @@
     job.earlierRunsEndAt = now + Milliseconds(submission.untilEarlierRunsEnd);
     job.otherShardRunsEndAt = now + Milliseconds(std::max(submission.untilOtherShardRunsEnd, isKnown ? 0 : submission.untilUnknownRunsEnd));
     job.expectedRunTime = this->speeds.expectedOnFastestKind(submission.queue, Milliseconds(submission.estimateMilliseconds));
-    job.rank = Rank { false, submission.priority, now + Milliseconds(submission.untilObjective), this->arrivals++ };
+    job.rank = Rank { false, submission.priority, 0, now + Milliseconds(submission.untilObjective), this->arrivals++ };
     job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, 0, firstRunNumber, {}, 0, {}, 0 });
     job.waiting = job.tasks.size();
     if (earlier)
         restoreProgress(job, *earlier);
+    this->assignShare(job, now);
     auto& inserted = this->jobs.emplace(submission.job, std::move(job)).first->second;
     this->openTasks += inserted.tasks.size();
     this->jobsByRank.emplace(inserted.rank, &inserted);
@@ -420,6 +425,7 @@
     if (position == this->jobs.end())
         return;
     auto& job = position->second;
+    this->releaseShare(job, now);
     if (job.done < job.tasks.size())
         this->stopRuns(name, now);
     outcome.starts = job.earlierStarts + job.starts;
@@ -670,6 +676,7 @@
     this->releaseUnselectedTargets();
     this->observeUnfinishedRuns(now);
     this->restartStalledRuns(now);
+    this->updateSharing(now);
     this->demoteLateJobs(now);
     this->refuseJobsMissingDeadline(now);
     this->removeExpiredOutcomes(now);
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibMembership/TargetRegistry.h>
+#include <LibScheduler/Dispatcher/CapacityShares.h>
 #include <LibScheduler/Dispatcher/Decision.h>
 #include <LibScheduler/Dispatcher/FinishedJobs.h>
 #include <LibScheduler/Dispatcher/LapsedRuns.h>
@@ -36,6 +37,8 @@
         /// Jobs beyond this number of open jobs are refused, and jobs whose tasks would exceed this number of tasks of open jobs.
         size_t maximumJobs { 20'000 };
         size_t maximumTasks { 200'000 };
+        /// Whether capacity is shared between failure domains of origin and queues while it is short; see CapacityShares.
+        bool shareCapacity { false };
     };
 
     /// Notifies an entry host of the outcome of a job.
@@ -127,6 +130,11 @@
     [[nodiscard]] TargetCounts countTargets(Instant now) const;
     /// Whether another dispatcher has claimed any target of the shard with a higher fencing token.
     [[nodiscard]] bool hasFencedTargets() const;
+    /// The weights of failure domains and queues that differ from 1.
+    void setShareWeights(std::map<std::string, double> domains, std::map<std::string, double> queues) { this->shares.setWeights(std::move(domains), std::move(queues)); }
+    /// What has become of the jobs of each share since the last call; empty unless capacity is shared.
+    [[nodiscard]] std::map<CapacityShares::Share, CapacityShares::Counts> takeShareCounts() { return this->shares.takeCounts(); }
+    [[nodiscard]] bool isSharingCapacity() const { return this->shares.isSharing(); }
     [[nodiscard]] size_t openJobs() const { return this->jobs.size(); }
     [[nodiscard]] size_t waitingTasks() const;
     [[nodiscard]] size_t openRuns() const;
@@ -163,7 +171,10 @@
     struct Rank {
         /// Whether the job can no longer meet its objective. Such jobs come after those that still can.
         bool isLate { false };
+        /// That of the job, or a higher one while capacity is short.
         int64_t priority { 0 };
+        /// The order between shares while capacity is short; otherwise zero.
+        double tag { 0 };
         Instant objective {};
         /// A sequence number that makes the rank unique.
         uint64_t arrival { 0 };
@@ -177,6 +188,7 @@
         /// The entry hosts from which another one has taken the job over.
         std::set<std::string> formerEntries;
         Rank rank;
+        CapacityShares::Position share;
         Instant arrivedAt {};
         /// The number of the first run that may be started here for this submission.
         uint64_t firstRunNumber { 1 };
@@ -260,6 +272,12 @@
     void requestRenewal(const Job&, Task&, Instant now);
     void runPeriodicChecks(Instant now);
     void demoteLateJobs(Instant now);
+    void assignShare(Job&, Instant now);
+    void releaseShare(Job&, Instant now);
+    void changeRank(Job&, Rank);
+    void updateSharing(Instant now);
+    [[nodiscard]] bool isCapacityShort(double capacity, Instant now) const;
+    void preferStartedJobs(const std::vector<Job*>&);
     void refuseJobsMissingDeadline(Instant now);
     void observeUnfinishedRuns(Instant now);
     void restartStalledRuns(Instant now);
@@ -298,6 +316,7 @@
     /// The number of jobs queued so far.
     uint64_t arrivals { 0 };
     SpeedEstimator speeds;
+    CapacityShares shares;
     /// The queues of which some run was seen to progress.
     std::set<std::string> queuesWithProgress;
     Instant nextOutcomeCleanup {};
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
@@ -108,9 +108,11 @@
             late.push_back(job);
     }
     for (auto* job : late) {
-        this->jobsByRank.erase(job->rank);
-        job->rank.isLate = true;
-        this->jobsByRank.emplace(job->rank, job);
+        auto rank = job->rank;
+        rank.isLate = true;
+        rank.priority = job->submission.priority;
+        this->changeRank(*job, rank);
+        this->shares.onLate(job->share);
     }
 }
 
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
@@ -81,6 +81,9 @@
         if (slowness > maximumUsableSlowness)
             continue;
         auto expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expectedRunTimes.onKind(report.kind)) * slowness));
+        // While capacity is short, work that would end late is not started.
+        if (this->shares.isSharing() && job.starts == 0 && !job.rank.isLate && now + expected > job.rank.objective)
+            continue;
         std::pair score { expected, session.freeCapacity().minus(submission.needs).milliCores };
         if ((!best || score < bestScore) && session.canLease(*job.lease, now)) {
             best = &session;
@@ -104,8 +107,10 @@
         task.target = session->target().identity;
         task.run = task.nextRunNumber++;
         --job.waiting;
-        if (job.starts++ == 0)
+        if (job.starts++ == 0) {
             job.waitTime = std::chrono::duration_cast<Milliseconds>(now - job.arrivedAt);
+            this->shares.onStarted(job.share);
+        }
         session->start(RunId { TaskId { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, job.submission.needs, job.submission.payload, job.lease, now);
     }
 }
@@ -128,14 +133,18 @@
     if (!this->isActive() || this->jobsByRank.empty())
         return;
     auto largestFree = this->largestFreeCapacity(now);
+    std::vector<Job*> started;
     for (const auto& [rank, job] : this->jobsByRank) {
         if (largestFree <= 0)
-            return;
+            break;
         if (job->waiting == 0 || job->submission.needs.milliCores > largestFree || !this->mayStartTasks(*job, now))
             continue;
         this->placeTasks(*job, now);
         largestFree = this->largestFreeCapacity(now);
+        if (this->shares.isSharing() && job->starts > 0 && job->waiting > 0)
+            started.push_back(job);
     }
+    this->preferStartedJobs(started);
 }
 
 void TaskScheduler::observeRun(const Job& job, Target& target, Milliseconds duration, Instant now)
--- a/Libraries/LibScheduler/Types.h
+++ b/Libraries/LibScheduler/Types.h
@@ -80,8 +80,10 @@
     PlacementGrant placedBy;
     /// Of the dispatcher that is to queue the job or to decide about it.
     ClockEcho echo;
+    /// The failure domain of the entry host through which the caller has submitted the job; empty from hosts of an earlier version.
+    std::string originDomain {};
 
-    CODEC_FIELDS(job, queue, pool, priority, taskCount, needs, estimateMilliseconds, payload, preferredRack, requiredLabel, maximumPerTarget, maximumFailures, untilDeadline, untilObjective, untilEarlierRunsEnd, firstRunNumber, untilOtherShardRunsEnd, sentAt, entryIncarnation, placement, untilUnknownRunsEnd, placedBy, echo);
+    CODEC_FIELDS(job, queue, pool, priority, taskCount, needs, estimateMilliseconds, payload, preferredRack, requiredLabel, maximumPerTarget, maximumFailures, untilDeadline, untilObjective, untilEarlierRunsEnd, firstRunNumber, untilOtherShardRunsEnd, sentAt, entryIncarnation, placement, untilUnknownRunsEnd, placedBy, echo, originDomain);
     friend auto operator<=>(const Submission&, const Submission&) = default;
 };
 
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -295,6 +295,10 @@
         return "job-again";
     case Kind::JobDropped:
         return "job-dropped";
+    case Kind::SharingBegan:
+        return "sharing-began";
+    case Kind::SharingEnded:
+        return "sharing-ended";
     }
     return "unknown";
 }
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -142,6 +142,7 @@
     submission.requiredLabel = step.requiredLabel;
     submission.maximumPerTarget = step.maximumPerTarget;
     submission.maximumFailures = static_cast<uint32_t>(std::max<int64_t>(route.maximumAttempts, 1));
+    submission.originDomain = this->context.settings.failureDomain;
     this->callers.emplace(parsed.job, Callers { {}, route.name, now, this->documents.published().version });
     this->owner.add(std::move(submission), deadline, now + targetLatency, now);
     this->addCaller(parsed.job, exchange);
