sassafrasshiftd: Add settings, metric and log lines for capacity sharing

Sharing is off unless shareCapacity is set; domainWeights and queueWeights change the shares. The template does not set the key yet, until the deployments are measured.

Tests: TestClusterSettings covers the defaults, the weights and their refusal.

--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -11,6 +11,24 @@
 static constexpr int64_t milliCoresPerCore = 1000;
 static constexpr int64_t maximumCores = 1000;
 static constexpr int64_t maximumToleratedDiskLosses = 100;
+static constexpr double minimumWeight = 0.01;
+static constexpr double maximumWeight = 1000;
+
+// A missing key reads as no weights.
+static std::map<std::string, double> readWeights(MappingReader& reader, std::string_view key)
+{
+    std::map<std::string, double> weights;
+    if (!reader.has(key))
+        return weights;
+    for (auto& entry : reader.mappings(key)) {
+        auto name = entry.text("name");
+        auto weight = entry.number("weight", minimumWeight, maximumWeight);
+        if (!weights.emplace(name, weight).second)
+            entry.report("name", "\"" + name + "\" is listed twice");
+        entry.reportUnexpectedKeys();
+    }
+    return weights;
+}
 
 tl::expected<ClusterSettings, Diagnostics> ClusterSettings::parse(const std::string& text, const std::string& file)
 {
@@ -44,6 +62,9 @@
     auto cores = reader.number("dispatchCores", 0, maximumCores, 0);
     settings.dispatchWeight = static_cast<int64_t>(cores * milliCoresPerCore);
     settings.maximumLease = reader.duration("maximumLease", 100ms, 600s, 1s);
+    settings.shareCapacity = reader.boolean("shareCapacity", false);
+    settings.domainWeights = readWeights(reader, "domainWeights");
+    settings.queueWeights = readWeights(reader, "queueWeights");
     settings.shutdownTimeout = reader.duration("shutdownTimeout", 1s, 600s, 30s);
     if (settings.jobsAddress.empty() != settings.readinessAddress.empty())
         reader.report("readinessAddress", "\"jobsAddress\" and \"readinessAddress\" must be set together");
--- a/Libraries/LibSettings/ClusterSettings.h
+++ b/Libraries/LibSettings/ClusterSettings.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibSettings/Diagnostic.h>
 #include <compare>
+#include <map>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -39,6 +40,11 @@
     int64_t dispatchWeight { 0 };
     /// The longest lease that targets grant for their runs. The dispatcher never requests a longer one.
     Milliseconds maximumLease { 0 };
+    /// Whether a dispatcher shares capacity between failure domains and queues while it is short.
+    bool shareCapacity { false };
+    /// The weights of failure domains and queues that differ from 1.
+    std::map<std::string, double> domainWeights {};
+    std::map<std::string, double> queueWeights {};
     /// How long a graceful shutdown of this process may take.
     Milliseconds shutdownTimeout { 0 };
 
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -3,6 +3,7 @@
 #include <LibTelemetry/Log.h>
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <netinet/in.h>
 #include <set>
 
@@ -34,6 +35,7 @@
     options.leases.maximumGrantedLease = settings.maximumLease;
     options.leases.holdWait = std::min(options.leases.holdWait, options.leases.maximumLease / 2);
     options.leases.answerTimeout = Platform::TargetClient::holdTimeout;
+    options.shareCapacity = settings.shareCapacity;
     return options;
 }
 
@@ -45,6 +47,7 @@
     , home({})
     , logBudget(logLinesPerSecond)
 {
+    this->scheduler.setShareWeights(context.settings.domainWeights, context.settings.queueWeights);
 }
 
 // The token is unique to the claimant and its claim, and higher than the tokens of all earlier claims.
@@ -380,15 +383,26 @@
     Telemetry::log(LogLevel::Information, "job-requested-again", "another entry host has asked the home for the shard of a job", fields);
 }
 
+void DispatchService::countShares()
+{
+    for (const auto& [share, counts] : this->scheduler.takeShareCounts()) {
+        auto labels = "domain=\"" + share.domain + "\",queue=\"" + share.queue + "\"";
+        std::array<std::pair<std::string_view, uint64_t>, 4> results { { { "asked", counts.asked }, { "admitted", counts.admitted }, { "refused", counts.refused }, { "late", counts.late } } };
+        for (const auto& [result, amount] : results)
+            this->context.metrics.count("share_jobs_total{" + labels + ",result=\"" + std::string(result) + "\"}", amount);
+    }
+}
+
 void DispatchService::logStateIfDue(Instant now)
 {
     if (!this->scheduler.isActive() || now < this->nextStateLog)
         return;
     this->nextStateLog = now + stateLogInterval;
+    this->countShares();
     auto counts = this->scheduler.countTargets(now);
     Telemetry::log(LogLevel::Information, "dispatch-state", "state of the dispatcher on this member",
         { { "openJobs", std::to_string(this->scheduler.openJobs()) }, { "waitingTasks", std::to_string(this->scheduler.waitingTasks()) }, { "runs", std::to_string(this->scheduler.openRuns()) },
-            { "targets", std::to_string(counts.known) }, { "usable", std::to_string(counts.usable) }, { "slow", std::to_string(counts.slow) } });
+            { "targets", std::to_string(counts.known) }, { "usable", std::to_string(counts.usable) }, { "slow", std::to_string(counts.slow) }, { "sharing", this->scheduler.isSharingCapacity() ? "true" : "false" } });
 }
 
 // Deferring the execution sends the orders from one iteration of the event loop together.
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -46,6 +46,7 @@
     void continueSurvey(Instant now);
     /// Sends the orders and messages that the scheduler has produced, and logs its decisions.
     void executeEffects();
+    void countShares();
     void logStateIfDue(Instant now);
     void logDecision(const Scheduler::Decision&);
     void logHomeEvent(const Scheduler::HomeEvent&);
--- a/Tests/LibSettings/TestClusterSettings.cpp
+++ b/Tests/LibSettings/TestClusterSettings.cpp
@@ -46,6 +46,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(capacity_is_shared_only_if_the_settings_say_so)
+{
+    auto settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\n", "test");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(!settings->shareCapacity);
+    BOOST_TEST(settings->queueWeights.empty());
+    settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\nshareCapacity: true\nqueueWeights:\n  - { name: q, weight: 2.5 }\n", "test");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->shareCapacity);
+    BOOST_TEST(settings->queueWeights.at("q") == 2.5);
+    // A weight of zero would starve its share, and a second weight of the same name would be ignored.
+    for (const auto* weights : { "[{ name: q, weight: 0 }]", "[{ name: q, weight: 1 }, { name: q, weight: 2 }]" })
+        BOOST_TEST(!ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\nqueueWeights: " + weights + "\n", "test").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(all_errors_in_cluster_settings_are_reported)
 {
     auto settings = ClusterSettings::parse("host: a\npeerAddress: b\njobsAddress: c\nseeds: []\nseedprt: 1\n", "test");
