--- a/Libraries/LibScheduler/Dispatcher/CapacityShares.cpp
+++ b/Libraries/LibScheduler/Dispatcher/CapacityShares.cpp
@@ -26,6 +26,7 @@
     if (isShort && !this->sharing) {
         this->sharing = true;
         ++this->period;
+        this->stepWidth = std::max(1.0, newCapacity * toMilliseconds(this->options.tagStep));
         // What was used before this shortage does not count in it.
         for (auto& [priority, level] : this->levels) {
             level.virtualTime = 0;
@@ -84,12 +85,19 @@
     return this->capacity * this->options.guaranteedPart * queuePart * weightOf(this->domainWeights, share.domain) / domainWeights;
 }
 
-bool CapacityShares::takeGuarantee(const Share& share, double work, Instant now)
+double CapacityShares::guaranteedCredit(const Share& share, Instant now) const
 {
     auto rate = this->guaranteedRate(share);
-    auto& guarantee = this->guarantees.at(share);
+    const auto& guarantee = this->guarantees.at(share);
     auto limit = rate * toMilliseconds(this->options.guaranteeRetention);
-    guarantee.credit = std::min(limit, guarantee.credit + rate * toMilliseconds(now - std::exchange(guarantee.updatedAt, now)));
+    return std::min(limit, guarantee.credit + rate * toMilliseconds(now - guarantee.updatedAt));
+}
+
+bool CapacityShares::takeGuarantee(const Share& share, double work, Instant now)
+{
+    auto& guarantee = this->guarantees.at(share);
+    guarantee.credit = this->guaranteedCredit(share, now);
+    guarantee.updatedAt = now;
     // A job may overdraw the credit, since its work may exceed the limit.
     if (guarantee.credit <= 0)
         return false;
@@ -117,6 +125,25 @@
     return position;
 }
 
+CapacityShares::Position CapacityShares::preview(const Share& asked, int64_t priority, Instant now) const
+{
+    Position position { this->bounded(asked), priority };
+    if (!this->sharing)
+        return position;
+    position.isGuaranteed = this->guarantees.contains(position.share) && this->guaranteedCredit(position.share, now) > 0;
+    auto level = this->levels.find(priority);
+    if (level == this->levels.end())
+        return position;
+    auto flow = level->second.flows.find(position.share);
+    position.tag = std::max(level->second.virtualTime, flow == level->second.flows.end() ? 0 : flow->second.finish);
+    return position;
+}
+
+int64_t CapacityShares::stepsOf(double tag) const
+{
+    return static_cast<int64_t>(tag / this->stepWidth);
+}
+
 void CapacityShares::removeWaiting(Position& position)
 {
     auto& level = this->levels[position.priority];
--- a/Libraries/LibScheduler/Dispatcher/CapacityShares.h
+++ b/Libraries/LibScheduler/Dispatcher/CapacityShares.h
@@ -26,6 +26,8 @@
         Milliseconds calmTime { 1000 };
         /// Further shares are counted and served as one.
         size_t maximumShares { 256 };
+        /// Sums of waiting work tell tags apart that differ by the work that the whole capacity does in this time.
+        Milliseconds tagStep { 20 };
     };
 
     /// Jobs of one queue that come from one failure domain.
@@ -81,6 +83,10 @@
 
     /// Queues a job. `work` has the unit of the capacity multiplied by milliseconds.
     [[nodiscard]] Position add(const Share&, int64_t priority, double work, Instant now);
+    /// Returns where a job would be queued now, without queueing it.
+    [[nodiscard]] Position preview(const Share&, int64_t priority, Instant now) const;
+    /// Returns a tag as a number of steps, which is zero for all jobs without shortage.
+    [[nodiscard]] int64_t stepsOf(double tag) const;
     /// To be called when the first task of a job starts.
     void onStarted(Position&);
     /// To be called when a job that has not started can no longer meet its objective: it is not charged.
@@ -123,6 +129,7 @@
     void removeIdle();
     void removeWaiting(Position&);
     [[nodiscard]] double guaranteedRate(const Share&) const;
+    [[nodiscard]] double guaranteedCredit(const Share&, Instant now) const;
     [[nodiscard]] bool takeGuarantee(const Share&, double work, Instant now);
 
     Options options;
@@ -132,6 +139,8 @@
     /// The number of periods of sharing so far.
     uint64_t period { 0 };
     double capacity { 0 };
+    /// The width of a step of tags in the present period.
+    double stepWidth { 1 };
     Instant lastShortAt {};
     std::map<int64_t, Level> levels;
     std::map<Share, Guarantee> guarantees;
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -4,8 +4,11 @@
 #include <LibScheduler/Dispatcher/CapacityShares.h>
 #include <LibScheduler/Dispatcher/Decision.h>
 #include <LibScheduler/Dispatcher/FinishedJobs.h>
+#include <LibScheduler/Dispatcher/JobRank.h>
 #include <LibScheduler/Dispatcher/LapsedRuns.h>
 #include <LibScheduler/Dispatcher/SpeedEstimator.h>
+#include <LibScheduler/Dispatcher/WaitingJobs.h>
+#include <LibScheduler/Dispatcher/WorkSums.h>
 #include <LibScheduler/Home/PlacedJobs.h>
 #include <LibScheduler/Target/TargetSession.h>
 #include <LibScheduler/Target/TargetSpeed.h>
@@ -15,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -135,6 +139,8 @@
     /// What has become of the jobs of each share since the last call; empty unless capacity is shared.
     [[nodiscard]] std::map<CapacityShares::Share, CapacityShares::Counts> takeShareCounts() { return this->shares.takeCounts(); }
     [[nodiscard]] bool isSharingCapacity() const { return this->shares.isSharing(); }
+    /// The number of targets with a session.
+    [[nodiscard]] size_t targetCount() const { return this->targets.size(); }
     [[nodiscard]] size_t openJobs() const { return this->jobs.size(); }
     [[nodiscard]] size_t waitingTasks() const;
     [[nodiscard]] size_t openRuns() const;
@@ -146,6 +152,9 @@
     [[nodiscard]] std::vector<HeldJob> heldJobs(const std::string& homeShard) const;
 
 private:
+    /// The rules without any index, which the tests compare the decisions with.
+    friend struct SimpleRules;
+
     enum class TaskState {
         Waiting,
         Placed,
@@ -167,27 +176,12 @@
         uint64_t renewalRequest { 0 };
     };
 
-    /// The sort key of the job queue; smaller ranks are served first.
-    struct Rank {
-        /// Whether the job can no longer meet its objective. Such jobs come after those that still can.
-        bool isLate { false };
-        /// That of the job, or a higher one while capacity is short.
-        int64_t priority { 0 };
-        /// The order between shares while capacity is short; otherwise zero.
-        double tag { 0 };
-        Instant objective {};
-        /// A sequence number that makes the rank unique.
-        uint64_t arrival { 0 };
-
-        friend auto operator<=>(const Rank&, const Rank&) = default;
-    };
-
     struct Job {
         Submission submission;
         std::string entry;
         /// The entry hosts from which another one has taken the job over.
         std::set<std::string> formerEntries;
-        Rank rank;
+        JobRank rank;
         CapacityShares::Position share;
         Instant arrivedAt {};
         /// The number of the first run that may be started here for this submission.
@@ -213,6 +207,14 @@
         uint32_t earlierStarts { 0 };
         /// The time from the arrival of the job to the first of these starts.
         Milliseconds waitTime { 0 };
+        /// What the job adds to the sums, and its rank among the waiting jobs, if it is one of these.
+        WorkSums::JobWork countedWork;
+        std::optional<JobRank> waitingRank;
+        /// When it is checked next whether the job has expired, and from when on it is late if none of its tasks has started.
+        Instant expiryCheckAt {};
+        Instant lateFrom {};
+        /// The latest start by which the job was found to meet its deadline.
+        Instant latestStart {};
     };
 
     /// The same target at two addresses has a session for each, while the runs at its former address are waited for.
@@ -228,15 +230,51 @@
         TargetSpeed speed;
         /// Whether the target still belongs to the shard.
         bool isSelected { true };
+        /// What the target adds to the sums.
+        std::string countedPool {};
+        int64_t countedMilliCores { 0 };
     };
 
+    /// A target that can start runs, as seen in one pass over the queue.
+    struct FreeTarget {
+        Target* target { nullptr };
+        Catalog::Resources free;
+        std::optional<double> slowness {};
+    };
+
+    /// Ordered by the arrival of the jobs where the times are equal.
+    using JobTime = std::tuple<Instant, uint64_t, Job*>;
+
     /// Caches the expected run time of a job's tasks by target kind, so that each kind is looked up once per placement.
     class ExpectedRunTimes;
 
     void placeWaitingTasks(Instant now);
-    void placeTasks(Job&, Instant now);
-    [[nodiscard]] TargetSession* chooseTarget(const Job&, ExpectedRunTimes&, Instant now);
-    [[nodiscard]] int64_t largestFreeCapacity(Instant now) const;
+    /// The result of a search for a target for a task.
+    struct Choice {
+        FreeTarget* target { nullptr };
+        /// Whether any target has room for a task of this shape, whether or not the job may have it.
+        bool hasRoom { false };
+        /// False if the job has no task that may start.
+        bool isSearched { false };
+        /// Whether some target was left out because the job would end late there.
+        bool isRefusedAsLate { false };
+    };
+
+    /// Returns the last search, which has failed if tasks that may start are left.
+    Choice placeTasks(Job&, Instant now);
+    [[nodiscard]] Choice chooseTarget(const Job&, ExpectedRunTimes&, Instant now);
+    void findFreeTargets(Instant now);
+    [[nodiscard]] int64_t largestFreeCapacity() const;
+    void addToQueue(Job&, Instant now);
+    void updateQueue(Job&);
+    void removeFromQueue(Job&);
+    void setEntry(Job&, const std::string& entry);
+    void addFormerEntry(Job&, const std::string& entry);
+    void removeFormerEntry(Job&, const std::string& entry);
+    void updateCapacity(Target&);
+    void eraseTargets(const std::function<bool(const Target&)>&);
+    void dropExpiredJobs(Instant now);
+    [[nodiscard]] bool mayMissDeadline(double capacity, Instant now);
     [[nodiscard]] bool mayStartTasks(const Job&, Instant now) const;
     void processEvents(Target&, Instant now);
     [[nodiscard]] bool mayHaveBeenTakenOver(const Job&, const Task&) const;
@@ -274,10 +312,10 @@
     void demoteLateJobs(Instant now);
     void assignShare(Job&, Instant now);
     void releaseShare(Job&, Instant now);
-    void changeRank(Job&, Rank);
+    void changeRank(Job&, const JobRank&);
     void updateSharing(Instant now);
     [[nodiscard]] bool isCapacityShort(double capacity, Instant now) const;
-    void preferStartedJobs(const std::vector<Job*>&);
+    void preferIfStarted(Job&);
     void refuseJobsMissingDeadline(Instant now);
     void observeUnfinishedRuns(Instant now);
     void restartStalledRuns(Instant now);
@@ -286,12 +324,13 @@
     [[nodiscard]] Task* findTask(const RunId&, const std::string& target);
     [[nodiscard]] static bool countsAsCapacity(const TargetSession&);
     [[nodiscard]] double usableCapacity() const;
+    [[nodiscard]] static int64_t expectedWork(const Job&, size_t tasks);
     [[nodiscard]] bool isSelected(const Membership::TargetReport& report) const { return !this->selector || this->selector(report); }
     void releaseUnselectedTargets();
     void removeExpiredOutcomes(Instant now);
-    [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&) const;
-    [[nodiscard]] Milliseconds expectedWait(const Submission&) const;
-    [[nodiscard]] static double remainingWork(const Job&);
+    [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&, Instant now) const;
+    [[nodiscard]] Milliseconds expectedWait(const Submission&, Instant now) const;
+    [[nodiscard]] JobRank rankOf(const Submission&, Instant now) const;
     Target* findTarget(const TargetInstance&);
     void applyReport(const Membership::TargetReport&, Instant now);
     void removeGoneTargets();
@@ -307,11 +346,25 @@
     /// The number of tasks of all open jobs.
     size_t openTasks { 0 };
     /// The queue: all open jobs in the order in which they are served.
-    std::map<Rank, Job*> jobsByRank;
+    std::map<JobRank, Job*> jobsByRank;
+    WaitingJobs<Job> waitingJobs;
+    WorkSums work;
+    /// The open jobs by the entry host that they belong to, and by those that had them before.
+    std::map<std::string, std::set<Job*>> jobsByEntry;
+    std::map<std::string, std::set<Job*>> jobsByFormerEntry;
+    std::set<JobTime> expiryChecks;
+    /// The jobs that were not late when last looked at, by the time from which they are.
+    std::set<JobTime> lateJobChecks;
+    /// The jobs of which no task had started when last looked at, by their latest start.
+    std::set<JobTime> latestStarts;
+    /// The targets that can start runs, during a pass over the queue.
+    std::vector<FreeTarget> freeTargets;
     FinishedJobs finishedJobs;
     LapsedRuns lapsedRuns;
     bool knowsAllTargets { true };
     bool isHomeSuperseded { false };
+    /// Whether any job may have `awaitsHome` set.
+    bool jobsAwaitHome { false };
     uint64_t lastRenewalRequest { 0 };
     /// The number of jobs queued so far.
     uint64_t arrivals { 0 };
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerSharing.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerSharing.cpp
@@ -8,11 +8,25 @@
 static constexpr int64_t startedPriority { std::numeric_limits<int64_t>::min() };
 static constexpr int64_t guaranteedPriority { startedPriority + 1 };
 
-void TaskScheduler::changeRank(Job& job, Rank rank)
+void TaskScheduler::changeRank(Job& job, const JobRank& rank)
 {
     this->jobsByRank.erase(job.rank);
     job.rank = rank;
     this->jobsByRank.emplace(job.rank, &job);
+    this->updateQueue(job);
+}
+
+// Returns the rank that a job would get if it were queued now.
+JobRank TaskScheduler::rankOf(const Submission& submission, Instant now) const
+{
+    JobRank rank { false, submission.priority, 0, now + Milliseconds(submission.untilObjective), this->arrivals };
+    if (!this->shares.isSharing())
+        return rank;
+    auto position = this->shares.preview({ submission.originDomain, submission.queue }, submission.priority, now);
+    rank.tag = position.tag;
+    if (position.isGuaranteed)
+        rank.priority = guaranteedPriority;
+    return rank;
 }
 
 void TaskScheduler::assignShare(Job& job, Instant now)
@@ -20,7 +34,7 @@
     if (!this->options.shareCapacity)
         return;
     const auto& submission = job.submission;
-    job.share = this->shares.add({ submission.originDomain, submission.queue }, submission.priority, remainingWork(job), now);
+    job.share = this->shares.add({ submission.originDomain, submission.queue }, submission.priority, static_cast<double>(expectedWork(job, job.waiting)), now);
     this->shares.count(job.share.share, { 1, 0, 0, 0 });
     job.rank.tag = job.share.tag;
     if (job.share.isGuaranteed)
@@ -46,7 +60,7 @@
             break;
         if (job->waiting == 0)
             continue;
-        workAhead += remainingWork(*job);
+        workAhead += static_cast<double>(expectedWork(*job, job->waiting));
         auto wait = Milliseconds(static_cast<Milliseconds::rep>(workAhead / capacity));
         if (job->starts == 0 && now + wait + job->expectedRunTime > rank.objective)
             return true;
@@ -60,8 +74,11 @@
         return;
     auto capacity = this->usableCapacity();
     auto change = this->shares.observe(this->isCapacityShort(capacity, now), capacity, now);
-    if (change == CapacityShares::Change::Began)
+    if (change == CapacityShares::Change::Began) {
         this->recordDecision(Decision::Kind::SharingBegan, {}, {}, "the waiting work cannot all end in time; capacity is shared between failure domains and queues");
+        for (auto& [name, job] : this->jobs)
+            this->preferIfStarted(job);
+    }
     if (change != CapacityShares::Change::Ended)
         return;
     this->recordDecision(Decision::Kind::SharingEnded, {}, {}, "the waiting work can end in time again");
@@ -74,14 +91,13 @@
 }
 
 // A job that has started some of its tasks earns nothing unless the others end in time too.
-void TaskScheduler::preferStartedJobs(const std::vector<Job*>& started)
+void TaskScheduler::preferIfStarted(Job& job)
 {
-    for (auto* job : started) {
-        auto rank = job->rank;
-        rank.priority = startedPriority;
-        if (job->rank.priority != startedPriority)
-            this->changeRank(*job, rank);
-    }
+    if (!this->shares.isSharing() || job.starts == 0 || job.waiting == 0 || job.rank.priority == startedPriority)
+        return;
+    auto rank = job.rank;
+    rank.priority = startedPriority;
+    this->changeRank(job, rank);
 }
 
 }
--- a/Tests/LibScheduler/TestCapacityShares.cpp
+++ b/Tests/LibScheduler/TestCapacityShares.cpp
@@ -125,6 +125,23 @@
     BOOST_TEST(asked > guaranteed);
 }
 
+// Guards against an admission that judges a job by another place in the queue than it gets.
+BOOST_AUTO_TEST_CASE(preview_is_the_place_that_a_job_gets)
+{
+    auto shares = makeSharing(0.5);
+    auto now = start;
+    for (int i = 0; i < 200; ++i, now += 7ms) {
+        CapacityShares::Share share { i % 3 == 0 ? "south" : "north", std::to_string(i % 4) };
+        auto preview = shares.preview(share, i % 2, now);
+        auto position = shares.add(share, i % 2, 500 + i, now);
+        // The first job of a share begins its guarantee.
+        BOOST_TEST((position.isGuaranteed == preview.isGuaranteed));
+        BOOST_TEST(position.tag == preview.tag);
+        if (i % 5 == 0)
+            shares.onStarted(position);
+    }
+}
+
 // Guards against sharing that changes the order without shortage, that flaps, or that never ends.
 BOOST_AUTO_TEST_CASE(sharing_begins_with_shortage_and_ends_after_calm)
 {
