--- a/Benchmarks/SchedulerSpeed.cpp
+++ b/Benchmarks/SchedulerSpeed.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -40,8 +41,9 @@
 
 class Simulation {
 public:
-    explicit Simulation(size_t waitingJobs)
-        : waitingJobs(waitingJobs)
+    Simulation(size_t waitingJobs, TaskScheduler::Options options)
+        : scheduler(options)
+        , waitingJobs(waitingJobs)
     {
         for (size_t i = 0; i < targetCount; ++i) {
             auto& report = this->targets[i].report;
@@ -188,7 +190,7 @@
         }
     }
 
-    TaskScheduler scheduler { TaskScheduler::Options {} };
+    TaskScheduler scheduler;
     size_t waitingJobs { 0 };
     Random random { 1 };
     Instant now { std::chrono::hours(1) };
@@ -206,11 +208,14 @@
 
 }
 
-int main()
+// bench-scheduler [sharing]
+int main(int argc, char** argv)
 {
+    TaskScheduler::Options options;
+    options.shareCapacity = argc > 1 && std::string_view(argv[1]) == "sharing";
     std::printf("%10s %10s %14s\n", "waiting", "starts", "us per start");
     for (size_t waiting : { 10, 100, 1'000, 5'000 }) {
-        Simulation simulation(waiting);
+        Simulation simulation(waiting, options);
         simulation.run(Milliseconds(1'000));
         simulation.resetMeasurement();
         simulation.run(Milliseconds(3'000));
--- a/Libraries/LibScheduler/Dispatcher/JobRank.h
+++ b/Libraries/LibScheduler/Dispatcher/JobRank.h
@@ -10,7 +10,10 @@
 struct JobRank {
     /// Whether the job can no longer meet its objective. Such jobs come after those that still can.
     bool isLate { false };
+    /// That of the job, or a higher one while capacity is short.
     int64_t priority { 0 };
+    /// The order between shares while capacity is short; otherwise zero.
+    double tag { 0 };
     Instant objective {};
     /// A sequence number that makes the rank unique.
     uint64_t arrival { 0 };
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
@@ -17,6 +17,7 @@
 TaskScheduler::TaskScheduler(Options options)
     : options(options)
     , finishedJobs(options.outcomeRetention)
+    , shares({})
 {
 }
 
@@ -63,6 +64,7 @@
     this->latestStarts.clear();
     this->finishedJobs.clear();
     this->lapsedRuns.clear();
+    this->shares.clear();
     this->isHomeSuperseded = false;
     this->jobsAwaitHome = false;
     this->effects = {};
@@ -145,7 +147,9 @@
     if (this->answerAgain(entry, submission))
         return;
     const auto* earlier = this->finishedJobs.find(submission.job);
-    if (auto refusal = this->refusalFor(submission); refusal && !this->awaitsEvacuatedTargets(submission, earlier)) {
+    if (auto refusal = this->refusalFor(submission, now); refusal && !this->awaitsEvacuatedTargets(submission, earlier)) {
+        if (this->options.shareCapacity)
+            this->shares.count({ submission.originDomain, submission.queue }, { 1, 0, 1, 0 });
         if (earlier)
             refusal->starts = earlier->outcome.starts;
         return this->refuse(entry, std::move(*refusal), now + Milliseconds(submission.untilUnknownRunsEnd), now);
@@ -242,11 +246,12 @@
     job.earlierRunsEndAt = now + Milliseconds(submission.untilEarlierRunsEnd);
     job.otherShardRunsEndAt = now + Milliseconds(std::max(submission.untilOtherShardRunsEnd, isKnown ? 0 : submission.untilUnknownRunsEnd));
     job.expectedRunTime = this->speeds.expectedOnFastestKind(submission.queue, Milliseconds(submission.estimateMilliseconds));
-    job.rank = JobRank { false, submission.priority, now + Milliseconds(submission.untilObjective), this->arrivals++ };
+    job.rank = JobRank { false, submission.priority, 0, now + Milliseconds(submission.untilObjective), this->arrivals++ };
     job.tasks.assign(submission.taskCount, Task { TaskState::Waiting, 0, 0, firstRunNumber, {}, 0, {}, 0 });
     job.waiting = job.tasks.size();
     if (earlier)
         restoreProgress(job, *earlier);
+    this->assignShare(job, now);
     auto& inserted = this->jobs.emplace(submission.job, std::move(job)).first->second;
     this->openTasks += inserted.tasks.size();
     this->addToQueue(inserted, now);
@@ -448,6 +453,7 @@
     if (position == this->jobs.end())
         return;
     auto& job = position->second;
+    this->releaseShare(job, now);
     if (job.done < job.tasks.size())
         this->stopRuns(name, now);
     outcome.starts = job.earlierStarts + job.starts;
@@ -521,6 +527,7 @@
         this->requestRenewal(job, task, now);
     ++job.waiting;
     this->updateQueue(job);
+    this->preferIfStarted(job);
     bool hasFailed = event.end == RunEnd::Failed;
     this->recordDecision(hasFailed ? Decision::Kind::RunFailed : Decision::Kind::RunLost, task.target, event.run, "failed attempts of the task: " + std::to_string(task.failures + (hasFailed ? 1 : 0)) + " of " + std::to_string(job.submission.maximumFailures), event.evidence);
     if (hasFailed && ++task.failures >= job.submission.maximumFailures)
@@ -702,6 +709,7 @@
     this->releaseUnselectedTargets();
     this->observeUnfinishedRuns(now);
     this->restartStalledRuns(now);
+    this->updateSharing(now);
     this->demoteLateJobs(now);
     this->refuseJobsWithoutTarget(now);
     this->refuseJobsMissingDeadline(now);
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibMembership/TargetRegistry.h>
+#include <LibScheduler/Dispatcher/CapacityShares.h>
 #include <LibScheduler/Dispatcher/Decision.h>
 #include <LibScheduler/Dispatcher/EvacuationFilter.h>
 #include <LibScheduler/Dispatcher/FinishedJobs.h>
@@ -42,6 +43,8 @@
         /// Jobs beyond this number of open jobs are refused, and jobs whose tasks would exceed this number of tasks of open jobs.
         size_t maximumJobs { 20'000 };
         size_t maximumTasks { 200'000 };
+        /// Whether capacity is shared between failure domains of origin and queues while it is short; see CapacityShares.
+        bool shareCapacity { false };
     };
 
     /// Notifies an entry host of the outcome of a job.
@@ -136,6 +139,11 @@
     [[nodiscard]] TargetCounts countTargets(Instant now) const;
     /// Whether another dispatcher has claimed any target of the shard with a higher fencing token.
     [[nodiscard]] bool hasFencedTargets() const;
+    /// The weights of failure domains and queues that differ from 1.
+    void setShareWeights(std::map<std::string, double> domains, std::map<std::string, double> queues) { this->shares.setWeights(std::move(domains), std::move(queues)); }
+    /// What has become of the jobs of each share since the last call; empty unless capacity is shared.
+    [[nodiscard]] std::map<CapacityShares::Share, CapacityShares::Counts> takeShareCounts() { return this->shares.takeCounts(); }
+    [[nodiscard]] bool isSharingCapacity() const { return this->shares.isSharing(); }
     /// The number of targets with a session.
     [[nodiscard]] size_t targetCount() const { return this->targets.size(); }
     [[nodiscard]] size_t openJobs() const { return this->jobs.size(); }
@@ -179,6 +187,7 @@
         /// The entry hosts from which another one has taken the job over.
         std::set<std::string> formerEntries;
         JobRank rank;
+        CapacityShares::Position share;
         Instant arrivedAt {};
         /// The number of the first run that may be started here for this submission.
         uint64_t firstRunNumber { 1 };
@@ -253,6 +262,8 @@
         bool hasRoom { false };
         /// False if the job has no task that may start.
         bool isSearched { false };
+        /// Whether some target was left out because the job would end late there.
+        bool isRefusedAsLate { false };
     };
 
     /// Returns the last search, which has failed if tasks that may start are left.
@@ -305,6 +316,12 @@
     void requestRenewal(const Job&, Task&, Instant now);
     void runPeriodicChecks(Instant now);
     void demoteLateJobs(Instant now);
+    void assignShare(Job&, Instant now);
+    void releaseShare(Job&, Instant now);
+    void changeRank(Job&, const JobRank&);
+    void updateSharing(Instant now);
+    [[nodiscard]] bool isCapacityShort(double capacity, Instant now) const;
+    void preferIfStarted(Job&);
     void refuseJobsMissingDeadline(Instant now);
     void observeUnfinishedRuns(Instant now);
     void restartStalledRuns(Instant now);
@@ -323,8 +340,9 @@
     [[nodiscard]] bool isSelected(const Membership::TargetReport& report) const { return !this->selector || this->selector(report); }
     void releaseUnselectedTargets();
     void removeExpiredOutcomes(Instant now);
-    [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&) const;
-    [[nodiscard]] Milliseconds expectedWait(const Submission&) const;
+    [[nodiscard]] std::optional<JobOutcome> refusalFor(const Submission&, Instant now) const;
+    [[nodiscard]] Milliseconds expectedWait(const Submission&, Instant now) const;
+    [[nodiscard]] JobRank rankOf(const Submission&, Instant now) const;
     Target* findTarget(const TargetInstance&);
     void applyReport(const Membership::TargetReport&, Instant now);
     void removeGoneTargets();
@@ -364,6 +382,7 @@
     /// The number of jobs queued so far.
     uint64_t arrivals { 0 };
     SpeedEstimator speeds;
+    CapacityShares shares;
     /// The queues of which some run was seen to progress.
     std::set<std::string> queuesWithProgress;
     Instant nextOutcomeCleanup {};
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
@@ -36,15 +36,16 @@
     return loads;
 }
 
-// Returns how long the targets need for the waiting tasks of the jobs that are not late and have the same or a higher priority.
-Milliseconds TaskScheduler::expectedWait(const Submission& submission) const
+// Returns how long the targets need for the waiting tasks of the jobs that are not late and come before a job that is submitted now.
+Milliseconds TaskScheduler::expectedWait(const Submission& submission, Instant now) const
 {
+    auto rank = this->rankOf(submission, now);
     auto capacity = this->usableCapacity();
-    return capacity > 0 ? Milliseconds(static_cast<Milliseconds::rep>(static_cast<double>(this->work.aheadOf(submission.priority)) / capacity)) : Milliseconds(0);
+    return capacity > 0 ? Milliseconds(static_cast<Milliseconds::rep>(static_cast<double>(this->work.aheadOf(rank.priority, this->shares.stepsOf(rank.tag))) / capacity)) : Milliseconds(0);
 }
 
 // Returns the refusal of a job that must not be admitted, or nothing if the job is admitted.
-std::optional<JobOutcome> TaskScheduler::refusalFor(const Submission& submission) const
+std::optional<JobOutcome> TaskScheduler::refusalFor(const Submission& submission, Instant now) const
 {
     JobOutcome outcome { submission.job, JobEnd::Refused, "overloaded", minimumRetryAfter.count(), 0, 0, submission.firstRunNumber };
     if (this->jobs.size() >= this->options.maximumJobs || this->openTasks + submission.taskCount > this->options.maximumTasks)
@@ -56,7 +57,7 @@
         outcome.retryAfterMilliseconds = 1000;
         return outcome;
     }
-    auto wait = this->expectedWait(submission);
+    auto wait = this->expectedWait(submission, now);
     auto expected = this->speeds.expectedOnFastestKind(submission.queue, Milliseconds(submission.estimateMilliseconds));
     if (wait.count() + expected.count() <= submission.untilDeadline)
         return {};
@@ -73,10 +74,11 @@
         this->lateJobChecks.erase(this->lateJobChecks.begin());
         if (job.starts > 0)
             continue;
-        this->jobsByRank.erase(job.rank);
-        job.rank.isLate = true;
-        this->jobsByRank.emplace(job.rank, &job);
-        this->updateQueue(job);
+        auto rank = job.rank;
+        rank.isLate = true;
+        rank.priority = job.submission.priority;
+        this->changeRank(job, rank);
+        this->shares.onLate(job.share);
     }
 }
 
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
@@ -69,6 +69,8 @@
 {
     const auto& submission = job.submission;
     Choice choice { nullptr, false, true };
+    // While capacity is short, work that would end late is not started.
+    bool refusesLateStart = this->shares.isSharing() && job.starts == 0 && !job.rank.isLate;
     std::tuple<bool, Milliseconds, int64_t> bestScore {};
     for (auto& candidate : this->freeTargets) {
         if (!submission.needs.fitInto(candidate.free))
@@ -87,6 +89,10 @@
         if (submission.maximumPerTarget > 0 && session.countRuns(submission.job) >= submission.maximumPerTarget)
             continue;
         auto expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expectedRunTimes.onKind(report.kind)) * *candidate.slowness));
+        if (refusesLateStart && now + expected > job.rank.objective) {
+            choice.isRefusedAsLate = true;
+            continue;
+        }
         std::tuple score { candidate.target->coldStart.isCold(now), expected, candidate.free.minus(submission.needs).milliCores };
         if ((!choice.target || score < bestScore) && session.canLease(*job.lease, now)) {
             choice.target = &candidate;
@@ -112,8 +118,10 @@
         task.target = session.target().identity;
         task.run = task.nextRunNumber++;
         --job.waiting;
-        if (job.starts++ == 0)
+        if (job.starts++ == 0) {
             job.waitTime = std::chrono::duration_cast<Milliseconds>(now - job.arrivedAt);
+            this->shares.onStarted(job.share);
+        }
         session.start(RunId { TaskId { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, job.submission.needs, job.submission.payload, job.lease, now);
         choice.target->free = session.freeCapacity();
     }
@@ -152,6 +160,8 @@
     using Result = WaitingJobs<Job>::Result;
     this->findFreeTargets(now);
     auto largestFree = this->largestFreeCapacity();
+    // Their ranks change after the pass, since a visit must not add jobs to the queue.
+    std::vector<Job*> started;
     auto visit = [&](Job& job, Instant& refusedLease) {
         bool mayLease = job.submission.maximumPerTarget > 0 || job.lease->lastExtendedAt > refusedLease;
         if (!mayLease || !this->mayStartTasks(job, now))
@@ -160,11 +170,15 @@
         auto last = this->placeTasks(job, now);
         if (job.waiting < waiting)
             largestFree = this->largestFreeCapacity();
-        if (last.isSearched && !last.target && job.submission.maximumPerTarget == 0)
+        if (job.waiting > 0 && job.waiting < waiting)
+            started.push_back(&job);
+        if (last.isSearched && !last.target && !last.isRefusedAsLate && job.submission.maximumPerTarget == 0)
             refusedLease = job.lease->lastExtendedAt;
         return last.hasRoom ? Result::Continue : Result::ShapeHasNoRoom;
     };
     this->waitingJobs.visit([&] { return largestFree; }, visit);
+    for (auto* job : started)
+        this->preferIfStarted(*job);
 }
 
 void TaskScheduler::observeRun(const Job& job, Target& target, Milliseconds duration, Instant now)
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerQueue.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerQueue.cpp
@@ -29,7 +29,7 @@
 void TaskScheduler::updateQueue(Job& job)
 {
     const auto& submission = job.submission;
-    WorkSums::JobWork work { job.rank.isLate, job.rank.priority, expectedWork(job, job.waiting), expectedWork(job, job.tasks.size() - job.waiting - job.done) };
+    WorkSums::JobWork work { job.rank.isLate, job.rank.priority, this->shares.stepsOf(job.rank.tag), expectedWork(job, job.waiting), expectedWork(job, job.tasks.size() - job.waiting - job.done) };
     if (work != job.countedWork) {
         this->work.remove(submission.pool, job.countedWork);
         this->work.add(submission.pool, work);
--- a/Libraries/LibScheduler/Dispatcher/WorkSums.cpp
+++ b/Libraries/LibScheduler/Dispatcher/WorkSums.cpp
@@ -16,7 +16,7 @@
 void WorkSums::change(const std::string& pool, const JobWork& work, int64_t sign)
 {
     if (!work.isLate)
-        addTo(this->waitingByPriority, work.priority, sign * work.waiting);
+        addTo(this->waitingByPlace, { work.priority, work.tagSteps }, sign * work.waiting);
     this->allWaiting += sign * work.waiting;
     addTo(this->openByPool, pool, sign * (2 * work.waiting + work.placed));
 }
@@ -27,10 +27,11 @@
     addTo(this->poolCapacity, pool, milliCores);
 }
 
-int64_t WorkSums::aheadOf(int64_t priority) const
+int64_t WorkSums::aheadOf(int64_t priority, int64_t tagSteps) const
 {
     int64_t sum = 0;
-    for (auto position = this->waitingByPriority.begin(); position != this->waitingByPriority.end() && position->first <= priority; ++position)
+    const std::pair place { priority, tagSteps };
+    for (auto position = this->waitingByPlace.begin(); position != this->waitingByPlace.end() && position->first <= place; ++position)
         sum += position->second;
     return sum;
 }
--- a/Libraries/LibScheduler/Dispatcher/WorkSums.h
+++ b/Libraries/LibScheduler/Dispatcher/WorkSums.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace Sassafrasshift::Scheduler {
 
@@ -14,7 +15,9 @@
     /// What one job adds to the sums.
     struct JobWork {
         bool isLate { false };
+        /// Where the job is in the queue: its priority and, among jobs of the same priority, the steps of its tag.
         int64_t priority { 0 };
+        int64_t tagSteps { 0 };
         int64_t waiting { 0 };
         /// A placed task counts with half of its expected run time, because on average half of the run is assumed to be over.
         int64_t placed { 0 };
@@ -27,8 +30,8 @@
 
     void addCapacity(const std::string& pool, int64_t milliCores);
 
-    /// The work of the waiting tasks of the jobs that are not late and have the same or a higher priority.
-    [[nodiscard]] int64_t aheadOf(int64_t priority) const;
+    /// The work of the waiting tasks of the jobs that are not late and have a higher priority, or the same one and no more steps.
+    [[nodiscard]] int64_t aheadOf(int64_t priority, int64_t tagSteps) const;
     /// The work of all waiting tasks.
     [[nodiscard]] int64_t waiting() const { return this->allWaiting; }
     /// The open work of a pool: twice that of its waiting tasks and once that of its placed ones.
@@ -42,7 +45,8 @@
 private:
     void change(const std::string& pool, const JobWork&, int64_t sign);
 
-    std::map<int64_t, int64_t> waitingByPriority;
+    /// By priority and steps.
+    std::map<std::pair<int64_t, int64_t>, int64_t> waitingByPlace;
     std::map<std::string, int64_t> openByPool;
     std::map<std::string, int64_t> poolCapacity;
     int64_t allWaiting { 0 };
--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -12,6 +12,24 @@
 static constexpr int64_t maximumCores = 1000;
 static constexpr int64_t maximumToleratedDiskLosses = 100;
 static constexpr size_t maximumFailureDomains = 1000;
+static constexpr double minimumWeight = 0.01;
+static constexpr double maximumWeight = 1000;
+
+// A missing key reads as no weights.
+static std::map<std::string, double> readWeights(MappingReader& reader, std::string_view key)
+{
+    std::map<std::string, double> weights;
+    if (!reader.has(key))
+        return weights;
+    for (auto& entry : reader.mappings(key)) {
+        auto name = entry.text("name");
+        auto weight = entry.number("weight", minimumWeight, maximumWeight);
+        if (!weights.emplace(name, weight).second)
+            entry.report("name", "\"" + name + "\" is listed twice");
+        entry.reportUnexpectedKeys();
+    }
+    return weights;
+}
 
 tl::expected<ClusterSettings, Diagnostics> ClusterSettings::parse(const std::string& text, const std::string& file)
 {
@@ -50,6 +68,9 @@
     auto relayCores = reader.number("orderRelayCores", 0, maximumCores, 0);
     settings.orderRelayWeight = static_cast<int64_t>(relayCores * milliCoresPerCore);
     settings.maximumLease = reader.duration("maximumLease", 100ms, 600s, 1s);
+    settings.shareCapacity = reader.boolean("shareCapacity", false);
+    settings.domainWeights = readWeights(reader, "domainWeights");
+    settings.queueWeights = readWeights(reader, "queueWeights");
     settings.shutdownTimeout = reader.duration("shutdownTimeout", 1s, 600s, 30s);
     if (settings.jobsAddress.empty() != settings.readinessAddress.empty())
         reader.report("readinessAddress", "\"jobsAddress\" and \"readinessAddress\" must be set together");
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -50,6 +50,7 @@
     [[nodiscard]] OrderSender::AnswerHandlers makeAnswerHandlers();
     /// Sends the orders and messages that the scheduler has produced, and logs its decisions.
     void executeEffects();
+    void countShares();
     void logStateIfDue(Instant now);
     void logDecision(const Scheduler::Decision&);
     void logHomeEvent(const Scheduler::HomeEvent&);
--- a/Tests/LibScheduler/SimpleRules.cpp
+++ b/Tests/LibScheduler/SimpleRules.cpp
@@ -27,6 +27,8 @@
             continue;
         auto usual = scheduler.speeds.expected(submission.queue, report.kind, Milliseconds(submission.estimateMilliseconds));
         auto expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(usual) * slowness));
+        if (scheduler.shares.isSharing() && job.starts == 0 && !job.rank.isLate && now + expected > job.rank.objective)
+            continue;
         std::pair score { expected, session.freeCapacity().minus(submission.needs).milliCores };
         if ((!best || score < bestScore) && session.canLease(*job.lease, now)) {
             best = &session;
@@ -49,8 +51,10 @@
         task.target = session->target().identity;
         task.run = task.nextRunNumber++;
         --job.waiting;
-        if (job.starts++ == 0)
+        if (job.starts++ == 0) {
             job.waitTime = std::chrono::duration_cast<Milliseconds>(now - job.arrivedAt);
+            scheduler.shares.onStarted(job.share);
+        }
         session->start(RunId { TaskId { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, job.submission.needs, job.submission.payload, job.lease, now);
     }
 }
@@ -62,17 +66,23 @@
     auto hasFreeCapacity = [&] {
         return std::any_of(scheduler.targets.begin(), scheduler.targets.end(), [&](const auto& entry) { return entry.second.session.freeCapacity().milliCores > 0 && entry.second.session.canStartRuns(now); });
     };
+    std::vector<TaskScheduler::Job*> started;
     for (auto& [rank, job] : scheduler.jobsByRank) {
         if (!hasFreeCapacity())
-            return;
+            break;
         if (job->waiting == 0 || !scheduler.mayStartTasks(*job, now))
             continue;
+        auto waiting = job->waiting;
         placeTasks(scheduler, *job, now);
         scheduler.updateQueue(*job);
+        if (job->waiting > 0 && job->waiting < waiting)
+            started.push_back(job);
     }
+    for (auto* job : started)
+        scheduler.preferIfStarted(*job);
 }
 
-std::string SimpleRules::checkSums(const TaskScheduler& scheduler)
+std::string SimpleRules::checkSums(const TaskScheduler& scheduler, Instant now)
 {
     double capacity = 0;
     for (const auto& [key, target] : scheduler.targets) {
@@ -83,17 +93,23 @@
         return "capacity";
     std::map<std::string, double> openWork;
     std::map<int64_t, double> waitingWork;
+    auto makeSubmission = [](int64_t priority) {
+        Submission submission;
+        submission.priority = priority;
+        submission.queue = "queue-" + std::to_string(priority);
+        submission.originDomain = "domain-0";
+        return submission;
+    };
+    auto place = [&](const JobRank& rank) { return std::pair(rank.priority, scheduler.shares.stepsOf(rank.tag)); };
     for (const auto& [name, job] : scheduler.jobs) {
         auto workOfTask = static_cast<double>(job.submission.needs.milliCores) * toMilliseconds(job.expectedRunTime);
         openWork[job.submission.pool] += (static_cast<double>(job.waiting) + static_cast<double>(job.tasks.size() - job.waiting - job.done) / 2) * workOfTask;
         for (int64_t priority = 0; priority <= 2 && !job.rank.isLate; ++priority)
-            waitingWork[priority] += job.rank.priority <= priority ? static_cast<double>(job.waiting) * workOfTask : 0;
+            waitingWork[priority] += place(job.rank) <= place(scheduler.rankOf(makeSubmission(priority), now)) ? static_cast<double>(job.waiting) * workOfTask : 0;
     }
     for (auto [priority, waiting] : waitingWork) {
-        Submission submission;
-        submission.priority = priority;
         auto wait = capacity > 0 ? Milliseconds(static_cast<Milliseconds::rep>(waiting / (capacity * usableCapacityShare))) : Milliseconds(0);
-        if (wait != scheduler.expectedWait(submission))
+        if (wait != scheduler.expectedWait(makeSubmission(priority), now))
             return "expected wait at priority " + std::to_string(priority);
     }
     for (const auto& [pool, open] : openWork) {
--- a/Tests/LibScheduler/TestSameDecisions.cpp
+++ b/Tests/LibScheduler/TestSameDecisions.cpp
@@ -38,6 +38,7 @@
         submission.needs.memoryBytes = draw(4) == 0 ? 600 << 20 : 0;
         submission.maximumPerTarget = draw(5) == 0 ? 1 : 0;
         submission.requiredLabel = draw(8) == 0 ? "ssd" : "";
+        submission.originDomain = "domain-" + std::to_string(arrivals.size() % 4 / 2);
         submission.estimateMilliseconds = kind.work * (60 + draw(81)) / 100;
         submission.untilObjective = kind.work * 16 / 10 + 60;
         submission.untilDeadline = 700 + draw(1500);
@@ -51,12 +52,15 @@
     std::vector<std::string> decisions;
     size_t starts { 0 };
     size_t refusals { 0 };
+    bool hasShared { false };
     std::string fault;
 };
 
-Replay replay(const std::vector<Arrival>& arrivals, bool useSimpleRules)
+Replay replay(const std::vector<Arrival>& arrivals, bool useSimpleRules, bool shareCapacity)
 {
-    SimulatedFleet fleet(1);
+    TaskScheduler::Options options;
+    options.shareCapacity = shareCapacity;
+    SimulatedFleet fleet(1, options);
     for (int i = 0; i < 16; ++i)
         fleet.addTarget("target-" + std::to_string(100 + i), i % 2 == 0 ? 16 : 24);
     int number = 0;
@@ -77,10 +81,11 @@
     };
     Replay result;
     fleet.beforeEffects = [&](TaskScheduler& scheduler) {
+        result.hasShared = result.hasShared || scheduler.isSharingCapacity();
         if (useSimpleRules)
             SimpleRules::placeWaitingTasks(scheduler, fleet.now);
         if (result.fault.empty())
-            result.fault = SimpleRules::checkSums(scheduler);
+            result.fault = SimpleRules::checkSums(scheduler, fleet.now);
         if (result.fault.empty() && SimpleRules::hasChecked(scheduler, fleet.now))
             result.fault = SimpleRules::checkJobs(scheduler, fleet.now);
     };
@@ -110,12 +115,14 @@
 // Guards against an index or a sum that makes the scheduler choose another target, order or refusal than the rules say.
 BOOST_AUTO_TEST_CASE(decisions_are_the_same_as_those_of_the_rules_without_indexes)
 {
-    for (unsigned seed = 1; seed <= 3; ++seed) {
+    for (unsigned seed = 1; seed <= 6; ++seed) {
+        bool shareCapacity = seed > 3;
         auto arrivals = recordArrivals(seed);
-        auto expected = replay(arrivals, true);
-        auto actual = replay(arrivals, false);
+        auto expected = replay(arrivals, true, shareCapacity);
+        auto actual = replay(arrivals, false, shareCapacity);
         BOOST_TEST(expected.starts > 500U);
         BOOST_TEST(expected.refusals > 20U);
+        BOOST_TEST(expected.hasShared == shareCapacity);
         BOOST_TEST(actual.fault == "");
         BOOST_TEST(actual.decisions == expected.decisions, boost::test_tools::per_element());
     }
