--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -11,6 +11,10 @@
 static constexpr int64_t milliCoresPerCore = 1000;
 static constexpr int64_t maximumCores = 1000;
 static constexpr int64_t maximumToleratedDiskLosses = 100;
+static constexpr int64_t minimumMemoryLimit = 32'000'000;
+static constexpr int64_t maximumMemoryLimit = 1'000'000'000'000;
+static constexpr int64_t minimumDescriptorLimit = 256;
+static constexpr int64_t maximumDescriptorLimit = 10'000'000;
 
 tl::expected<ClusterSettings, Diagnostics> ClusterSettings::parse(const std::string& text, const std::string& file)
 {
@@ -45,6 +49,8 @@
     settings.dispatchWeight = static_cast<int64_t>(cores * milliCoresPerCore);
     settings.maximumLease = reader.duration("maximumLease", 100ms, 600s, 1s);
     settings.shutdownTimeout = reader.duration("shutdownTimeout", 1s, 600s, 30s);
+    settings.memoryLimit = reader.bytes("memoryLimit", minimumMemoryLimit, maximumMemoryLimit, 0);
+    settings.descriptorLimit = reader.integer("descriptorLimit", minimumDescriptorLimit, maximumDescriptorLimit, 0);
     if (settings.jobsAddress.empty() != settings.readinessAddress.empty())
         reader.report("readinessAddress", "\"jobsAddress\" and \"readinessAddress\" must be set together");
     reader.reportUnexpectedKeys();
--- a/Libraries/LibSettings/ClusterSettings.h
+++ b/Libraries/LibSettings/ClusterSettings.h
@@ -41,6 +41,10 @@
     Milliseconds maximumLease { 0 };
     /// How long a graceful shutdown of this process may take.
     Milliseconds shutdownTimeout { 0 };
+    /// The memory of the host in bytes that this process may use; 0 if it is not known.
+    int64_t memoryLimit { 0 };
+    /// The number of descriptors that this process may open; 0 for the limit that the operating system sets.
+    int64_t descriptorLimit { 0 };
 
     /// Parses and validates the settings. Fails with a diagnostic for every error in the text.
     [[nodiscard]] static tl::expected<ClusterSettings, Diagnostics> parse(const std::string& text, const std::string& file);
--- a/Libraries/LibSettings/MappingReader.cpp
+++ b/Libraries/LibSettings/MappingReader.cpp
@@ -16,7 +16,7 @@
 };
 
 static constexpr std::array durationUnits { Unit { "ms", 1 }, Unit { "min", 60'000 }, Unit { "s", 1000 }, Unit { "h", 3'600'000 } };
-static constexpr std::array byteUnits { Unit { "KiB", 1024 }, Unit { "MiB", 1024 * 1024 }, Unit { "GiB", 1024 * 1024 * 1024 }, Unit { "B", 1 } };
+static constexpr std::array byteUnits { Unit { "KiB", 1024 }, Unit { "MiB", 1024 * 1024 }, Unit { "GiB", 1024 * 1024 * 1024 }, Unit { "MB", 1'000'000 }, Unit { "B", 1 } };
 
 struct MappingReader::Implementation {
     YAML::Node node;
@@ -167,7 +167,7 @@
     auto result = parseWithUnit(content, byteUnits);
     if (result && *result >= minimum && *result <= maximum)
         return *result;
-    this->report(key, "\"" + std::string(key) + "\" must be a size from " + std::to_string(minimum) + "B to " + std::to_string(maximum) + "B, including a unit (B, KiB, MiB, GiB), not \"" + content + "\"");
+    this->report(key, "\"" + std::string(key) + "\" must be a size from " + std::to_string(minimum) + "B to " + std::to_string(maximum) + "B, including a unit (B, KiB, MiB, GiB, MB), not \"" + content + "\"");
     return fallback.value_or(minimum);
 }
 
