LibTransport: Limit what the clients of a port hold

Cause: unfinished requests, unread answers and unread pipelined requests held as much memory as clients sent, and each connection a descriptor. A compressed head of 16 KiB over HTTP/2 was expanded to 64 MB when the exchange copied it. Answers of targets were limited to 64 MiB each only.

Change: ConnectionBudget (pure, on the caller's clock) accounts for connections and memory, and chooses what to close. Http2FrameCounter (pure) follows the frames of HTTP/2 clients, since h2o does not tell of unfinished streams. HttpServer measures a connection when bytes arrive, told by the epoll set of DisconnectWatch, so that no request scans all connections. It bounds pipelined requests, header fields and bytes, and the time for a request to arrive and an answer to be read. HttpClient bounds the bytes of all unfinished responses. Without limits, servers and clients behave as before.

--- a/Libraries/LibTransport/DisconnectWatch.h
+++ b/Libraries/LibTransport/DisconnectWatch.h
@@ -14,9 +14,10 @@
 public:
     using Handler = std::function<void(st_h2o_socket_t*)>;
 
-    /// Calls the handler once for each watched connection that a client ends or resets. Bytes that the client sent before may still be
-    /// unread. Fails with Reason::InvalidInput if the process has too many descriptors open.
-    [[nodiscard]] static ErrorOr<std::unique_ptr<DisconnectWatch>> create(EventLoop&, Handler);
+    /// Calls the first handler once for each watched connection that a client ends or resets. Bytes that the client sent before may still
+    /// be unread. If there is a second handler, it is called for each watched connection on which bytes have arrived, whether or not they
+    /// were read. Fails with Reason::InvalidInput if the process has too many descriptors open.
+    [[nodiscard]] static ErrorOr<std::unique_ptr<DisconnectWatch>> create(EventLoop&, Handler disconnectHandler, Handler inputHandler = {});
     ~DisconnectWatch();
     DisconnectWatch(const DisconnectWatch&) = delete;
     DisconnectWatch& operator=(const DisconnectWatch&) = delete;
@@ -30,7 +31,8 @@
 
     int descriptor { -1 };
     st_h2o_socket_t* eventSocket { nullptr };
-    Handler handler;
+    Handler disconnectHandler;
+    Handler inputHandler;
 };
 
 }
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -9,9 +9,18 @@
 static constexpr uint64_t inputOutputTimeoutMilliseconds = 120'000;
 static constexpr uint64_t idleConnectionTimeoutMilliseconds = 5'000;
 
+// What the calls of a client share. A call may exist longer than its client.
+struct SharedLimits {
+    HttpClient::Limits limits;
+    HttpClient::LimitObserver observer;
+    // The bytes of all responses that are not complete.
+    size_t unfinishedBytes { 0 };
+};
+
 struct HttpClient::Implementation {
     EventLoop* loop { nullptr };
     Limits limits;
+    std::shared_ptr<SharedLimits> sharedLimits;
     h2o_timeout_t inputOutputTimeout {};
     h2o_http1client_ctx_t context {};
     std::map<Endpoint, std::shared_ptr<h2o_socketpool_t>> pools;
@@ -31,13 +40,34 @@
     std::string body;
     h2o_iovec_t buffers[2] {};
     HttpResponse response;
-    size_t maximumBody { 0 };
+    std::shared_ptr<SharedLimits> sharedLimits;
+    // The part of the response that counts as unfinished.
+    size_t countedBytes { 0 };
     bool isHeadRequest { false };
     bool sendStarted { false };
     bool lengthKnown { false };
 
+    ~CallState() { this->countBytes(0); }
+
+    void countBytes(size_t bytes)
+    {
+        this->sharedLimits->unfinishedBytes += bytes - std::exchange(this->countedBytes, bytes);
+    }
+
+    [[nodiscard]] bool exceedsLimits(size_t bytes)
+    {
+        this->countBytes(bytes);
+        const auto& limits = this->sharedLimits->limits;
+        if (bytes <= limits.maximumBody && (limits.unfinishedBytes == 0 || this->sharedLimits->unfinishedBytes <= limits.unfinishedBytes))
+            return false;
+        if (this->sharedLimits->observer)
+            this->sharedLimits->observer();
+        return true;
+    }
+
     void finish(ErrorOr<HttpResponse> result)
     {
+        this->countBytes(0);
         this->nativeClient = nullptr;
         this->deadlineTimer.reset();
         if (auto function = std::move(this->completion)) {
@@ -111,7 +141,10 @@
     auto state = stateOf(client);
     auto* input = client->sock->input;
     if (state) {
-        if (state->response.body.size() + input->size > state->maximumBody) {
+        if (state->exceedsLimits(state->response.body.size() + input->size)) {
+            // Frees the storage at once.
+            std::string().swap(state->response.body);
+            state->countBytes(0);
             finishFromCallback(client, tl::unexpected(Error::ran(Reason::TooLarge, "the response body exceeds the size limit")));
             return -1;
         }
@@ -189,12 +222,13 @@
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<HttpClient> HttpClient::create(EventLoop& loop, Limits limits)
+std::unique_ptr<HttpClient> HttpClient::create(EventLoop& loop, Limits limits, LimitObserver observer)
 {
     std::unique_ptr<HttpClient> client(new HttpClient);
     auto& state = *client->implementation;
     state.loop = &loop;
     state.limits = limits;
+    state.sharedLimits = std::make_shared<SharedLimits>(SharedLimits { limits, std::move(observer) });
     h2o_timeout_init(loop.nativeLoop(), &state.inputOutputTimeout, inputOutputTimeoutMilliseconds);
     state.context.loop = loop.nativeLoop();
     state.context.getaddr_receiver = loop.hostLookupReceiver();
@@ -220,7 +254,7 @@
     state->loop = client.loop;
     state->pool = client.poolFor(endpoint);
     state->completion = std::move(completion);
-    state->maximumBody = client.limits.maximumBody;
+    state->sharedLimits = client.sharedLimits;
     state->isHeadRequest = request.method == "HEAD";
     state->head = formatHead(endpoint, request);
     state->body = std::move(request.body);
--- a/Libraries/LibTransport/HttpClient.h
+++ b/Libraries/LibTransport/HttpClient.h
@@ -26,9 +26,15 @@
         size_t maximumIdleConnections { 64 };
         /// The largest accepted response body in bytes. A request with a longer one fails with Reason::TooLarge.
         size_t maximumBody { 64 * 1024 * 1024 };
+        /// The bytes that all unfinished responses may hold. The request whose response exceeds them fails with Reason::TooLarge. 0 means no
+        /// limit.
+        size_t unfinishedBytes { 0 };
     };
 
-    [[nodiscard]] static std::unique_ptr<HttpClient> create(EventLoop&, Limits);
+    /// Called when a limit makes a request fail.
+    using LimitObserver = std::function<void()>;
+
+    [[nodiscard]] static std::unique_ptr<HttpClient> create(EventLoop&, Limits, LimitObserver = {});
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -1,15 +1,18 @@
 #include <LibBase/Try.h>
 #include <LibTransport/DisconnectWatch.h>
 #include <LibTransport/H2O.h>
+#include <LibTransport/Http2FrameCounter.h>
 #include <LibTransport/HttpServer.h>
 #include <cstring>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <map>
 #include <netinet/tcp.h>
 #include <optional>
 #include <set>
 #include <string_view>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -29,6 +32,16 @@
 // The first request of a new connection is in transit for at most this time after the connection was accepted.
 static constexpr Milliseconds firstRequestTimeout { 150 };
 
+// The kernel buffers bytes that are not read or sent yet, which count as memory of the host. It allots twice these sizes.
+static constexpr int kernelBufferBytes = 64 * 1024;
+// What h2o, the kernel and this file allocate for each connection.
+static constexpr size_t bytesPerConnection = 8192;
+// Smaller input buffers of h2o are reused rather than returned to the system.
+static constexpr size_t smallInputBuffer = 64 * 1024;
+// The framing of an answer.
+static constexpr size_t answerHeadBytes = 256;
+static constexpr std::string_view retryAfterSeconds = "1";
+
 // The handler that h2o allocates and passes to onRequest(), extended by a pointer to the HttpServer::Implementation.
 struct NativeHandler {
     h2o_handler_t super;
@@ -49,6 +62,24 @@
     // The HTTP/1.1 request that is being handled, if any, and whether the client has disconnected.
     std::weak_ptr<ExchangeImplementation> exchange {};
     bool hasDisconnected { false };
+    // When the request whose bytes are in the input buffer, or the answer that is being sent, began; empty if there is none.
+    std::optional<Instant> requestSince {};
+    std::optional<Instant> answerSince {};
+    // The number of requests that are being handled.
+    size_t openExchanges { 0 };
+    // The bytes of answers whose requests h2o has not disposed of.
+    size_t answerBytes { 0 };
+    // Whether the kernel may have bytes of an answer that the client has not acknowledged.
+    bool mayHaveUnsent { false };
+    // The requests that followed one another without a pause.
+    size_t pipelinedRequests { 0 };
+    bool isTouched { false };
+    // Only for HTTP/2: the frames that were received, the function of h2o that reads them, and what it left in the buffer.
+    std::unique_ptr<Http2FrameCounter> frames {};
+    h2o_socket_cb nativeRead { nullptr };
+    size_t leftInput { 0 };
+    // The connection of h2o that handles HTTP/1.1. It is replaced when the client changes to HTTP/2.
+    void* protocolData { nullptr };
 };
 
 struct HttpServer::Implementation {
@@ -67,7 +98,28 @@
     size_t openExchangeCount { 0 };
     bool isClosingGracefully { false };
     size_t nextCheckIndex { 0 };
+    Limits limits;
+    ConnectionBudget budget { {} };
+    LimitObserver observer;
+    // The connections whose state has changed in this iteration of the loop.
+    std::vector<h2o_socket_t*> touched;
 
+    void report(std::string_view cause) const
+    {
+        if (this->observer)
+            this->observer(cause);
+    }
+    [[nodiscard]] bool isLimited() const { return this->limits.budget.memory > 0 || this->limits.budget.connections > 0; }
+    void touch(h2o_socket_t*);
+    void measureTouched();
+    void measure(h2o_socket_t*, IdleConnectionState&, Instant now);
+    void relieveMemory();
+    [[nodiscard]] bool admit(h2o_socket_t*, uint32_t address);
+    void read(h2o_socket_t*, const char* error);
+    void followUpgrade(h2o_socket_t*, IdleConnectionState&);
+    void watchRead(h2o_socket_t*, IdleConnectionState&);
+    [[nodiscard]] bool hasTooLongHead(const h2o_socket_t*, const IdleConnectionState&) const;
+    [[nodiscard]] bool hasTimedOutTransfer(const h2o_socket_t*, IdleConnectionState&, Instant now) const;
     void closeListener();
     void checkConnections();
     void onDisconnect(h2o_socket_t*);
@@ -94,6 +146,14 @@
             this->received.headers.push_back({ std::string(header.name->base, header.name->len), std::string(header.value.base, header.value.len) });
         }
         ++this->server->openExchangeCount;
+        this->reservedBytes = request->entity.len * server->limits.handledCopies;
+        this->server->budget.reserve(this->reservedBytes);
+        if (auto* state = this->connectionState()) {
+            ++state->openExchanges;
+            this->server->budget.setStage(this->connection(), ConnectionBudget::Stage::Handling);
+            if (request->version >= 0x200 && this->server->isLimited())
+                this->server->followUpgrade(this->connection(), *state);
+        }
     }
 
     ~ExchangeImplementation() override
@@ -119,6 +179,7 @@
         if (!this->nativeRequest)
             return;
         auto* request = this->nativeRequest;
+        this->countAnswer(response.body.size());
         this->release();
         // Tells an HTTP/1.1 client to open another connection for its next request (RFC 9112 section 9.6).
         if (this->server->isClosingGracefully)
@@ -176,9 +237,32 @@
     }
 
 private:
+    // The state of the connection that carries the request, or null if there is none.
+    IdleConnectionState* connectionState() const
+    {
+        auto position = this->server->connections.find(this->connection());
+        return position == this->server->connections.end() ? nullptr : &position->second;
+    }
+
+    void countAnswer(size_t bodyBytes)
+    {
+        auto* state = this->connectionState();
+        if (!state || !this->server->isLimited())
+            return;
+        state->mayHaveUnsent = true;
+        if (this->answerBytes) {
+            *this->answerBytes = bodyBytes + answerHeadBytes;
+            state->answerBytes += *this->answerBytes;
+        }
+        this->server->touch(this->connection());
+    }
+
     // Detaches the exchange from its h2o request, so that it no longer uses a request that h2o may have freed.
     void release()
     {
+        this->server->budget.release(this->reservedBytes);
+        if (auto* state = this->connectionState())
+            --state->openExchanges;
         this->nativeRequest = nullptr;
         --this->server->openExchangeCount;
     }
@@ -196,11 +280,19 @@
     HttpRequest received;
     std::function<void()> abandonHandler;
     bool abandoned { false };
+    size_t reservedBytes { 0 };
+
+public:
+    // The bytes of the answer in the memory pool of the request, which outlives this object; null for a request that was refused.
+    size_t* answerBytes { nullptr };
 };
 
 // Allocated in the memory pool of an h2o request, so that the exchange is notified when h2o disposes of the request.
 struct ExchangeReference {
     std::weak_ptr<ExchangeImplementation> exchange;
+    HttpServer::Implementation* server;
+    h2o_socket_t* connection;
+    size_t answerBytes;
 };
 
 // Whether the head of a request declares the length of its body more than once. Intermediaries may disagree about where such a
@@ -231,46 +323,131 @@
     return { connection->input->bytes, connection->input->size };
 }
 
+// Responds to a request that is not handled, before anything of it is copied.
+static int refuse(h2o_req_t* request, int status)
+{
+    request->http1_is_persistent = 0;
+    request->res.status = status;
+    request->res.reason = "";
+    if (status == 503)
+        h2o_add_header(&request->pool, &request->res.headers, H2O_TOKEN_RETRY_AFTER, nullptr, retryAfterSeconds.data(), retryAfterSeconds.size());
+    request->res.content_length = 0;
+    h2o_send_inline(request, "", 0);
+    return 0;
+}
+
+static bool hasTooLargeHead(const h2o_req_t* request, const HttpServer::Limits& limits)
+{
+    if (limits.headerFields > 0 && request->headers.size > limits.headerFields)
+        return true;
+    if (limits.headerBytes == 0)
+        return false;
+    size_t bytes = request->path.len + request->input.authority.len;
+    for (size_t i = 0; i < request->headers.size && bytes <= limits.headerBytes; ++i)
+        bytes += request->headers.entries[i].name->len + request->headers.entries[i].value.len;
+    return bytes > limits.headerBytes;
+}
+
+// Whether memory is short even after the connections that may be closed for it are gone.
+static bool lacksMemoryFor(HttpServer::Implementation* server, const h2o_req_t* request)
+{
+    if (!server->isLimited() || server->limits.handledCopies == 0)
+        return false;
+    auto bytes = request->entity.len * server->limits.handledCopies;
+    server->budget.reserve(bytes);
+    server->relieveMemory();
+    bool isShort = server->budget.isMemoryShort();
+    server->budget.release(bytes);
+    return isShort;
+}
+
+// Closes an HTTP/1.1 connection after the answer to a request if it has sent too many requests in a row.
+static void limitPipelining(HttpServer::Implementation* server, h2o_req_t* request, const h2o_socket_t* connection)
+{
+    auto position = server->connections.find(const_cast<h2o_socket_t*>(connection));
+    if (server->limits.pipelinedRequests == 0 || request->version >= 0x200 || position == server->connections.end())
+        return;
+    std::string_view received(connection->input->bytes, connection->input->size);
+    auto headEnd = received.find("\r\n\r\n");
+    // The body of a request with chunks is decoded in place, so that what follows it cannot be told by its length.
+    bool hasMore = headEnd != std::string_view::npos && headEnd + 4 + request->entity.len < received.size();
+    auto& count = position->second.pipelinedRequests;
+    count = hasMore ? count + 1 : 0;
+    if (count < server->limits.pipelinedRequests)
+        return;
+    request->http1_is_persistent = 0;
+    server->report("pipelined-requests");
+}
+
 static int onRequest(h2o_handler_t* self, h2o_req_t* request)
 {
     auto* server = static_cast<HttpServer::Implementation*>(reinterpret_cast<NativeHandler*>(self)->server);
+    if (hasTooLargeHead(request, server->limits)) {
+        server->report("header-size");
+        return refuse(request, 431);
+    }
+    if (lacksMemoryFor(server, request)) {
+        server->report("memory-refused");
+        return refuse(request, 503);
+    }
     auto exchange = std::make_shared<ExchangeImplementation>(request, server);
     if (hasAmbiguousLength(receivedHead(*exchange, request))) {
         exchange->closeConnection();
         exchange->respond(HttpResponse { 400, {}, "the length of the body is given more than once" });
         return 0;
     }
+    auto* connection = exchange->connection();
+    limitPipelining(server, request, connection);
     auto* memory = h2o_mem_alloc_shared(&request->pool, sizeof(ExchangeReference), [](void* pointer) {
         auto* reference = static_cast<ExchangeReference*>(pointer);
         if (auto exchange = reference->exchange.lock())
             exchange->onRequestDisposed();
+        auto position = reference->server->connections.find(reference->connection);
+        if (position != reference->server->connections.end())
+            position->second.answerBytes -= reference->answerBytes;
         reference->~ExchangeReference();
     });
-    new (memory) ExchangeReference { exchange };
+    auto* reference = new (memory) ExchangeReference { exchange, server, connection, 0 };
+    exchange->answerBytes = &reference->answerBytes;
     server->trackExchange(exchange);
     server->handler(exchange);
     return 0;
 }
 
+// The data that h2o passes to the function that is called when a connection is closed.
+struct AcceptedConnection {
+    HttpServer::Implementation* server;
+    h2o_socket_t* socket;
+};
+
 // Returns whether a connection was pending.
 static bool acceptConnection(HttpServer::Implementation* server)
 {
     auto* socket = h2o_evloop_socket_accept(server->listener);
     if (!socket)
         return false;
+    uint32_t address = 0;
+    sockaddr_in peer {};
+    if (server->limits.budget.connectionsPerAddress > 0 && h2o_socket_getpeername(socket, reinterpret_cast<sockaddr*>(&peer)) > 0)
+        address = peer.sin_addr.s_addr;
+    if (!server->admit(socket, address))
+        return true;
     auto now = server->loop->now();
     server->connections.emplace(socket, IdleConnectionState { now, 0, now, {} });
+    server->budget.add(socket, address, now);
     server->disconnectWatch->add(socket);
-    struct AcceptedConnection {
-        HttpServer::Implementation* server;
-        h2o_socket_t* socket;
-    };
     socket->on_close.data = new AcceptedConnection { server, socket };
     socket->on_close.cb = [](void* data) {
         std::unique_ptr<AcceptedConnection> accepted(static_cast<AcceptedConnection*>(data));
         accepted->server->connections.erase(accepted->socket);
+        accepted->server->budget.remove(accepted->socket);
     };
     h2o_accept(&server->acceptContext, socket);
+    if (server->isLimited()) {
+        auto& state = server->connections.at(socket);
+        state.protocolData = socket->data;
+        server->watchRead(socket, state);
+    }
     return true;
 }
 
@@ -352,6 +529,160 @@
     shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
 }
 
+// Makes room for a new connection if necessary. Closes it and returns false if that is not possible.
+bool HttpServer::Implementation::admit(h2o_socket_t* socket, uint32_t address)
+{
+    auto admission = this->budget.admission(address);
+    if (admission == ConnectionBudget::Admission::Admitted)
+        return true;
+    bool isAddressLimit = admission == ConnectionBudget::Admission::AddressLimit;
+    if (auto replaced = this->budget.takeReplaced(admission, address)) {
+        this->report(isAddressLimit ? "address-connections-replaced" : "connections-replaced");
+        shutDownConnection(static_cast<h2o_socket_t*>(const_cast<void*>(*replaced)));
+        return true;
+    }
+    this->report(isAddressLimit ? "address-connections-refused" : "connections-refused");
+    h2o_socket_close(socket);
+    return false;
+}
+
+// Measures a connection at the end of this iteration of the loop, when h2o has read what has arrived.
+void HttpServer::Implementation::touch(h2o_socket_t* socket)
+{
+    auto position = this->connections.find(socket);
+    if (position == this->connections.end() || std::exchange(position->second.isTouched, true))
+        return;
+    if (this->touched.empty())
+        this->loop->defer([this] { this->measureTouched(); });
+    this->touched.push_back(socket);
+}
+
+void HttpServer::Implementation::measureTouched()
+{
+    auto now = this->loop->now();
+    for (auto* socket : std::exchange(this->touched, {})) {
+        auto position = this->connections.find(socket);
+        if (position == this->connections.end())
+            continue;
+        position->second.isTouched = false;
+        this->measure(socket, position->second, now);
+    }
+    this->relieveMemory();
+}
+
+static size_t kernelBytes(const h2o_socket_t* socket, unsigned long request)
+{
+    int bytes = 0;
+    int descriptor = h2o_socket_get_fd(const_cast<h2o_socket_t*>(socket));
+    return ioctl(descriptor, request, &bytes) == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
+}
+
+// Whether a client sends a head without an end. h2o itself accepts up to 400 KiB.
+bool HttpServer::Implementation::hasTooLongHead(const h2o_socket_t* socket, const IdleConnectionState& state) const
+{
+    if (this->limits.headerBytes == 0 || state.frames || state.openExchanges > 0 || socket->input->size <= this->limits.headerBytes)
+        return false;
+    return std::string_view(socket->input->bytes, this->limits.headerBytes).find("\r\n\r\n") == std::string_view::npos;
+}
+
+void HttpServer::Implementation::measure(h2o_socket_t* socket, IdleConnectionState& state, Instant now)
+{
+    this->followUpgrade(socket, state);
+    if (this->hasTooLongHead(socket, state)) {
+        this->report("header-size");
+        return shutDownConnection(socket);
+    }
+    bool isWriting = h2o_socket_is_writing(socket) != 0;
+    // Returns a large buffer that is empty. h2o would keep it until the connection is closed.
+    if (state.openExchanges == 0 && socket->input->size == 0 && socket->input->capacity > smallInputBuffer) {
+        h2o_buffer_dispose(&socket->input);
+        h2o_buffer_init(&socket->input, &h2o_socket_buffer_prototype);
+    }
+    size_t unread = state.openExchanges > 0 && !state.frames ? kernelBytes(socket, FIONREAD) : 0;
+    size_t unsent = state.mayHaveUnsent ? kernelBytes(socket, SIOCOUTQ) : 0;
+    state.mayHaveUnsent = unsent > 0 || isWriting;
+    auto held = bytesPerConnection + std::max(socket->input->size, std::min(socket->input->capacity, smallInputBuffer)) + unread + unsent + state.answerBytes;
+    if (state.frames) {
+        if (!isWriting)
+            state.frames->clearAnswerable();
+        held += state.frames->unfinishedBytes() + state.frames->answerableBytes();
+    }
+    auto stage = ConnectionBudget::Stage::Waiting;
+    if (state.openExchanges > 0) {
+        bool hasMore = unread > 0 || state.pipelinedRequests > 0 || (state.frames && state.frames->hasUnfinished());
+        stage = hasMore ? ConnectionBudget::Stage::HandlingWithMore : ConnectionBudget::Stage::Handling;
+    }
+    auto bytes = socket->bytes_read + socket->bytes_written;
+    bool hasProgressed = bytes != state.bytes;
+    if (hasProgressed) {
+        state.bytes = bytes;
+        state.lastActivityAt = now;
+    }
+    this->budget.update(socket, stage, held, hasProgressed, now);
+}
+
+void HttpServer::Implementation::relieveMemory()
+{
+    for (auto key : this->budget.takeEvictions()) {
+        this->report("memory-closed");
+        shutDownConnection(static_cast<h2o_socket_t*>(const_cast<void*>(key)));
+    }
+}
+
+static void onRead(h2o_socket_t* socket, const char* error)
+{
+    auto* accepted = static_cast<AcceptedConnection*>(socket->on_close.data);
+    accepted->server->read(socket, error);
+}
+
+// Places a function before the one with which h2o reads from a connection, until it is known that it is not used for HTTP/2.
+void HttpServer::Implementation::watchRead(h2o_socket_t* socket, IdleConnectionState& state)
+{
+    if (!socket->_cb.read || socket->_cb.read == onRead)
+        return;
+    state.nativeRead = socket->_cb.read;
+    socket->_cb.read = onRead;
+}
+
+// Follows the frames of a client that changes to HTTP/2 by an upgrade (RFC 7540 section 3.2). Such a client sends its first frames when it
+// has the answer to the upgrade, and the preface before them. Frames that came earlier are not known. They count as heads, and since no
+// preface follows them, the connection is closed at the next ones.
+void HttpServer::Implementation::followUpgrade(h2o_socket_t* socket, IdleConnectionState& state)
+{
+    if (!state.frames && socket->data != state.protocolData) {
+        state.frames = std::make_unique<Http2FrameCounter>(this->configuration.max_request_entity_size);
+        state.frames->addUnknown(socket->bytes_read + socket->bytes_written - state.bytes);
+        state.leftInput = 0;
+    }
+    if (state.frames)
+        this->watchRead(socket, state);
+}
+
+void HttpServer::Implementation::read(h2o_socket_t* socket, const char* error)
+{
+    auto& state = this->connections.at(socket);
+    std::string_view input(socket->input->bytes, socket->input->size);
+    bool isHttp2 = input.starts_with(Http2FrameCounter::preface);
+    if (!state.frames && isHttp2)
+        state.frames = std::make_unique<Http2FrameCounter>(this->configuration.max_request_entity_size);
+    if (state.frames && input.size() > state.leftInput) {
+        state.frames->feed(input.substr(state.leftInput));
+        if (state.frames->isAbusive()) {
+            this->report("http2-abuse");
+            shutDownConnection(socket);
+        }
+    }
+    bool mayBecomeHttp2 = state.frames || (!input.empty() && Http2FrameCounter::preface.starts_with(input));
+    socket->_cb.read = state.nativeRead;
+    state.nativeRead(socket, error);
+    // h2o may have closed the connection.
+    auto position = this->connections.find(socket);
+    if (position == this->connections.end() || !mayBecomeHttp2)
+        return;
+    position->second.leftInput = state.frames ? socket->input->size : 0;
+    this->watchRead(socket, position->second);
+}
+
 void HttpServer::Implementation::closeIdleConnections()
 {
     auto now = this->loop->now();
@@ -362,6 +693,29 @@
     }
 }
 
+// Whether the request that a connection receives, or the answer that it sends, takes too long.
+bool HttpServer::Implementation::hasTimedOutTransfer(const h2o_socket_t* socket, IdleConnectionState& state, Instant now) const
+{
+    auto update = [now](std::optional<Instant>& since, bool isActive) {
+        if (!isActive)
+            since.reset();
+        else if (!since)
+            since = now;
+    };
+    bool isReceiving = state.frames ? state.frames->hasUnfinished() : state.openExchanges == 0 && socket->input->size > 0;
+    update(state.requestSince, isReceiving);
+    update(state.answerSince, h2o_socket_is_writing(const_cast<h2o_socket_t*>(socket)) != 0);
+    if (state.requestSince && now - *state.requestSince >= this->timeouts.request) {
+        this->report("request-timeout");
+        return true;
+    }
+    if (state.answerSince && now - *state.answerSince >= this->timeouts.answer) {
+        this->report("answer-timeout");
+        return true;
+    }
+    return false;
+}
+
 // Updates the state of an idle connection, and returns whether one of its timeouts has expired.
 bool HttpServer::Implementation::updateAndCheckTimeouts(const h2o_socket_t* socket, IdleConnectionState& idleState, Instant now) const
 {
@@ -388,9 +742,19 @@
         return;
     this->nextTimeoutCheck = now + timeoutCheckInterval;
     for (auto* socket : this->idleConnections()) {
-        if (this->updateAndCheckTimeouts(socket, this->connections.at(socket), now))
+        if (!this->updateAndCheckTimeouts(socket, this->connections.at(socket), now))
+            continue;
+        this->report("idle-timeout");
+        shutDownConnection(socket);
+    }
+    if (!this->isLimited())
+        return;
+    for (auto& [socket, state] : this->connections) {
+        if (this->hasTimedOutTransfer(socket, state, now))
             shutDownConnection(socket);
+        this->measure(socket, state, now);
     }
+    this->relieveMemory();
 }
 
 HttpServer::HttpServer()
@@ -421,12 +785,24 @@
     return descriptor;
 }
 
-ErrorOr<std::unique_ptr<HttpServer>> HttpServer::create(EventLoop& loop, const Endpoint& endpoint, Limits limits, Handler handler)
+ErrorOr<std::unique_ptr<HttpServer>> HttpServer::create(EventLoop& loop, const Endpoint& endpoint, Limits limits, Handler handler, LimitObserver observer)
 {
     std::unique_ptr<HttpServer> server(new HttpServer);
     auto& state = *server->implementation;
-    auto watch = TRY(DisconnectWatch::create(loop, [&state](auto* socket) { state.onDisconnect(socket); }));
+    state.limits = limits;
+    state.budget = ConnectionBudget(limits.budget);
+    state.observer = std::move(observer);
+    DisconnectWatch::Handler inputHandler;
+    if (state.isLimited())
+        inputHandler = [&state](auto* socket) { state.touch(socket); };
+    auto watch = TRY(DisconnectWatch::create(
+        loop, [&state](auto* socket) { state.onDisconnect(socket); }, std::move(inputHandler)));
     int descriptor = TRY(openListeningSocket(endpoint));
+    // Accepted connections inherit the sizes.
+    if (state.isLimited()) {
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kernelBufferBytes, sizeof(kernelBufferBytes));
+        setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &kernelBufferBytes, sizeof(kernelBufferBytes));
+    }
     state.loop = &loop;
     state.handler = std::move(handler);
     h2o_config_init(&state.configuration);
@@ -487,6 +863,21 @@
     this->implementation->timeouts = timeouts;
 }
 
+void HttpServer::setMaximumBody(size_t bytes)
+{
+    this->implementation->configuration.max_request_entity_size = bytes;
+}
+
+size_t HttpServer::connectionCount() const
+{
+    return this->implementation->budget.connectionCount();
+}
+
+size_t HttpServer::heldBytes() const
+{
+    return this->implementation->budget.heldBytes();
+}
+
 size_t HttpServer::openExchangeCount() const
 {
     return this->implementation->openExchangeCount;
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibTransport/ConnectionBudget.h>
 #include <LibTransport/Endpoint.h>
 #include <LibTransport/EventLoop.h>
 #include <LibTransport/HttpMessage.h>
@@ -38,20 +39,39 @@
     struct Limits {
         /// The largest accepted request body in bytes. A longer one is answered with status 413.
         size_t maximumBody { 16 * 1024 * 1024 };
+        /// Connections, and the memory that they hold. If a limit of connections is reached, a new one replaces the one without a request
+        /// in progress that has been inactive for the longest time.
+        ConnectionBudget::Limits budget {};
+        /// The number of header fields and their bytes in a request. A request with more is answered with status 431. 0 means no limit.
+        size_t headerFields { 0 };
+        size_t headerBytes { 0 };
+        /// The number of requests that a connection may send in a row without waiting for an answer. The connection is closed after the
+        /// answer to the last of them. 0 means no limit.
+        size_t pipelinedRequests { 0 };
+        /// How many times a request exists while it is being handled: as received, as decoded, and as encoded for another host. These count
+        /// as memory, and a request for which it does not suffice is answered with status 503. With 0, none is refused for it.
+        size_t handledCopies { 3 };
     };
 
+    /// Called when a limit or a timeout makes the server close a connection or refuse a request, with the name of the cause.
+    using LimitObserver = std::function<void(std::string_view cause)>;
+
     /// The times after which a connection without a request in progress is closed.
     struct Timeouts {
         /// The time from the first byte of a request's head to the last.
         Milliseconds head { 60'000 };
         /// The time during which no byte is received or sent.
         Milliseconds idle { 60'000 };
+        /// The time from the first byte of a request to the last, including its body.
+        Milliseconds request { 60'000 };
+        /// The time from the answer to a request until all of it is sent.
+        Milliseconds answer { 60'000 };
 
         friend auto operator<=>(const Timeouts&, const Timeouts&) = default;
     };
 
     /// Listens on an endpoint and calls the handler with each request. Fails with Reason::InvalidInput if it cannot listen.
-    [[nodiscard]] static ErrorOr<std::unique_ptr<HttpServer>> create(EventLoop&, const Endpoint&, Limits, Handler);
+    [[nodiscard]] static ErrorOr<std::unique_ptr<HttpServer>> create(EventLoop&, const Endpoint&, Limits, Handler, LimitObserver = {});
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
@@ -69,6 +89,13 @@
 
     void setTimeouts(Timeouts);
 
+    /// Changes the largest accepted request body.
+    void setMaximumBody(size_t);
+
+    /// The number of open connections, and the memory in bytes that they hold. The memory is measured only if there are limits.
+    [[nodiscard]] size_t connectionCount() const;
+    [[nodiscard]] size_t heldBytes() const;
+
     /// The number of requests that were received and have no response yet.
     [[nodiscard]] size_t openExchangeCount() const;
 
--- a/Libraries/LibTransport/PeerHub.cpp
+++ b/Libraries/LibTransport/PeerHub.cpp
@@ -14,12 +14,14 @@
 {
 }
 
-ErrorOr<std::unique_ptr<PeerHub>> PeerHub::create(EventLoop& loop, const Endpoint& listenEndpoint, std::string senderName, Handler handler, RefusalObserver refusalObserver)
+ErrorOr<std::unique_ptr<PeerHub>> PeerHub::create(EventLoop& loop, const Endpoint& listenEndpoint, std::string senderName, Handler handler, RefusalObserver refusalObserver, HttpServer::Limits limits, HttpServer::LimitObserver limitObserver)
 {
     std::unique_ptr<PeerHub> hub(new PeerHub(loop, std::move(senderName), std::move(handler), std::move(refusalObserver)));
-    HttpServer::Limits limits;
     limits.maximumBody = maximumPeerBodyBytes;
-    hub->server = TRY(HttpServer::create(loop, listenEndpoint, limits, [raw = hub.get()](auto exchange) { raw->receive(exchange); }));
+    // A member sends a refused batch again, so that one for which memory does not suffice would never arrive.
+    limits.handledCopies = 0;
+    hub->server = TRY(HttpServer::create(
+        loop, listenEndpoint, limits, [raw = hub.get()](auto exchange) { raw->receive(exchange); }, std::move(limitObserver)));
     return hub;
 }
 
--- a/Libraries/LibTransport/PeerHub.h
+++ b/Libraries/LibTransport/PeerHub.h
@@ -20,8 +20,10 @@
     using RefusalObserver = std::function<void(std::string_view cause)>;
 
     /// Listens for batches on an endpoint. The sender name is sent with every batch of this process. Fails with
-    /// Reason::InvalidInput if the hub cannot listen.
-    [[nodiscard]] static ErrorOr<std::unique_ptr<PeerHub>> create(EventLoop&, const Endpoint& listenEndpoint, std::string senderName, Handler, RefusalObserver);
+    /// Reason::InvalidInput if the hub cannot listen. The limit of the body is replaced by one for messages, and no batch is refused because
+    /// memory is short.
+    [[nodiscard]] static ErrorOr<std::unique_ptr<PeerHub>> create(EventLoop&, const Endpoint& listenEndpoint, std::string senderName, Handler, RefusalObserver,
+        HttpServer::Limits = {}, HttpServer::LimitObserver = {});
 
     /// Queues a message on the link to an endpoint; see PeerLink::send().
     void send(const Endpoint&, std::string encodedMessage);
@@ -29,6 +31,7 @@
     /// Whether every link is drained; see PeerLink::isDrained().
     [[nodiscard]] bool isDrained() const;
     [[nodiscard]] const std::map<Endpoint, std::unique_ptr<PeerLink>>& openLinks() const { return this->links; }
+    [[nodiscard]] HttpServer& listeningServer() { return *this->server; }
     /// Closes the link to a process that no longer exists.
     void closeLink(const Endpoint&);
 
--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -510,3 +510,55 @@
 {
     BOOST_TEST(timeToNoticeDisconnects(*this, 3000, Disconnect::EndOfStream).count() < 300);
 }
+
+// Guards against limits that are reached by members and callers that keep within them.
+BOOST_AUTO_TEST_CASE(limits_do_not_affect_clients_within_them)
+{
+    auto loop = EventLoop::create();
+    std::vector<std::string> causes;
+    HttpServer::Limits limits;
+    limits.budget = { 16 * 1024 * 1024, 16, 0 };
+    limits.headerFields = 100;
+    limits.headerBytes = 16 * 1024;
+    limits.pipelinedRequests = 4;
+    size_t bodies = 0;
+    size_t received = 0;
+    auto server = HttpServer::create(
+        *loop, serverEndpoint, limits,
+        [&](const auto& exchange) {
+            ++bodies;
+            received += exchange->request().body.size();
+            exchange->respond(HttpResponse { 204, {}, {} });
+            if (received == 2000 * 1000 + 20 * 262'144)
+                loop->stop();
+        },
+        [&](std::string_view cause) { causes.emplace_back(cause); });
+    BOOST_REQUIRE(server.has_value());
+    auto link = PeerLink::create(*loop, serverEndpoint, "sender");
+    auto client = HttpClient::create(*loop, {});
+    std::unique_ptr<HttpCall> call;
+    int left = 20;
+    std::function<void()> callNext = [&] {
+        HttpRequest request { "POST", "/", {}, std::string(262'144, 'x') };
+        call = client->send(serverEndpoint, request, 5s, [&](const auto& response) {
+            BOOST_REQUIRE(response.has_value());
+            if (--left > 0)
+                loop->defer(callNext);
+        });
+    };
+    std::function<void(int)> sendNext = [&](int number) {
+        link->send(std::string(1000, 'x'));
+        if (number < 2000)
+            loop->defer([&sendNext, number] { sendNext(number + 1); });
+    };
+    loop->defer([&] {
+        callNext();
+        sendNext(1);
+    });
+    auto timer = loop->after(20s, [&] { loop->stop(); });
+    loop->run();
+    BOOST_TEST(received == 2000 * 1000 + 20 * 262'144U);
+    BOOST_TEST(link->counters().messagesDropped == 0U);
+    BOOST_TEST(causes.empty(), (causes.empty() ? "" : causes.front()));
+    BOOST_TEST((*server)->heldBytes() < limits.budget.memory);
+}
