sassafrasshiftd: Derive the limits of each port from those of the host

Cause: the limits of connections and memory have to fit the host.

Change: memoryLimit, descriptorLimit, portLimits and targetAnswerMemory are validated settings; each port gets a share by default. ClusterDaemon passes them on, counts limited_total{port,cause}, reports connections and connection_memory_bytes, and logs at most five client-limited lines a second.

--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -1,5 +1,6 @@
 #include <LibSettings/ClusterSettings.h>
 #include <LibSettings/MappingReader.h>
+#include <algorithm>
 #include <array>
 #include <yaml-cpp/yaml.h>
 
@@ -16,6 +17,82 @@
 static constexpr int64_t minimumDescriptorLimit = 256;
 static constexpr int64_t maximumDescriptorLimit = 10'000'000;
 
+// The shares of a port in the limits of its host, in thousandths. They add up to about half of the memory, since the process itself, what
+// the C library retains, and what arrives between two measurements need the rest, and to less than two thirds of the descriptors, since
+// connections to members and targets need the rest.
+struct PortShares {
+    int64_t memory;
+    int64_t connections;
+};
+static constexpr PortShares callersShares { 150, 375 };
+static constexpr PortShares controlShares { 120, 125 };
+// For the port of callers on a host without a control address, and the other way round.
+static constexpr PortShares onlyServiceShares { 270, 375 };
+static constexpr PortShares peerShares { 120, 125 };
+static constexpr PortShares readinessShares { 20, 32 };
+static constexpr PortShares metricsShares { 40, 32 };
+static constexpr int64_t targetAnswerShare = 60;
+static constexpr int64_t thousandths = 1000;
+// One message of a member may contain a published document of 8 MiB, or a snapshot with several.
+static constexpr int64_t minimumPeerMemory = 16 * 1024 * 1024;
+static constexpr int64_t minimumPortMemory = 1024 * 1024;
+static constexpr int64_t minimumPortConnections = 16;
+// Above what published documents allow, 16 KiB, which is 4,096 fields of 4 bytes.
+static constexpr int64_t defaultHeaderFields = 4096;
+static constexpr int64_t defaultHeaderBytes = 64 * 1024;
+static constexpr int64_t defaultPipelinedRequests = 256;
+// Ten times the time that a published document allows for a head.
+static constexpr Milliseconds defaultTransferTimeout { 30'000 };
+static constexpr int64_t maximumCount = 10'000'000;
+
+static PortLimits readPortLimits(std::optional<MappingReader> reader, const ClusterSettings& settings, PortShares shares, int64_t minimumMemory = minimumPortMemory)
+{
+    PortLimits limits;
+    bool isLimited = settings.memoryLimit > 0 || settings.descriptorLimit > 0;
+    if (settings.memoryLimit > 0)
+        limits.memory = std::max(settings.memoryLimit / thousandths * shares.memory, minimumMemory);
+    if (settings.descriptorLimit > 0)
+        limits.connections = std::max(settings.descriptorLimit * shares.connections / thousandths, minimumPortConnections);
+    if (isLimited) {
+        limits.pipelinedRequests = defaultPipelinedRequests;
+        limits.headerFields = defaultHeaderFields;
+        limits.headerBytes = defaultHeaderBytes;
+    }
+    limits.requestTimeout = defaultTransferTimeout;
+    limits.answerTimeout = defaultTransferTimeout;
+    if (!reader)
+        return limits;
+    limits.memory = reader->bytes("memory", minimumPortMemory, maximumMemoryLimit, limits.memory);
+    limits.connections = reader->integer("connections", minimumPortConnections, maximumCount, limits.connections);
+    limits.connectionsPerAddress = reader->integer("connectionsPerAddress", 1, maximumCount, limits.connectionsPerAddress);
+    limits.pipelinedRequests = reader->integer("pipelinedRequests", 1, maximumCount, limits.pipelinedRequests);
+    limits.headerFields = reader->integer("headerFields", 16, maximumCount, limits.headerFields);
+    limits.headerBytes = reader->bytes("headerBytes", 1024, 400 * 1024, limits.headerBytes);
+    limits.requestTimeout = reader->duration("requestTimeout", 1s, 600s, limits.requestTimeout);
+    limits.answerTimeout = reader->duration("answerTimeout", 1s, 600s, limits.answerTimeout);
+    reader->reportUnexpectedKeys();
+    return limits;
+}
+
+static void readLimits(MappingReader& reader, ClusterSettings& settings)
+{
+    settings.memoryLimit = reader.bytes("memoryLimit", minimumMemoryLimit, maximumMemoryLimit, 0);
+    settings.descriptorLimit = reader.integer("descriptorLimit", minimumDescriptorLimit, maximumDescriptorLimit, 0);
+    settings.targetAnswerMemory = reader.bytes("targetAnswerMemory", minimumPortMemory, maximumMemoryLimit, settings.memoryLimit / thousandths * targetAnswerShare);
+    auto ports = reader.mapping("portLimits");
+    bool servesBoth = !settings.jobsAddress.empty() && !settings.controlAddress.empty();
+    auto read = [&](std::string_view port, PortShares shares, int64_t minimumMemory = minimumPortMemory) {
+        return readPortLimits(ports ? ports->mapping(port) : std::nullopt, settings, shares, minimumMemory);
+    };
+    settings.jobsLimits = read("jobs", servesBoth ? callersShares : onlyServiceShares);
+    settings.controlLimits = read("control", servesBoth ? controlShares : onlyServiceShares);
+    settings.readinessLimits = read("readiness", readinessShares);
+    settings.metricsLimits = read("metrics", metricsShares);
+    settings.peerLimits = read("peers", peerShares, minimumPeerMemory);
+    if (ports)
+        ports->reportUnexpectedKeys();
+}
+
 tl::expected<ClusterSettings, Diagnostics> ClusterSettings::parse(const std::string& text, const std::string& file)
 {
     Diagnostics diagnostics;
@@ -49,8 +126,7 @@
     settings.dispatchWeight = static_cast<int64_t>(cores * milliCoresPerCore);
     settings.maximumLease = reader.duration("maximumLease", 100ms, 600s, 1s);
     settings.shutdownTimeout = reader.duration("shutdownTimeout", 1s, 600s, 30s);
-    settings.memoryLimit = reader.bytes("memoryLimit", minimumMemoryLimit, maximumMemoryLimit, 0);
-    settings.descriptorLimit = reader.integer("descriptorLimit", minimumDescriptorLimit, maximumDescriptorLimit, 0);
+    readLimits(reader, settings);
     if (settings.jobsAddress.empty() != settings.readinessAddress.empty())
         reader.report("readinessAddress", "\"jobsAddress\" and \"readinessAddress\" must be set together");
     reader.reportUnexpectedKeys();
--- a/Libraries/LibSettings/ClusterSettings.h
+++ b/Libraries/LibSettings/ClusterSettings.h
@@ -9,6 +9,22 @@
 
 namespace Sassafrasshift::Settings {
 
+/// What the clients of one listening port may use. 0 means no limit.
+struct PortLimits {
+    /// The memory in bytes that unfinished requests, requests that are being handled, and unread answers may hold.
+    int64_t memory { 0 };
+    int64_t connections { 0 };
+    int64_t connectionsPerAddress { 0 };
+    int64_t pipelinedRequests { 0 };
+    int64_t headerFields { 0 };
+    int64_t headerBytes { 0 };
+    /// The time for a request to arrive, and for an answer to be read.
+    Milliseconds requestTimeout { 0 };
+    Milliseconds answerTimeout { 0 };
+
+    friend auto operator<=>(const PortLimits&, const PortLimits&) = default;
+};
+
 /// The settings of one sassafrasshiftd process in a cluster that discovers its members through seeds.
 /// Base/examples/cluster.yaml documents every key. Addresses have the form "address:port".
 struct ClusterSettings {
@@ -45,6 +61,14 @@
     int64_t memoryLimit { 0 };
     /// The number of descriptors that this process may open; 0 for the limit that the operating system sets.
     int64_t descriptorLimit { 0 };
+    /// The limits of each port. Their defaults derive from the limits of the host.
+    PortLimits jobsLimits;
+    PortLimits controlLimits;
+    PortLimits readinessLimits;
+    PortLimits metricsLimits;
+    PortLimits peerLimits;
+    /// The memory in bytes that unfinished answers of targets may hold; 0 means no limit.
+    int64_t targetAnswerMemory { 0 };
 
     /// Parses and validates the settings. Fails with a diagnostic for every error in the text.
     [[nodiscard]] static tl::expected<ClusterSettings, Diagnostics> parse(const std::string& text, const std::string& file);
--- a/Libraries/LibSettings/MappingReader.cpp
+++ b/Libraries/LibSettings/MappingReader.cpp
@@ -219,6 +219,14 @@
     return result;
 }
 
+std::optional<MappingReader> MappingReader::mapping(std::string_view key)
+{
+    auto value = this->implementation->find(key);
+    if (!value.IsDefined())
+        return std::nullopt;
+    return MappingReader(value, this->implementation->file, *this->implementation->diagnostics);
+}
+
 void MappingReader::reportUnexpectedKeys()
 {
     auto& state = *this->implementation;
--- a/Libraries/LibSettings/MappingReader.h
+++ b/Libraries/LibSettings/MappingReader.h
@@ -46,6 +46,9 @@
     /// reportUnexpectedKeys() on each reader.
     [[nodiscard]] std::vector<MappingReader> mappings(std::string_view key);
 
+    /// The mapping under a key, or nothing if the key is not set.
+    [[nodiscard]] std::optional<MappingReader> mapping(std::string_view key);
+
     [[nodiscard]] bool has(std::string_view key) const;
     /// Returns the location of a key's value, or of the mapping if it has no such key.
     [[nodiscard]] SourceLocation location(std::string_view key = {}) const;
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -3,6 +3,8 @@
 #include <LibLedger/FileOperations.h>
 #include <LibTelemetry/Log.h>
 #include <LibTransport/Codec.h>
+#include <algorithm>
+#include <malloc.h>
 #include <platform/Paths.h>
 
 namespace Sassafrasshift::Daemon {
@@ -27,12 +29,19 @@
 static constexpr WallTime epochOrigin { std::chrono::sys_days { std::chrono::year { 2020 } / 1 / 1 } };
 static constexpr Milliseconds unknownMessageLogInterval { 10'000 };
 static constexpr size_t maximumRequestBody = 8 * 1024 * 1024;
+static constexpr size_t bodyTolerance = 16 * 1024;
+// An answer of a target lists its runs in a few kilobytes. Decoding takes a multiple of its size.
+static constexpr int64_t targetAnswersInMemory = 64;
+static constexpr int64_t minimumTargetAnswer = 1024 * 1024;
+static constexpr int64_t maximumTargetAnswer = 64 * 1024 * 1024;
+static constexpr unsigned limitLogLinesPerSecond = 5;
 
 ClusterDaemon::ClusterDaemon(const Settings::ClusterSettings& settings, std::string settingsFile)
     : settings(settings)
     , settingsFile(std::move(settingsFile))
     , loop(Transport::EventLoop::create())
     , random(makeEntropySeededRandom())
+    , limitLogBudget(limitLogLinesPerSecond)
 {
 }
 
@@ -56,8 +65,7 @@
     this->cluster = std::make_unique<Membership::Cluster>(self, this->settings.seeds, Membership::Cluster::Options {}, Random(this->random()), this->loop->now());
     this->context = std::unique_ptr<ClusterContext>(new ClusterContext { this->settings, *this->loop, this->metrics, *this->cluster, this->random,
         [this](const std::string& address, const ClusterMessage& message) { this->send(address, message); } });
-    Transport::HttpClient::Limits limits;
-    this->client = Transport::HttpClient::create(*this->loop, limits);
+    this->openClient();
     this->documents = std::make_unique<DocumentStore>(*this->context);
     this->ledger = std::make_unique<DocumentLedger>(*this->context, *this->documents);
     this->dispatch = std::make_unique<DispatchService>(*this->context, *this->client);
@@ -72,31 +80,102 @@
     return {};
 }
 
+// Makes large buffers return to the system when they are freed. The C library would otherwise raise the size from which it does that to
+// that of the largest buffer that was ever freed.
+static void keepLargeBuffersSeparate()
+{
+    static constexpr int separateFrom = 64 * 1024;
+    mallopt(M_MMAP_THRESHOLD, separateFrom);
+    mallopt(M_TRIM_THRESHOLD, separateFrom);
+}
+
+void ClusterDaemon::openClient()
+{
+    Transport::HttpClient::Limits limits;
+    if (this->settings.memoryLimit > 0) {
+        keepLargeBuffersSeparate();
+        limits.maximumBody = static_cast<size_t>(std::clamp(this->settings.memoryLimit / targetAnswersInMemory, minimumTargetAnswer, maximumTargetAnswer));
+    }
+    limits.unfinishedBytes = static_cast<size_t>(this->settings.targetAnswerMemory);
+    this->client = Transport::HttpClient::create(*this->loop, limits, [this] { this->onLimit("targets", "memory"); });
+}
+
+static HttpServer::Limits serverLimits(const Settings::PortLimits& port)
+{
+    HttpServer::Limits limits;
+    limits.maximumBody = maximumRequestBody;
+    limits.budget.memory = static_cast<size_t>(port.memory);
+    limits.budget.connections = static_cast<size_t>(port.connections);
+    limits.budget.connectionsPerAddress = static_cast<size_t>(port.connectionsPerAddress);
+    limits.headerFields = static_cast<size_t>(port.headerFields);
+    limits.headerBytes = static_cast<size_t>(port.headerBytes);
+    limits.pipelinedRequests = static_cast<size_t>(port.pipelinedRequests);
+    return limits;
+}
+
+static HttpServer::Timeouts serverTimeouts(const Settings::PortLimits& port)
+{
+    HttpServer::Timeouts timeouts;
+    timeouts.request = port.requestTimeout;
+    timeouts.answer = port.answerTimeout;
+    return timeouts;
+}
+
+// Counts what a limit of a port has closed or refused. Connections that were merely idle get no line in the log.
+void ClusterDaemon::onLimit(std::string_view port, std::string_view cause)
+{
+    this->metrics.count("limited_total{port=\"" + std::string(port) + "\",cause=\"" + std::string(cause) + "\"}");
+    if (cause == "idle-timeout")
+        return;
+    if (this->limitLogBudget.take(this->loop->now()))
+        Telemetry::log(LogLevel::Warning, "client-limited", "a limit closed a connection or refused a request", { { "port", std::string(port) }, { "cause", std::string(cause) } });
+    else
+        this->metrics.count("log_lines_dropped_total");
+}
+
 ErrorOr<void> ClusterDaemon::openServers()
 {
     auto countRefusal = [this](std::string_view cause) { this->metrics.count("peer_batches_refused_total{cause=\"" + std::string(cause) + "\"}"); };
+    auto limitObserver = [this](std::string_view port) { return [this, port](std::string_view cause) { this->onLimit(port, cause); }; };
     auto own = TRY(Endpoint::parse(this->settings.peerAddress));
     this->hub = TRY(Transport::PeerHub::create(
-        *this->loop, own, this->settings.peerAddress, [this](const auto& from, const auto& batch) { return this->receive(from, batch); }, countRefusal));
-    HttpServer::Limits limits;
-    limits.maximumBody = maximumRequestBody;
-    auto open = [&](const std::string& address, HttpServer::Handler handler) -> ErrorOr<std::unique_ptr<HttpServer>> {
+        *this->loop, own, this->settings.peerAddress, [this](const auto& from, const auto& batch) { return this->receive(from, batch); }, countRefusal, serverLimits(this->settings.peerLimits), limitObserver("peers")));
+    this->hub->listeningServer().setTimeouts(serverTimeouts(this->settings.peerLimits));
+    auto open = [&](std::string_view port, const std::string& address, const Settings::PortLimits& limits, HttpServer::Handler handler) -> ErrorOr<std::unique_ptr<HttpServer>> {
         if (address.empty())
             return std::unique_ptr<HttpServer> {};
         auto endpoint = TRY(Endpoint::parse(address));
-        return HttpServer::create(*this->loop, endpoint, limits, std::move(handler));
+        auto server = TRY(HttpServer::create(*this->loop, endpoint, serverLimits(limits), std::move(handler), limitObserver(port)));
+        server->setTimeouts(serverTimeouts(limits));
+        return server;
     };
-    this->jobsServer = TRY(open(this->settings.jobsAddress, [this](const auto& exchange) { this->entry->handle(exchange); }));
-    this->controlServer = TRY(open(this->settings.controlAddress, [this](const auto& exchange) { this->control->handle(exchange); }));
-    this->readinessServer = TRY(open(this->settings.readinessAddress, [this](const auto& exchange) {
+    this->jobsServer = TRY(open("jobs", this->settings.jobsAddress, this->settings.jobsLimits, [this](const auto& exchange) { this->entry->handle(exchange); }));
+    this->controlServer = TRY(open("control", this->settings.controlAddress, this->settings.controlLimits, [this](const auto& exchange) { this->control->handle(exchange); }));
+    this->readinessServer = TRY(open("readiness", this->settings.readinessAddress, this->settings.readinessLimits, [this](const auto& exchange) {
         exchange->respond(HttpResponse { this->entry->isReady() ? 200 : 503, {}, {} });
     }));
-    this->metricsServer = TRY(open(this->settings.metricsAddress, [this](const auto& exchange) {
+    this->metricsServer = TRY(open("metrics", this->settings.metricsAddress, this->settings.metricsLimits, [this](const auto& exchange) {
+        this->updateConnectionGauges();
         exchange->respond(HttpResponse { 200, { { "content-type", "text/plain; version=0.0.4" } }, this->metrics.toPrometheusText() });
     }));
     return {};
 }
 
+void ClusterDaemon::updateConnectionGauges()
+{
+    auto update = [this](const std::string& port, const HttpServer* server) {
+        if (!server)
+            return;
+        this->metrics.setGauge("connections{port=\"" + port + "\"}", static_cast<double>(server->connectionCount()));
+        this->metrics.setGauge("connection_memory_bytes{port=\"" + port + "\"}", static_cast<double>(server->heldBytes()));
+    };
+    update("jobs", this->jobsServer.get());
+    update("control", this->controlServer.get());
+    update("readiness", this->readinessServer.get());
+    update("metrics", this->metricsServer.get());
+    update("peers", &this->hub->listeningServer());
+}
+
 void ClusterDaemon::run()
 {
     this->loop->run();
@@ -282,12 +361,18 @@
     const auto* table = this->documents->routeTable();
     if (!table || !this->jobsServer)
         return;
-    HttpServer::Timeouts timeouts;
+    auto timeouts = serverTimeouts(this->settings.jobsLimits);
     if (auto head = table->limits().headerTimeoutMilliseconds; head > 0)
         timeouts.head = Milliseconds(head);
+    // The body may take as long again as the head, whatever the document allows for that one.
+    if (table->limits().headerTimeoutMilliseconds > 0)
+        timeouts.request = std::max(timeouts.request, 2 * timeouts.head);
     if (auto idle = table->limits().idleTimeoutMilliseconds; idle > 0)
         timeouts.idle = Milliseconds(idle);
     this->jobsServer->setTimeouts(timeouts);
+    // Bodies far above the published limit are refused before they are read. The others get the entry host's own answer.
+    if (auto body = table->limits().maximumBodyBytes; body > 0 && this->settings.jobsLimits.memory > 0)
+        this->jobsServer->setMaximumBody(std::min(static_cast<size_t>(body) + bodyTolerance, maximumRequestBody));
 }
 
 // Only the seeds are applied while the process runs; all other settings take effect at the next start.
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -6,6 +6,7 @@
 #include "Cluster/DocumentLedger.h"
 #include "Cluster/DocumentStore.h"
 #include "Cluster/JobEntry.h"
+#include <LibTelemetry/LogBudget.h>
 #include <LibTransport/HttpClient.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/PeerHub.h>
@@ -36,6 +37,9 @@
 
     [[nodiscard]] ErrorOr<void> start();
     [[nodiscard]] ErrorOr<void> openServers();
+    void openClient();
+    void onLimit(std::string_view port, std::string_view cause);
+    void updateConnectionGauges();
     /// Delivers a batch of messages from a peer. Returns false if the batch cannot be decoded.
     [[nodiscard]] bool receive(const std::string& from, const std::string& bytes);
     void logUnknownMessages(const std::string& from, size_t count);
@@ -69,6 +73,7 @@
     std::unique_ptr<Transport::EventLoop> loop;
     Random random;
     Telemetry::Metrics metrics;
+    Telemetry::LogBudget limitLogBudget;
     std::unique_ptr<Membership::Cluster> cluster;
     std::unique_ptr<ClusterContext> context;
     std::unique_ptr<Transport::PeerHub> hub;
--- a/Tests/HostileClients/run.py
+++ b/Tests/HostileClients/run.py
@@ -88,8 +88,8 @@
         return max(peak, self.most_memory)
 
 
-def submit(name, count):
-    body = {"spec": "text", "best_effort": True, "steps": [{"count": count, "cpu": TASK_CPU, "estimate_ms": 400}]}
+def submit(name, count, spec="text"):
+    body = {"spec": spec, "best_effort": True, "steps": [{"count": count, "cpu": TASK_CPU, "estimate_ms": 400}]}
     return call(f"{ADDRESS}:7502", "POST", f"/q/{name}", body, {"host": "rota.example", "deadline-ms": "50000"}, timeout=50)[0]
 
 
@@ -131,6 +131,7 @@
         executor = Executor(RunLog(), "i-1", EXECUTOR_ADDRESS, [f"{ADDRESS}:7503"])
         wait_until(lambda: call(f"{ADDRESS}:7504", "GET", "/api/ready", timeout=1)[0] == 200, "the member is ready")
         wait_until(lambda: submit("first", 1) == 200, "a job is served")
+        wait_until(lambda: submit("largest", 1, "x" * (BODY_LIMIT - 300)) == 200, "a job of the largest size is served")
         faults = attack(pattern, member, executor)
         memory = member.peak_memory()
         if memory > MEMORY_LIMIT:
