--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -12,9 +12,9 @@
 static constexpr int64_t milliCoresPerCore = 1000;
 static constexpr int64_t maximumCores = 1000;
 static constexpr int64_t maximumToleratedDiskLosses = 100;
-static constexpr int64_t minimumMemoryLimit = 32'000'000;
+static constexpr int64_t minimumMemoryLimit = 16'000'000;
 static constexpr int64_t maximumMemoryLimit = 1'000'000'000'000;
-static constexpr int64_t minimumDescriptorLimit = 256;
+static constexpr int64_t minimumDescriptorLimit = 64;
 static constexpr int64_t maximumDescriptorLimit = 10'000'000;
 
 // The shares of a port in the limits of its host, in thousandths. They add up to about half of the memory, since the process itself, what
--- a/Libraries/LibTransport/Http2FrameCounter.h
+++ b/Libraries/LibTransport/Http2FrameCounter.h
@@ -3,8 +3,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string_view>
-#include <unordered_map>
 
 namespace Sassafrasshift::Transport {
 
@@ -30,6 +30,8 @@
     /// An upper bound of the bytes that unfinished requests hold.
     [[nodiscard]] size_t unfinishedBytes() const { return this->unfinished; }
     [[nodiscard]] bool hasUnfinished() const { return !this->streams.empty(); }
+    /// The stream of the request that has been unfinished for the longest time, or 0 if there is none.
+    [[nodiscard]] uint32_t oldestUnfinished() const { return this->streams.empty() ? 0 : this->streams.begin()->first; }
 
     /// The bytes of the frames that h2o may have answered by itself, since the last call of clearAnswerable().
     [[nodiscard]] size_t answerableBytes() const { return this->answerable; }
@@ -56,7 +58,8 @@
     size_t headerSize { 0 };
     /// The part of the current frame's payload that has not arrived.
     size_t payloadLeft { 0 };
-    std::unordered_map<uint32_t, Stream> streams;
+    // Clients number their streams in ascending order.
+    std::map<uint32_t, Stream> streams;
     size_t unfinished { 0 };
     size_t answerable { 0 };
     uint64_t opened { 0 };
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -62,9 +62,26 @@
     // The HTTP/1.1 request that is being handled, if any, and whether the client has disconnected.
     std::weak_ptr<ExchangeImplementation> exchange {};
     bool hasDisconnected { false };
-    // When the request whose bytes are in the input buffer, or the answer that is being sent, began; empty if there is none.
-    std::optional<Instant> requestSince {};
-    std::optional<Instant> answerSince {};
+    // A request that is being received or an answer that is being sent, as seen by the latest timeout checks. `number` tells whether it is
+    // the same one as before.
+    struct Transfer {
+        std::optional<Instant> since {};
+        uint64_t number { 0 };
+
+        void update(bool isActive, uint64_t currentNumber, Instant now)
+        {
+            if (!isActive)
+                this->since.reset();
+            else if (!this->since || this->number != currentNumber)
+                this->since = now;
+            this->number = currentNumber;
+        }
+        [[nodiscard]] bool hasLasted(Milliseconds timeout, Instant now) const { return this->since && now - *this->since >= timeout; }
+    };
+    Transfer incomingRequest {};
+    Transfer outgoingAnswer {};
+    // The number of requests that were received.
+    uint64_t receivedRequests { 0 };
     // The number of requests that are being handled.
     size_t openExchanges { 0 };
     // The bytes of answers whose requests h2o has not disposed of.
@@ -150,6 +167,7 @@
         this->server->budget.reserve(this->reservedBytes);
         if (auto* state = this->connectionState()) {
             ++state->openExchanges;
+            ++state->receivedRequests;
             this->server->budget.setStage(this->connection(), ConnectionBudget::Stage::Handling);
             if (request->version >= 0x200 && this->server->isLimited())
                 this->server->followUpgrade(this->connection(), *state);
@@ -696,20 +714,16 @@
 // Whether the request that a connection receives, or the answer that it sends, takes too long.
 bool HttpServer::Implementation::hasTimedOutTransfer(const h2o_socket_t* socket, IdleConnectionState& state, Instant now) const
 {
-    auto update = [now](std::optional<Instant>& since, bool isActive) {
-        if (!isActive)
-            since.reset();
-        else if (!since)
-            since = now;
-    };
-    bool isReceiving = state.frames ? state.frames->hasUnfinished() : state.openExchanges == 0 && socket->input->size > 0;
-    update(state.requestSince, isReceiving);
-    update(state.answerSince, h2o_socket_is_writing(const_cast<h2o_socket_t*>(socket)) != 0);
-    if (state.requestSince && now - *state.requestSince >= this->timeouts.request) {
+    if (state.frames)
+        state.incomingRequest.update(state.frames->hasUnfinished(), state.frames->oldestUnfinished(), now);
+    else
+        state.incomingRequest.update(state.openExchanges == 0 && socket->input->size > 0, state.receivedRequests, now);
+    state.outgoingAnswer.update(h2o_socket_is_writing(const_cast<h2o_socket_t*>(socket)) != 0, state.receivedRequests, now);
+    if (state.incomingRequest.hasLasted(this->timeouts.request, now)) {
         this->report("request-timeout");
         return true;
     }
-    if (state.answerSince && now - *state.answerSince >= this->timeouts.answer) {
+    if (state.outgoingAnswer.hasLasted(this->timeouts.answer, now)) {
         this->report("answer-timeout");
         return true;
     }
--- a/Tests/LibSettings/TestClusterSettings.cpp
+++ b/Tests/LibSettings/TestClusterSettings.cpp
@@ -100,3 +100,46 @@
     BOOST_TEST_REQUIRE(settings.has_value(), (settings ? "" : toText(settings.error())));
     BOOST_TEST(settings->toleratedDiskLosses == 1U);
 }
+
+// Guards against a deployment that does not pass on the limits of its hosts: nothing would limit hostile clients there.
+BOOST_AUTO_TEST_CASE(deployment_passes_on_the_limits_of_the_host)
+{
+    auto values = valuesOfLedgerHost();
+    values["limits.memory_mb"] = "120";
+    values["limits.max_fds"] = "3075";
+    auto settings = ClusterSettings::parse(renderTemplate(values), "template");
+    BOOST_TEST_REQUIRE(settings.has_value(), (settings ? "" : toText(settings.error())));
+    BOOST_TEST(settings->memoryLimit == 120'000'000);
+    BOOST_TEST(settings->descriptorLimit == 3075);
+    BOOST_TEST(settings->controlLimits.memory == 32'400'000);
+    BOOST_TEST(settings->controlLimits.connections == 1153);
+    BOOST_TEST(settings->peerLimits.connections == 384);
+    BOOST_TEST(settings->controlLimits.connectionsPerAddress == 0);
+}
+
+// Guards against limits in a deployment that did not ask for them.
+BOOST_AUTO_TEST_CASE(nothing_is_limited_without_the_limits_of_the_host)
+{
+    auto settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\n", "test");
+    BOOST_REQUIRE(settings.has_value());
+    PortLimits unlimited;
+    unlimited.requestTimeout = settings->jobsLimits.requestTimeout;
+    unlimited.answerTimeout = settings->jobsLimits.answerTimeout;
+    for (const auto& limits : { settings->jobsLimits, settings->controlLimits, settings->readinessLimits, settings->metricsLimits, settings->peerLimits })
+        BOOST_TEST((limits == unlimited));
+    BOOST_TEST(settings->targetAnswerMemory == 0);
+}
+
+BOOST_AUTO_TEST_CASE(limits_of_a_port_are_read_and_validated)
+{
+    const auto* valid = "memoryLimit: 200MB\nportLimits:\n  jobs:\n    memory: 8MB\n    connections: 50\n    connectionsPerAddress: 7\n    pipelinedRequests: 3\n    headerFields: 99\n    headerBytes: 32KiB\n    requestTimeout: 5s\n    answerTimeout: 6s\n";
+    auto settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\n" + valid, "test");
+    BOOST_TEST_REQUIRE(settings.has_value(), (settings ? "" : toText(settings.error())));
+    BOOST_TEST((settings->jobsLimits == PortLimits { 8'000'000, 50, 7, 3, 99, 32'768, Milliseconds(5000), Milliseconds(6000) }));
+    BOOST_TEST(settings->peerLimits.memory == 24'000'000);
+    for (const auto* value : { "memoryLimit: 120", "memoryLimit: 1MB", "descriptorLimit: 63", "descriptorLimit: many", "portLimits: 7", "portLimits: { job: { memory: 8MB } }",
+             "portLimits: { jobs: { memory: 8 } }", "portLimits: { jobs: { memry: 8MB } }", "portLimits: { peers: { requestTimeout: 0s } }", "portLimits: { peers: { connections: 15 } }" }) {
+        settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\n" + value + "\n", "test");
+        BOOST_TEST(!settings.has_value(), value);
+    }
+}
--- a/Tests/LibTransport/TestConnectionBudget.cpp
+++ b/Tests/LibTransport/TestConnectionBudget.cpp
@@ -127,9 +127,9 @@
         for (size_t start = 0; start < bytes.size(); start += piece)
             counter.feed(std::string_view(bytes).substr(start, piece));
         BOOST_TEST(counter.unfinishedBytes() >= 1000U + 2 * 20 * 32);
-        BOOST_TEST(counter.hasUnfinished());
+        BOOST_TEST(counter.oldestUnfinished() == 1U);
         counter.feed(frame(0, 1, 1, 10));
-        BOOST_TEST(counter.hasUnfinished());
+        BOOST_TEST(counter.oldestUnfinished() == 5U);
         counter.feed(frame(3, 0, 5, 4));
         BOOST_TEST(counter.unfinishedBytes() == 0U);
         BOOST_TEST(!counter.isAbusive());
