LibTransport: Limit the heads of responses, and give up closed requests

Cause: a target that answers with a header field without an end held 147 MB (limit 80 MB), and h2o parsed the head from its start with each read: the log named pauses of 11,680 and 8,718 ms of the process. A connection that was closed for memory while its request was handled stayed open until the job ended, since unread bytes hid the end of the stream. A search for connections to close was repeated for each event while requests in progress took the memory.

Change: HttpClient checks the heads of open calls every 10 ms if its responses are limited. The server tells the handler of a closed connection. A search that found nothing is not repeated before a candidate appears. Tests/HostileClients uses ports of its own: twice a run ended with "cannot listen on 127.0.51.1:7501: Address already in use", while a benchmark of another part had listeners at 127.0.52.x and 127.0.53.x on the same ports.

--- a/Libraries/LibTransport/ConnectionBudget.cpp
+++ b/Libraries/LibTransport/ConnectionBudget.cpp
@@ -70,6 +70,8 @@
     connection.stage = stage;
     this->held += heldBytes - connection.heldBytes;
     connection.heldBytes = heldBytes;
+    if (stage != Stage::Handling && heldBytes >= smallConnection)
+        this->mayHaveCandidates = true;
     if (!hasProgressed)
         return;
     connection.lastProgressAt = now;
@@ -86,7 +88,7 @@
 std::vector<ConnectionBudget::Key> ConnectionBudget::takeEvictions()
 {
     std::vector<Key> chosen;
-    if (!this->isMemoryShort())
+    if (!this->isMemoryShort() || (!this->mayHaveCandidates && this->held <= this->limits.memory))
         return chosen;
     // If the requests that are being handled take the memory, closing the small connections of other clients would not help.
     auto smallestToClose = this->held > this->limits.memory ? 1 : smallConnection;
@@ -104,6 +106,7 @@
         chosen.push_back(std::get<Key>(candidate));
         this->markClosing(this->connections.at(chosen.back()));
     }
+    this->mayHaveCandidates = !chosen.empty();
     return chosen;
 }
 
--- a/Libraries/LibTransport/ConnectionBudget.h
+++ b/Libraries/LibTransport/ConnectionBudget.h
@@ -102,6 +102,9 @@
     size_t held { 0 };
     size_t reserved { 0 };
     size_t closing { 0 };
+    /// Whether a connection that may be chosen has been recorded since a search found none. It saves searches while the requests that are
+    /// being handled take the memory.
+    bool mayHaveCandidates { true };
 };
 
 }
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -9,6 +9,11 @@
 static constexpr uint64_t inputOutputTimeoutMilliseconds = 120'000;
 static constexpr uint64_t idleConnectionTimeoutMilliseconds = 5'000;
 
+// h2o does not limit the head of a response. It parses an incomplete one from its start whenever bytes arrive, so that a long head takes
+// much processor time, too.
+static constexpr size_t maximumHeadBytes = 256 * 1024;
+static constexpr Milliseconds headCheckInterval { 10 };
+
 // What the calls of a client share. A call may exist longer than its client.
 struct SharedLimits {
     HttpClient::Limits limits;
@@ -17,6 +22,8 @@
     size_t unfinishedBytes { 0 };
 };
 
+struct CallState;
+
 struct HttpClient::Implementation {
     EventLoop* loop { nullptr };
     Limits limits;
@@ -24,7 +31,11 @@
     h2o_timeout_t inputOutputTimeout {};
     h2o_http1client_ctx_t context {};
     std::map<Endpoint, std::shared_ptr<h2o_socketpool_t>> pools;
+    // The calls that may be open, if responses are limited.
+    std::vector<std::weak_ptr<CallState>> checkedCalls;
+    std::unique_ptr<Timer> headCheckTimer;
 
+    void checkHeads();
     std::shared_ptr<h2o_socketpool_t> poolFor(const Endpoint&);
 };
 
@@ -65,6 +76,11 @@
         return true;
     }
 
+    [[nodiscard]] bool hasTooLongHead() const
+    {
+        return this->nativeClient && this->nativeClient->sock && this->nativeClient->sock->input->size > maximumHeadBytes;
+    }
+
     void finish(ErrorOr<HttpResponse> result)
     {
         this->countBytes(0);
@@ -247,6 +263,27 @@
     return head;
 }
 
+// Ends the calls whose response has too long a head, and forgets those that have ended.
+void HttpClient::Implementation::checkHeads()
+{
+    std::vector<std::shared_ptr<CallState>> tooLong;
+    std::erase_if(this->checkedCalls, [&](const auto& weak) {
+        auto state = weak.lock();
+        if (state && state->hasTooLongHead())
+            tooLong.push_back(state);
+        return !state || !state->completion;
+    });
+    for (const auto& state : tooLong) {
+        state->abort();
+        if (this->sharedLimits->observer)
+            this->sharedLimits->observer();
+        state->finish(tl::unexpected(Error::mayHaveRun(Reason::TooLarge, "the head of the response exceeds the size limit")));
+    }
+    this->headCheckTimer.reset();
+    if (!this->checkedCalls.empty())
+        this->headCheckTimer = this->loop->after(headCheckInterval, [this] { this->checkHeads(); });
+}
+
 std::unique_ptr<HttpCall> HttpClient::send(const Endpoint& endpoint, HttpRequest request, Milliseconds timeout, Completion completion)
 {
     auto& client = *this->implementation;
@@ -271,6 +308,11 @@
         state->finish(tl::unexpected(std::move(error)));
     });
     auto call = std::make_unique<HttpCallImplementation>(state);
+    if (client.limits.unfinishedBytes > 0) {
+        client.checkedCalls.push_back(state);
+        if (!client.headCheckTimer)
+            client.headCheckTimer = client.loop->after(headCheckInterval, [&client] { client.checkHeads(); });
+    }
     // Deferred, because input and output must be started in a callback of the loop; see EventLoop.
     client.loop->defer([this, weak = std::weak_ptr(state)] {
         auto state = weak.lock();
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -643,7 +643,13 @@
 {
     for (auto key : this->budget.takeEvictions()) {
         this->report("memory-closed");
-        shutDownConnection(static_cast<h2o_socket_t*>(const_cast<void*>(key)));
+        auto* socket = static_cast<h2o_socket_t*>(const_cast<void*>(key));
+        shutDownConnection(socket);
+        // While a request is handled, h2o does not see the end of the stream. The handler gives the request up.
+        this->loop->defer([weak = this->connections.at(socket).exchange] {
+            if (auto exchange = weak.lock())
+                exchange->notifyAbandoned();
+        });
     }
 }
 
--- a/Tests/HostileClients/patterns.py
+++ b/Tests/HostileClients/patterns.py
@@ -8,7 +8,7 @@
 import time
 
 HOST = "127.0.51.1"
-PEERS, JOBS, CONTROL, READINESS, METRICS = range(7501, 7506)
+PEERS, JOBS, CONTROL, READINESS, METRICS = range(7801, 7806)
 BODY = 262_144
 # An attack ends when nothing could be sent for the first time, or when the second one has passed.
 QUIET_SECONDS = 0.3
@@ -176,17 +176,16 @@
     return flood([Client(port, text) for port in (JOBS, CONTROL, READINESS, METRICS, PEERS) for _ in range(4)], observe)
 
 
-def target_answers(observe, executor):
-    """Targets that answer orders with bodies without an end."""
-    chunk = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+def answer_as_targets(observe, head_bytes, part):
+    """Reports targets that answer each order with a head and then the same part again and again."""
     listeners = []
 
     def answer(connection):
         try:
             connection.recv(65536)
-            connection.sendall(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            connection.sendall(head_bytes)
             for _ in range(1000):
-                connection.sendall(chunk)
+                connection.sendall(part)
             connection.recv(1)
         except OSError:
             pass
@@ -201,10 +200,10 @@
             threading.Thread(target=answer, args=(connection,), daemon=True).start()
 
     for number in range(1, 9):
-        listener = socket.create_server((f"127.0.53.{number}", 7600))
+        listener = socket.create_server((f"127.0.53.{number}", 7900))
         listeners.append(listener)
         threading.Thread(target=serve, args=(listener,), daemon=True).start()
-        report = json.dumps({"service": "pool", "addr": f"127.0.53.{number}:7600", "zone": "north", "state": "ready", "capacity": {"cpu": 1000, "mem_mb": 1000, "gpu": 0}, "labels": ["a", "r1"], "sequence": 1, "born": int(time.time() * 1000)}).encode()
+        report = json.dumps({"service": "pool", "addr": f"127.0.53.{number}:7900", "zone": "north", "state": "ready", "capacity": {"cpu": 1000, "mem_mb": 1000, "gpu": 0}, "labels": ["a", "r1"], "sequence": 1, "born": int(time.time() * 1000)}).encode()
         flood([Client(CONTROL, head(f"/api/instances/i-bad-{number}", f"content-length: {len(report)}", method="PUT") + report)], observe)
     end = time.monotonic() + LONGEST_SECONDS
     while time.monotonic() < end:
@@ -213,6 +212,16 @@
     return listeners
 
 
+def target_answers(observe, _):
+    """Targets that answer orders with bodies without an end."""
+    return answer_as_targets(observe, b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", b"10000\r\n" + b"x" * 65536 + b"\r\n")
+
+
+def target_heads(observe, _):
+    """Targets that answer orders with a header field without an end."""
+    return answer_as_targets(observe, b"HTTP/1.1 200 OK\r\na: ", b"x" * 65536)
+
+
 def combined(observe, executor):
     clients = [Client(JOBS, text) for text in [short_body(), chunked_body(), short_body("/none"), head("/q/x", method="GET") * 2000, b"POST /q/x HT"] * 50]
     clients += [Client(port, short_body("/api/x")) for port in (PEERS, CONTROL, READINESS, METRICS) for _ in range(40)]
@@ -222,4 +231,4 @@
 
 PATTERNS = {function.__name__.replace("_", "-"): function for function in (
     bodies_whole, bodies_short, bodies_unrouted, bodies_chunked, bodies_in_pieces, bodies_over_limit, header_fields, pipelined, slow_clients,
-    slow_readers, other_ports, http2_streams, http2_resets, http2_header_fields, target_answers, combined)}
+    slow_readers, other_ports, http2_streams, http2_resets, http2_header_fields, target_answers, target_heads, combined)}
--- a/Tests/HostileClients/run.py
+++ b/Tests/HostileClients/run.py
@@ -22,7 +22,7 @@
 
 PROGRAM = os.path.join(ROOT, "build", "bin", "sassafrasshiftd")
 ADDRESS = HOST
-EXECUTOR_ADDRESS = "127.0.52.1:7600"
+EXECUTOR_ADDRESS = "127.0.52.1:7900"
 MEMORY_LIMIT = 80_000_000
 DESCRIPTOR_LIMIT = 400
 WAIT_LIMIT_SECONDS = 30
@@ -56,12 +56,12 @@
         with open(settings, "w") as file:
             file.write(f'''host: member
 failureDomain: north
-peerAddress: "{ADDRESS}:7501"
-jobsAddress: "{ADDRESS}:7502"
-controlAddress: "{ADDRESS}:7503"
-readinessAddress: "{ADDRESS}:7504"
-metricsAddress: "{ADDRESS}:7505"
-seeds: ["{ADDRESS}:7501"]
+peerAddress: "{ADDRESS}:7801"
+jobsAddress: "{ADDRESS}:7802"
+controlAddress: "{ADDRESS}:7803"
+readinessAddress: "{ADDRESS}:7804"
+metricsAddress: "{ADDRESS}:7805"
+seeds: ["{ADDRESS}:7801"]
 dataFolder: {folder}/data
 firstStart: true
 toleratedDiskLosses: 0
@@ -90,7 +90,7 @@
 
 def submit(name, count, spec="text"):
     body = {"spec": spec, "best_effort": True, "steps": [{"count": count, "cpu": TASK_CPU, "estimate_ms": 400}]}
-    return call(f"{ADDRESS}:7502", "POST", f"/q/{name}", body, {"host": "rota.example", "deadline-ms": "50000"}, timeout=50)[0]
+    return call(f"{ADDRESS}:7802", "POST", f"/q/{name}", body, {"host": "rota.example", "deadline-ms": "50000"}, timeout=50)[0]
 
 
 def document():
@@ -104,11 +104,11 @@
     before, faults = [], []
     caller = threading.Thread(target=lambda: before.append(submit("before", 8)))
     caller.start()
-    wait_until(lambda: call(f"{ADDRESS}:7502", "GET", "/q/before", headers={"host": "rota.example"})[0] == 200, "the job is open")
+    wait_until(lambda: call(f"{ADDRESS}:7802", "GET", "/q/before", headers={"host": "rota.example"})[0] == 200, "the job is open")
     connections = PATTERNS[pattern](member.observe, executor)
     try:
-        requests = {"jobs": lambda: submit("after", 1), "readiness": lambda: call(f"{ADDRESS}:7504", "GET", "/api/ready")[0],
-                    "control": lambda: call(f"{ADDRESS}:7503", "GET", "/api/config")[0], "metrics": lambda: call(f"{ADDRESS}:7505", "GET", "/metrics")[0]}
+        requests = {"jobs": lambda: submit("after", 1), "readiness": lambda: call(f"{ADDRESS}:7804", "GET", "/api/ready")[0],
+                    "control": lambda: call(f"{ADDRESS}:7803", "GET", "/api/config")[0], "metrics": lambda: call(f"{ADDRESS}:7805", "GET", "/metrics")[0]}
         for port, request in requests.items():
             try:
                 wait_until(lambda: request() == 200, f"a request is served on the port for {port}")
@@ -127,9 +127,9 @@
 def run(pattern, folder):
     member, executor = Member(folder), None
     try:
-        wait_until(lambda: call(f"{ADDRESS}:7503", "PUT", "/api/config", document(), timeout=2)[0] == 200, "a configuration is accepted")
-        executor = Executor(RunLog(), "i-1", EXECUTOR_ADDRESS, [f"{ADDRESS}:7503"])
-        wait_until(lambda: call(f"{ADDRESS}:7504", "GET", "/api/ready", timeout=1)[0] == 200, "the member is ready")
+        wait_until(lambda: member.observe() or call(f"{ADDRESS}:7803", "PUT", "/api/config", document(), timeout=2)[0] == 200, "a configuration is accepted")
+        executor = Executor(RunLog(), "i-1", EXECUTOR_ADDRESS, [f"{ADDRESS}:7803"])
+        wait_until(lambda: call(f"{ADDRESS}:7804", "GET", "/api/ready", timeout=1)[0] == 200, "the member is ready")
         wait_until(lambda: submit("first", 1) == 200, "a job is served")
         wait_until(lambda: submit("largest", 1, "x" * (BODY_LIMIT - 300)) == 200, "a job of the largest size is served")
         faults = attack(pattern, member, executor)
--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -562,3 +562,47 @@
     BOOST_TEST(causes.empty(), (causes.empty() ? "" : causes.front()));
     BOOST_TEST((*server)->heldBytes() < limits.budget.memory);
 }
+
+// Guards against answers that together exceed what the client may hold, and against bytes that still count when a call has ended.
+BOOST_FIXTURE_TEST_CASE(response_beyond_the_bytes_of_all_unfinished_ones_fails, Fixture)
+{
+    size_t failures = 0;
+    client = HttpClient::create(*loop, { 64, 1'000'000, 200'000 }, [&] { ++failures; });
+    serve([](const auto& exchange) {
+        exchange->respond(HttpResponse { 200, {}, std::string(exchange->request().target == "/large" ? 300'000 : 100'000, 'x') });
+    });
+    for (int round = 0; round < 5; ++round) {
+        auto large = call({ "GET", "/large" });
+        BOOST_REQUIRE(!large.has_value());
+        BOOST_TEST((large.error().reason == Reason::TooLarge));
+        BOOST_TEST(call({ "GET", "/small" }).has_value());
+    }
+    BOOST_TEST(failures == 5U);
+}
+
+// Guards against a limit of header fields that is checked after they are copied, or not at all.
+BOOST_AUTO_TEST_CASE(request_with_too_many_header_fields_is_refused_without_a_run)
+{
+    auto loop = EventLoop::create();
+    HttpServer::Limits limits;
+    limits.budget = { 4 * 1024 * 1024, 16, 0 };
+    limits.headerFields = 20;
+    std::vector<std::string> causes;
+    bool isHandled = false;
+    auto server = HttpServer::create(
+        *loop, serverEndpoint, limits, [&](const auto&) { isHandled = true; }, [&](std::string_view cause) { causes.emplace_back(cause); });
+    BOOST_REQUIRE(server.has_value());
+    auto client = HttpClient::create(*loop, {});
+    HttpRequest request;
+    for (int i = 0; i < 30; ++i)
+        request.headers.push_back({ "a" + std::to_string(i), "b" });
+    int status = 0;
+    auto call = client->send(serverEndpoint, request, 5s, [&](const auto& response) {
+        status = response ? response->status : 0;
+        loop->stop();
+    });
+    loop->run();
+    BOOST_TEST(status == 431);
+    BOOST_TEST(!isHandled);
+    BOOST_TEST((causes == std::vector<std::string> { "header-size" }));
+}
