--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <LibTransport/H2O.h>
 #include <LibTransport/HttpClient.h>
 #include <map>
+#include <sys/socket.h>
 #include <utility>
 
 namespace Sassafrasshift::Transport {
@@ -9,13 +10,35 @@
 static constexpr uint64_t inputOutputTimeoutMilliseconds = 120'000;
 static constexpr uint64_t idleConnectionTimeoutMilliseconds = 5'000;
 
+// h2o does not limit the head of a response. It parses an incomplete one from its start whenever bytes arrive, so that a long head takes
+// much processor time, too.
+static constexpr size_t maximumHeadBytes = 256 * 1024;
+static constexpr Milliseconds headCheckInterval { 10 };
+// The kernel allots twice this size.
+static constexpr int limitedKernelBufferBytes = 64 * 1024;
+
+// What the calls of a client share. A call may exist longer than its client.
+struct SharedLimits {
+    HttpClient::Limits limits;
+    HttpClient::LimitObserver observer;
+    // The bytes of all responses that are not complete.
+    size_t unfinishedBytes { 0 };
+};
+
+struct CallState;
+
 struct HttpClient::Implementation {
     EventLoop* loop { nullptr };
     Limits limits;
+    std::shared_ptr<SharedLimits> sharedLimits;
     h2o_timeout_t inputOutputTimeout {};
     h2o_http1client_ctx_t context {};
     std::map<Endpoint, std::shared_ptr<h2o_socketpool_t>> pools;
+    // The calls that may be open, if responses are limited.
+    std::vector<std::weak_ptr<CallState>> checkedCalls;
+    std::unique_ptr<Timer> headCheckTimer;
 
+    void checkHeads();
     std::shared_ptr<h2o_socketpool_t> poolFor(const Endpoint&);
 };
 
@@ -31,13 +54,39 @@
     std::string body;
     h2o_iovec_t buffers[2] {};
     HttpResponse response;
-    size_t maximumBody { 0 };
+    std::shared_ptr<SharedLimits> sharedLimits;
+    // The part of the response that counts as unfinished.
+    size_t countedBytes { 0 };
     bool isHeadRequest { false };
     bool sendStarted { false };
     bool lengthKnown { false };
 
+    ~CallState() { this->countBytes(0); }
+
+    void countBytes(size_t bytes)
+    {
+        this->sharedLimits->unfinishedBytes += bytes - std::exchange(this->countedBytes, bytes);
+    }
+
+    [[nodiscard]] bool exceedsLimits(size_t bytes)
+    {
+        this->countBytes(bytes);
+        const auto& limits = this->sharedLimits->limits;
+        if (bytes <= limits.maximumBody && (limits.unfinishedBytes == 0 || this->sharedLimits->unfinishedBytes <= limits.unfinishedBytes))
+            return false;
+        if (this->sharedLimits->observer)
+            this->sharedLimits->observer();
+        return true;
+    }
+
+    [[nodiscard]] bool hasTooLongHead() const
+    {
+        return this->nativeClient && this->nativeClient->sock && this->nativeClient->sock->input->size > maximumHeadBytes;
+    }
+
     void finish(ErrorOr<HttpResponse> result)
     {
+        this->countBytes(0);
         this->nativeClient = nullptr;
         this->deadlineTimer.reset();
         if (auto function = std::move(this->completion)) {
@@ -111,7 +160,10 @@
     auto state = stateOf(client);
     auto* input = client->sock->input;
     if (state) {
-        if (state->response.body.size() + input->size > state->maximumBody) {
+        if (state->exceedsLimits(state->response.body.size() + input->size)) {
+            // Frees the storage at once.
+            std::string().swap(state->response.body);
+            state->countBytes(0);
             finishFromCallback(client, tl::unexpected(Error::ran(Reason::TooLarge, "the response body exceeds the size limit")));
             return -1;
         }
@@ -161,6 +213,9 @@
         return nullptr;
     }
     state->sendStarted = true;
+    // The kernel would otherwise let a response grow to megabytes between two reads.
+    if (state->sharedLimits->limits.unfinishedBytes > 0)
+        setsockopt(h2o_socket_get_fd(client->sock), SOL_SOCKET, SO_RCVBUF, &limitedKernelBufferBytes, sizeof(limitedKernelBufferBytes));
     *buffers = state->buffers;
     *bufferCount = state->body.empty() ? 1 : 2;
     *isHeadRequest = state->isHeadRequest;
@@ -189,12 +244,13 @@
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<HttpClient> HttpClient::create(EventLoop& loop, Limits limits)
+std::unique_ptr<HttpClient> HttpClient::create(EventLoop& loop, Limits limits, LimitObserver observer)
 {
     std::unique_ptr<HttpClient> client(new HttpClient);
     auto& state = *client->implementation;
     state.loop = &loop;
     state.limits = limits;
+    state.sharedLimits = std::make_shared<SharedLimits>(SharedLimits { limits, std::move(observer) });
     h2o_timeout_init(loop.nativeLoop(), &state.inputOutputTimeout, inputOutputTimeoutMilliseconds);
     state.context.loop = loop.nativeLoop();
     state.context.getaddr_receiver = loop.hostLookupReceiver();
@@ -213,6 +269,27 @@
     return head;
 }
 
+// Ends the calls whose response has too long a head, and forgets those that have ended.
+void HttpClient::Implementation::checkHeads()
+{
+    std::vector<std::shared_ptr<CallState>> tooLong;
+    std::erase_if(this->checkedCalls, [&](const auto& weak) {
+        auto state = weak.lock();
+        if (state && state->hasTooLongHead())
+            tooLong.push_back(state);
+        return !state || !state->completion;
+    });
+    for (const auto& state : tooLong) {
+        state->abort();
+        if (this->sharedLimits->observer)
+            this->sharedLimits->observer();
+        state->finish(tl::unexpected(Error::mayHaveRun(Reason::TooLarge, "the head of the response exceeds the size limit")));
+    }
+    this->headCheckTimer.reset();
+    if (!this->checkedCalls.empty())
+        this->headCheckTimer = this->loop->after(headCheckInterval, [this] { this->checkHeads(); });
+}
+
 std::unique_ptr<HttpCall> HttpClient::send(const Endpoint& endpoint, HttpRequest request, Milliseconds timeout, Completion completion)
 {
     auto& client = *this->implementation;
@@ -220,7 +297,7 @@
     state->loop = client.loop;
     state->pool = client.poolFor(endpoint);
     state->completion = std::move(completion);
-    state->maximumBody = client.limits.maximumBody;
+    state->sharedLimits = client.sharedLimits;
     state->isHeadRequest = request.method == "HEAD";
     state->head = formatHead(endpoint, request);
     state->body = std::move(request.body);
@@ -237,6 +314,11 @@
         state->finish(tl::unexpected(std::move(error)));
     });
     auto call = std::make_unique<HttpCallImplementation>(state);
+    if (client.limits.unfinishedBytes > 0) {
+        client.checkedCalls.push_back(state);
+        if (!client.headCheckTimer)
+            client.headCheckTimer = client.loop->after(headCheckInterval, [&client] { client.checkHeads(); });
+    }
     // Deferred, because input and output must be started in a callback of the loop; see EventLoop.
     client.loop->defer([this, weak = std::weak_ptr(state)] {
         auto state = weak.lock();
--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -510,3 +510,99 @@
 {
     BOOST_TEST(timeToNoticeDisconnects(*this, 3000, Disconnect::EndOfStream).count() < 300);
 }
+
+// Guards against limits that are reached by members and callers that keep within them.
+BOOST_AUTO_TEST_CASE(limits_do_not_affect_clients_within_them)
+{
+    auto loop = EventLoop::create();
+    std::vector<std::string> causes;
+    HttpServer::Limits limits;
+    limits.budget = { 16 * 1024 * 1024, 16, 0 };
+    limits.headerFields = 100;
+    limits.headerBytes = 16 * 1024;
+    limits.pipelinedRequests = 4;
+    size_t bodies = 0;
+    size_t received = 0;
+    auto server = HttpServer::create(
+        *loop, serverEndpoint, limits,
+        [&](const auto& exchange) {
+            ++bodies;
+            received += exchange->request().body.size();
+            exchange->respond(HttpResponse { 204, {}, {} });
+            if (received == 2000 * 1000 + 20 * 262'144)
+                loop->stop();
+        },
+        [&](std::string_view cause) { causes.emplace_back(cause); });
+    BOOST_REQUIRE(server.has_value());
+    auto link = PeerLink::create(*loop, serverEndpoint, "sender");
+    auto client = HttpClient::create(*loop, {});
+    std::unique_ptr<HttpCall> call;
+    int left = 20;
+    std::function<void()> callNext = [&] {
+        HttpRequest request { "POST", "/", {}, std::string(262'144, 'x') };
+        call = client->send(serverEndpoint, request, 5s, [&](const auto& response) {
+            BOOST_REQUIRE(response.has_value());
+            if (--left > 0)
+                loop->defer(callNext);
+        });
+    };
+    std::function<void(int)> sendNext = [&](int number) {
+        link->send(std::string(1000, 'x'));
+        if (number < 2000)
+            loop->defer([&sendNext, number] { sendNext(number + 1); });
+    };
+    loop->defer([&] {
+        callNext();
+        sendNext(1);
+    });
+    auto timer = loop->after(20s, [&] { loop->stop(); });
+    loop->run();
+    BOOST_TEST(received == 2000 * 1000 + 20 * 262'144U);
+    BOOST_TEST(link->counters().messagesDropped == 0U);
+    BOOST_TEST(causes.empty(), (causes.empty() ? "" : causes.front()));
+    BOOST_TEST((*server)->heldBytes() < limits.budget.memory);
+}
+
+// Guards against answers that together exceed what the client may hold, and against bytes that still count when a call has ended.
+BOOST_FIXTURE_TEST_CASE(response_beyond_the_bytes_of_all_unfinished_ones_fails, Fixture)
+{
+    size_t failures = 0;
+    client = HttpClient::create(*loop, { 64, 1'000'000, 200'000 }, [&] { ++failures; });
+    serve([](const auto& exchange) {
+        exchange->respond(HttpResponse { 200, {}, std::string(exchange->request().target == "/large" ? 300'000 : 100'000, 'x') });
+    });
+    for (int round = 0; round < 5; ++round) {
+        auto large = call({ "GET", "/large" });
+        BOOST_REQUIRE(!large.has_value());
+        BOOST_TEST((large.error().reason == Reason::TooLarge));
+        BOOST_TEST(call({ "GET", "/small" }).has_value());
+    }
+    BOOST_TEST(failures == 5U);
+}
+
+// Guards against a limit of header fields that is checked after they are copied, or not at all.
+BOOST_AUTO_TEST_CASE(request_with_too_many_header_fields_is_refused_without_a_run)
+{
+    auto loop = EventLoop::create();
+    HttpServer::Limits limits;
+    limits.budget = { 4 * 1024 * 1024, 16, 0 };
+    limits.headerFields = 20;
+    std::vector<std::string> causes;
+    bool isHandled = false;
+    auto server = HttpServer::create(
+        *loop, serverEndpoint, limits, [&](const auto&) { isHandled = true; }, [&](std::string_view cause) { causes.emplace_back(cause); });
+    BOOST_REQUIRE(server.has_value());
+    auto client = HttpClient::create(*loop, {});
+    HttpRequest request;
+    for (int i = 0; i < 30; ++i)
+        request.headers.push_back({ "a" + std::to_string(i), "b" });
+    int status = 0;
+    auto call = client->send(serverEndpoint, request, 5s, [&](const auto& response) {
+        status = response ? response->status : 0;
+        loop->stop();
+    });
+    loop->run();
+    BOOST_TEST(status == 431);
+    BOOST_TEST(!isHandled);
+    BOOST_TEST((causes == std::vector<std::string> { "header-size" }));
+}
