LibScheduler: Test failures of order relays on the fake clock

The simulation of dispatchers and targets can now have relays between them, which lose, delay, reorder and repeat messages, freeze, restart, are partitioned and leave. RelayedCalls checks itself that an answer is for this process, so that this is tested as well.

--- a/Libraries/LibScheduler/Relay/RelayedCalls.cpp
+++ b/Libraries/LibScheduler/Relay/RelayedCalls.cpp
@@ -26,8 +26,10 @@
     return this->insert(Call { Kind::Stop, relay, order.instance, 0, order.run, {} }, answerTimeout, now);
 }
 
-std::optional<RelayedCalls::Call> RelayedCalls::close(uint64_t number, const std::string& relay)
+std::optional<RelayedCalls::Call> RelayedCalls::close(uint64_t answeredProcess, uint64_t number, const std::string& relay)
 {
+    if (answeredProcess != this->process)
+        return {};
     auto position = this->calls.find(number);
     if (position == this->calls.end() || position->second.relay != relay)
         return {};
--- a/Libraries/LibScheduler/Relay/RelayedCalls.h
+++ b/Libraries/LibScheduler/Relay/RelayedCalls.h
@@ -37,6 +37,12 @@
         Instant expiresAt {};
     };
 
+    /// The number of this process, which the answers to its calls repeat.
+    explicit RelayedCalls(uint64_t process)
+        : process(process)
+    {
+    }
+
     /// Whether the limit of open calls permits another one.
     [[nodiscard]] bool hasRoom() const { return this->calls.size() < maximumOpenCalls; }
     /// Records an order that is sent to a relay, and returns its call number. The call expires `relayTime` after the timeout.
@@ -44,8 +50,9 @@
     uint64_t open(const StartOrder&, const std::string& relay, Milliseconds answerTimeout, Instant now);
     uint64_t open(const StopOrder&, const std::string& relay, Milliseconds answerTimeout, Instant now);
 
-    /// Removes the call that a relay has answered. Returns nothing if it is not open, or was sent to another relay.
-    [[nodiscard]] std::optional<Call> close(uint64_t number, const std::string& relay);
+    /// Removes the call that a relay has answered. Returns nothing if the answer is for another process, or the call is not open or was
+    /// sent to another relay.
+    [[nodiscard]] std::optional<Call> close(uint64_t answeredProcess, uint64_t number, const std::string& relay);
 
     /// Removes the calls that have expired; their outcome is unknown. Their relays are lost for `lostRelayPause`, and the open hold orders of
     /// a lost relay expire with them, so that the leases can be renewed through another relay.
@@ -62,6 +69,7 @@
 private:
     uint64_t insert(Call, Milliseconds answerTimeout, Instant now);
 
+    uint64_t process;
     std::map<uint64_t, Call> calls;
     uint64_t nextNumber { 1 };
     Instant lastCheck {};
--- a/Services/sassafrasshiftd/Cluster/OrderSender.cpp
+++ b/Services/sassafrasshiftd/Cluster/OrderSender.cpp
@@ -14,6 +14,7 @@
     : context(context)
     , targets(context.loop, client)
     , handlers(std::move(handlers))
+    , calls(context.cluster.processIncarnation())
 {
 }
 
@@ -83,11 +84,9 @@
 
 void OrderSender::onMessage(const std::string& from, const Scheduler::RelayedAnswers& message)
 {
-    bool isForThisProcess = message.process == this->context.cluster.processIncarnation();
     uint64_t ignored = 0;
     for (const auto& answer : message.answers) {
-        auto call = isForThisProcess ? this->calls.close(answer.call, from) : std::nullopt;
-        if (call)
+        if (auto call = this->calls.close(message.process, answer.call, from))
             this->complete(*call, answer);
         else
             ++ignored;
--- a/Tests/LibScheduler/SimulatedTargets.cpp
+++ b/Tests/LibScheduler/SimulatedTargets.cpp
@@ -164,6 +164,8 @@
 {
     for (size_t i = 0; i < count; ++i)
         this->dispatchers.push_back(std::make_unique<TaskScheduler>(options));
+    for (size_t i = 0; i < count; ++i)
+        this->relayPaths.emplace_back(i + 1);
 }
 
 SimulatedTarget& SimulatedFleet::addTarget(std::string identity, int64_t cores)
@@ -208,16 +210,98 @@
     return this->injectFault ? this->injectFault(dispatcher, instance, isStart) : OrderFault {};
 }
 
+// Runs the function in the process of a relay after the transit of a message, if it exists then, and after its pause.
+void SimulatedFleet::runAtRelay(size_t relay, uint64_t process, std::function<void()> action)
+{
+    const auto& receiver = this->relays[relay];
+    if (receiver.isPartitioned || receiver.process != process)
+        return;
+    if (receiver.pausedUntil <= this->now)
+        return action();
+    this->schedule(std::chrono::duration_cast<Milliseconds>(receiver.pausedUntil - this->now), [this, relay, process, action = std::move(action)] { this->runAtRelay(relay, process, action); });
+}
+
+void SimulatedFleet::completeCall(size_t number, const RelayedCalls::Call& call, RelayedAnswer answer)
+{
+    auto& dispatcher = *this->dispatchers[number];
+    if (call.kind == RelayedCalls::Kind::Hold)
+        dispatcher.onHoldAnswer(call.instance, call.holdNumber, toHoldAnswer(std::move(answer)), this->now);
+    else if (call.kind == RelayedCalls::Kind::Start)
+        dispatcher.onStartAnswer(call.instance, call.run, toOrderAnswer(std::move(answer)), this->now);
+    else
+        dispatcher.onStopAnswer(call.instance, call.run, toOrderAnswer(std::move(answer)), this->now);
+}
+
+void SimulatedFleet::returnThroughRelay(size_t number, size_t relay, uint64_t process, RelayedAnswer answer)
+{
+    static constexpr Milliseconds collectionTime { 3 };
+    static constexpr unsigned twicePercent = 10;
+    this->runAtRelay(relay, process, [this, number, relay, answer] {
+        size_t copies = this->relayDelays() % 100 < twicePercent ? 2 : 1;
+        for (size_t i = 0; i < copies; ++i) {
+            this->schedule(collectionTime + Milliseconds(1 + this->relayDelays() % 5), [this, number, relay, answer] {
+                auto& path = this->relayPaths[number];
+                auto call = this->relays[relay].isPartitioned ? std::nullopt : path.calls.close(number + 1, answer.call, this->relays[relay].address);
+                if (call)
+                    this->completeCall(number, *call, answer);
+                else
+                    ++path.ignoredAnswers;
+            });
+        }
+    });
+}
+
+template <typename Order, typename Answer>
+void SimulatedFleet::sendThroughRelay(size_t number, const Order& order, Milliseconds timeout, std::function<void(std::function<void(Answer)>)> execute)
+{
+    static constexpr Milliseconds maximumTransitTime { 250 };
+    auto& path = this->relayPaths[number];
+    const auto& address = *path.assignment.relayFor(order.instance.identity);
+    auto relay = static_cast<size_t>(std::find_if(this->relays.begin(), this->relays.end(), [&](const auto& candidate) { return candidate.address == address; }) - this->relays.begin());
+    auto process = this->relays[relay].process;
+    auto call = path.calls.open(order, address, timeout, this->now);
+    this->schedule(Milliseconds(1 + this->relayDelays() % 5), [this, number, relay, process, call, execute, sentAt = this->now] {
+        this->runAtRelay(relay, process, [this, number, relay, process, call, execute, sentAt] {
+            ++this->relays[relay].ordersReceived;
+            if (this->now - sentAt > maximumTransitTime)
+                return this->returnThroughRelay(number, relay, process, RelayedAnswer { call, Unanswered { Verdict::NotRun } });
+            execute([this, number, relay, process, call](const Answer& answer) {
+                std::visit([&](const auto& outcome) { this->returnThroughRelay(number, relay, process, RelayedAnswer { call, outcome }); }, answer);
+            });
+        });
+    });
+}
+
+void SimulatedFleet::updateRelays(size_t number)
+{
+    // A number of targets that needs three relays.
+    static constexpr size_t targetCount = 75;
+    auto& path = this->relayPaths[number];
+    for (const auto& call : path.calls.takeExpired(this->now)) {
+        ++path.unansweredCalls;
+        this->completeCall(number, call, RelayedAnswer { 0, Unanswered { Verdict::MayHaveRun } });
+    }
+    std::vector<std::string> candidates;
+    for (const auto& relay : this->relays) {
+        if (!relay.isLeaving && !path.calls.isLost(relay.address, this->now))
+            candidates.push_back(relay.address);
+    }
+    (void)path.assignment.update(candidates, "shard", targetCount);
+}
+
 // Does not simulate the full wait of a hold order: the target answers after a short pause, which limits the number of orders.
 void SimulatedFleet::executeEffects(size_t number)
 {
     auto& dispatcher = *this->dispatchers[number];
     static constexpr Milliseconds answerTimeout { 350 };
+    // How long a dispatcher waits for the answers to relayed orders, beside RelayedCalls::relayTime.
+    static constexpr Milliseconds startTimeout { 150 };
+    static constexpr Milliseconds holdTimeout { 200 };
     // An order is received within this time or never, since the connection is given up then. The process that has received it may
     // carry it out later, as long as it exists.
     static constexpr Milliseconds maximumTransitTime { 150 };
     auto effects = dispatcher.takeEffects(this->now);
-    auto perform = [&](const auto& order, Milliseconds pause, bool isStart, auto execute, auto handleAnswer) {
+    auto sendDirectly = [this, number](const auto& order, Milliseconds pause, bool isStart, auto execute, auto handleAnswer) {
         auto fault = this->faultOf(number, order.instance, isStart);
         if constexpr (std::is_same_v<std::decay_t<decltype(order)>, StopOrder>)
             fault.orderLost = fault.orderLost || this->stopsAreLost;
@@ -244,6 +328,13 @@
         if (fault.orderLost || fault.answerLost || fault.delay + fault.answerDelay >= answerTimeout)
             this->schedule(answerTimeout + pause, handleTimeout);
     };
+    auto perform = [&](const auto& order, Milliseconds pause, bool isStart, auto execute, auto handleAnswer) {
+        using Answer = decltype(execute(this->targets.begin()->second, Instant {}));
+        if (!this->relayPaths[number].assignment.relayFor(order.instance.identity))
+            return sendDirectly(order, pause, isStart, execute, handleAnswer);
+        this->sendThroughRelay<std::decay_t<decltype(order)>, Answer>(number, order, isStart ? startTimeout : holdTimeout + pause,
+            [sendDirectly, order, pause, isStart, execute](const auto& relayAnswer) { sendDirectly(order, pause, isStart, execute, relayAnswer); });
+    };
     for (const auto& order : effects.orders.starts) {
         auto submission = this->submissions.at(order.run.task.job);
         perform(
@@ -312,6 +403,7 @@
             this->renew(i, 0);
     }
     for (size_t i = 0; i < this->dispatchers.size(); ++i) {
+        this->updateRelays(i);
         this->dispatchers[i]->tick(this->now);
         this->executeEffects(i);
     }
--- a/Tests/LibScheduler/SimulatedTargets.h
+++ b/Tests/LibScheduler/SimulatedTargets.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibScheduler/Dispatcher/TaskScheduler.h>
+#include <LibScheduler/Relay/RelayAssignment.h>
+#include <LibScheduler/Relay/RelayedCalls.h>
 #include <functional>
 #include <map>
 #include <optional>
@@ -70,6 +72,19 @@
 [[nodiscard]] size_t countConcurrentRuns(const SimulatedTargets&);
 [[nodiscard]] bool anyOvercommitted(const SimulatedTargets&);
 
+/// Simulates the process of an entry host that passes on the orders of dispatchers.
+struct SimulatedRelay {
+    std::string address;
+    /// Increases with each restart. Open calls and collected answers end with the process.
+    uint64_t process { 1 };
+    Instant pausedUntil {};
+    /// Whether all messages from and to the process are lost.
+    bool isPartitioned { false };
+    /// Whether gossip says that the process leaves.
+    bool isLeaving { false };
+    uint64_t ordersReceived { 0 };
+};
+
 /// Simulates dispatchers and targets with one simulated clock. Tests choose the delay and loss of orders and answers.
 class SimulatedFleet {
 public:
@@ -112,6 +127,24 @@
     bool tasksFail { false };
     bool entriesRenew { true };
     bool stopsAreLost { false };
+    /// If there are any, dispatchers send their orders through them. Messages to and from relays take 1 to 5 ms, so that they overtake each
+    /// other, and a tenth of the answers arrive twice.
+    std::vector<SimulatedRelay> relays;
+
+    /// The calls of one dispatcher to relays.
+    struct RelayPath {
+        explicit RelayPath(uint64_t process)
+            : calls(process)
+        {
+        }
+
+        RelayedCalls calls;
+        RelayAssignment assignment;
+        /// Answers to calls that were not open, or open no more.
+        uint64_t ignoredAnswers { 0 };
+        uint64_t unansweredCalls { 0 };
+    };
+    std::vector<RelayPath> relayPaths;
 
 private:
     struct Event {
@@ -121,11 +154,18 @@
 
     void schedule(Milliseconds, std::function<void()>);
     void executeEffects(size_t dispatcher);
+    template <typename Order, typename Answer>
+    void sendThroughRelay(size_t dispatcher, const Order&, Milliseconds timeout, std::function<void(std::function<void(Answer)>)> execute);
+    void runAtRelay(size_t relay, uint64_t process, std::function<void()>);
+    void returnThroughRelay(size_t dispatcher, size_t relay, uint64_t process, RelayedAnswer);
+    void completeCall(size_t dispatcher, const RelayedCalls::Call&, RelayedAnswer);
+    void updateRelays(size_t dispatcher);
     void step();
     /// Lists the open jobs of a dispatcher there.
     void renew(size_t dispatcher, uint64_t answeredRequest);
     [[nodiscard]] OrderFault faultOf(size_t dispatcher, const TargetInstance&, bool isStart) const;
 
+    std::mt19937 relayDelays { 1 };
     std::multimap<Instant, std::function<void()>> events;
     std::map<std::string, JobOutcome> outcomes;
     Instant nextRenewal {};
--- a/Tests/LibSettings/TestClusterSettings.cpp
+++ b/Tests/LibSettings/TestClusterSettings.cpp
@@ -46,6 +46,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(relays_are_used_by_a_dispatcher_with_fewer_cores_than_the_settings_say)
+{
+    auto parse = [](const std::string& text) { return ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\n" + text, "test"); };
+    BOOST_TEST(!parse("")->usesOrderRelays());
+    BOOST_TEST(!parse("dispatchCores: 0.12\n")->usesOrderRelays());
+    BOOST_TEST(parse("dispatchCores: 0.12\norderRelayCores: 0.15\n")->usesOrderRelays());
+    BOOST_TEST(!parse("dispatchCores: 0.15\norderRelayCores: 0.15\n")->usesOrderRelays());
+    for (const auto* value : { "-1", "1001", "many" }) {
+        auto settings = parse(std::string("orderRelayCores: ") + value + "\n");
+        BOOST_REQUIRE(!settings.has_value());
+        BOOST_TEST(toText(settings.error()).find("orderRelayCores") != std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(all_errors_in_cluster_settings_are_reported)
 {
     auto settings = ClusterSettings::parse("host: a\npeerAddress: b\njobsAddress: c\nseeds: []\nseedprt: 1\n", "test");
