--- a/Tests/Cluster/relays.py
+++ b/Tests/Cluster/relays.py
@@ -70,7 +70,7 @@
         executors = [Executor(run_log, f"i-{i}", address, run.CONTROL_ADDRESSES) for i, address in enumerate(EXECUTOR_ADDRESSES)]
         run.wait_until(lambda: all(entry.is_ready() for entry in entries), "all entries are ready")
         wait_for_relays(entries)
-        load = run.Load(seed=3)
+        load = run.Load(seed=3, callers=18)
         wait_for_relayed_starts(load, entries, "the start")
 
         victim = find_relays(entries)[0]
--- a/Tests/Cluster/run.py
+++ b/Tests/Cluster/run.py
@@ -87,12 +87,12 @@
 class Load:
     """Concurrent callers, each of which submits one job after another to randomly chosen entries."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, callers=6):
         self.random = random.Random(seed)
         self.lock = threading.Lock()
         self.statuses = {}
         self.stopping = False
-        self.threads = [threading.Thread(target=self.run, args=(self.random.random(),)) for _ in range(6)]
+        self.threads = [threading.Thread(target=self.run, args=(self.random.random(),)) for _ in range(callers)]
         for thread in self.threads:
             thread.start()
 
