--- a/Benchmarks/DispatchCost.cpp
+++ b/Benchmarks/DispatchCost.cpp
@@ -36,7 +36,8 @@
 static constexpr Milliseconds warmUpTime { 3000 };
 
 static const std::string dispatcherAddress = "127.0.51.1:7501";
-static const std::string entryAddress = "127.0.52.1:7501";
+// The jobs come through so many entry hosts.
+static constexpr size_t entryCount = 45;
 
 namespace {
 
@@ -195,8 +196,9 @@
 
 // The parts of a cluster member that the benchmark needs.
 struct Member {
-    Member(const std::string& address, const Settings::ClusterSettings& settings)
-        : cluster(makeRecord(address, false), {}, {}, Random(1), loop->now())
+    Member(const std::string& address, const Settings::ClusterSettings& settings, std::shared_ptr<Transport::EventLoop> sharedLoop = Transport::EventLoop::create())
+        : loop(std::move(sharedLoop))
+        , cluster(makeRecord(address, false), {}, {}, Random(1), loop->now())
         , context { settings, *loop, metrics, cluster, random, [this](const auto& to, const auto& message) { this->hub->send(*Transport::Endpoint::parse(to), Transport::encodeMessage(message)); } }
         , client(Transport::HttpClient::create(*loop, {}))
     {
@@ -206,7 +208,8 @@
     {
         this->hub = *Transport::PeerHub::create(
             *this->loop, *Transport::Endpoint::parse(address), address,
-            [handle](const auto& from, const auto& bytes) {
+            [this, handle](const auto& from, const auto& bytes) {
+                ++this->batchesReceived;
                 auto batch = Transport::decodeMessages<ClusterMessage>(bytes);
                 for (const auto& message : batch->messages)
                     handle(from, message);
@@ -215,7 +218,16 @@
             [](std::string_view cause) { std::printf("refused a batch: %s\n", std::string(cause).c_str()); });
     }
 
-    std::unique_ptr<Transport::EventLoop> loop { Transport::EventLoop::create() };
+    [[nodiscard]] uint64_t batchesSent() const
+    {
+        uint64_t batches = 0;
+        for (const auto& [endpoint, link] : this->hub->openLinks())
+            batches += link->counters().batchesSent;
+        return batches;
+    }
+
+    std::shared_ptr<Transport::EventLoop> loop;
+    uint64_t batchesReceived { 0 };
     Telemetry::Metrics metrics;
     Membership::Cluster cluster;
     Random random { 1 };
@@ -224,40 +236,45 @@
     std::unique_ptr<Transport::PeerHub> hub;
 };
 
-// Submits jobs of the mix of the requirements, and counts the outcomes.
-class Entry {
+// Entry hosts that submit jobs of the mix of the requirements, and count the outcomes. All share a thread.
+class Entries {
 public:
-    explicit Entry(const Settings::ClusterSettings& settings)
-        : member(entryAddress, settings)
+    explicit Entries(const Settings::ClusterSettings& settings)
     {
-        this->member.listen(entryAddress, [this](const auto&, const auto& message) {
-            if (const auto* outcome = std::get_if<Scheduler::JobOutcome>(&message)) {
-                this->completed += outcome->end == Scheduler::JobEnd::Completed ? 1 : 0;
-                this->others += outcome->end == Scheduler::JobEnd::Completed ? 0 : 1;
-                this->open.erase(outcome->job);
-            } else if (const auto* request = std::get_if<RenewalRequest>(&message)) {
-                this->renew(request->number);
-            }
-        });
-        this->member.loop->defer([this] { this->renewRepeatedly(); });
-        this->timer = this->member.loop->after(warmUpTime / 2, [this] { this->submitDue(); });
+        for (size_t i = 0; i < entryCount; ++i) {
+            auto address = "127.0.52." + std::to_string(i + 1) + ":7501";
+            this->members.emplace_back(address, settings, this->loop);
+            this->members.back().listen(address, [this, i](const auto&, const auto& message) { this->handle(i, message); });
+        }
+        this->loop->defer([this] { this->renewRepeatedly(); });
+        this->timer = this->loop->after(warmUpTime / 2, [this] { this->submitDue(); });
     }
 
-    Member member;
+    std::shared_ptr<Transport::EventLoop> loop { Transport::EventLoop::create() };
     std::atomic<uint64_t> completed { 0 };
     std::atomic<uint64_t> others { 0 };
 
 private:
-    [[nodiscard]] Milliseconds::rep clock() const { return std::chrono::duration_cast<Milliseconds>(this->member.loop->now().time_since_epoch()).count(); }
+    void handle(size_t number, const ClusterMessage& message)
+    {
+        if (const auto* outcome = std::get_if<Scheduler::JobOutcome>(&message)) {
+            ++(outcome->end == Scheduler::JobEnd::Completed ? this->completed : this->others);
+            this->open[number].erase(outcome->job);
+        } else if (const auto* request = std::get_if<RenewalRequest>(&message)) {
+            this->renew(number, request->number);
+        }
+    }
+
+    [[nodiscard]] Milliseconds::rep clock() const { return std::chrono::duration_cast<Milliseconds>(this->loop->now().time_since_epoch()).count(); }
 
     void submitDue()
     {
         if (this->startedAt == Instant {})
-            this->startedAt = this->member.loop->now();
-        auto elapsed = std::chrono::duration_cast<Milliseconds>(this->member.loop->now() - this->startedAt).count();
+            this->startedAt = this->loop->now();
+        auto elapsed = std::chrono::duration_cast<Milliseconds>(this->loop->now() - this->startedAt).count();
         for (; this->submitted < static_cast<uint64_t>(elapsed) * jobsPerSecond / 1000; ++this->submitted)
             this->submit();
-        this->timer = this->member.loop->after(Milliseconds(1), [this] { this->submitDue(); });
+        this->timer = this->loop->after(Milliseconds(1), [this] { this->submitDue(); });
     }
 
     void submit()
@@ -269,7 +286,7 @@
             int64_t runTime;
         };
         static constexpr std::array<Kind, 3> kinds { Kind { 24, 0, 8, 51 }, Kind { 71, 1, 2, 170 }, Kind { 5, 2, 4, 760 } };
-        auto draw = this->member.random() % 100;
+        auto draw = this->random() % 100;
         const auto& kind = draw < kinds[0].percent ? kinds[0] : draw < kinds[0].percent + kinds[1].percent ? kinds[1]
                                                                                                            : kinds[2];
         Scheduler::Submission submission;
@@ -286,29 +303,34 @@
         submission.untilObjective = kind.runTime * 2;
         submission.sentAt = this->clock();
         submission.entryIncarnation = 1;
-        this->open.insert(submission.job);
-        this->member.context.send(dispatcherAddress, submission);
+        auto entry = this->random() % entryCount;
+        this->open[entry].insert(submission.job);
+        this->members[entry].context.send(dispatcherAddress, submission);
     }
 
     void renewRepeatedly()
     {
-        this->renew(0);
-        this->renewalTimer = this->member.loop->after(renewalInterval, [this] { this->renewRepeatedly(); });
+        // One entry host after the other, each once in the interval.
+        this->renew(this->nextRenewal++ % entryCount, 0);
+        this->renewalTimer = this->loop->after(renewalInterval / entryCount, [this] { this->renewRepeatedly(); });
     }
 
-    void renew(uint64_t request)
+    void renew(size_t number, uint64_t request)
     {
         Scheduler::RenewSubmissions renewal;
-        renewal.jobs.assign(this->open.begin(), this->open.end());
+        renewal.jobs.assign(this->open[number].begin(), this->open[number].end());
         renewal.sentAt = this->clock();
         renewal.entryIncarnation = 1;
         renewal.answeredRequest = request;
-        this->member.context.send(dispatcherAddress, renewal);
+        this->members[number].context.send(dispatcherAddress, renewal);
     }
 
     Instant startedAt {};
     uint64_t submitted { 0 };
-    std::set<std::string> open;
+    Random random { 1 };
+    std::deque<Member> members;
+    std::array<std::set<std::string>, entryCount> open;
+    size_t nextRenewal { 0 };
     std::unique_ptr<Transport::Timer> timer;
     std::unique_ptr<Transport::Timer> renewalTimer;
 };
@@ -460,6 +482,8 @@
     uint64_t holds { 0 };
     uint64_t iterations { 0 };
     uint64_t completed { 0 };
+    uint64_t batchesSent { 0 };
+    uint64_t batchesReceived { 0 };
 };
 
 void print(const Snapshot& from, const Snapshot& to, int seconds, uint64_t otherEnds)
@@ -471,6 +495,7 @@
         counted += microseconds;
         std::printf("%-34s %7.1f us per start\n", name, microseconds / starts);
     };
+    std::printf("%.0f batches sent and %.0f received per second\n", static_cast<double>(to.batchesSent - from.batchesSent) / seconds, static_cast<double>(to.batchesReceived - from.batchesReceived) / seconds);
     std::printf("%.0f starts, %.0f holds, %.0f jobs and %.0f passes per second; %llu jobs did not complete\n", starts / seconds, static_cast<double>(to.holds - from.holds) / seconds, static_cast<double>(to.completed - from.completed) / seconds, static_cast<double>(to.iterations - from.iterations) / seconds, static_cast<unsigned long long>(otherEnds));
     part("submissions and renewals", &Parts::submissions);
     part("selection", &Parts::selection);
@@ -515,25 +540,24 @@
                 relay.onMessage(from, *orders);
         });
     }
-    Entry entry(settings);
+    Entries entries(settings);
     Dispatcher dispatcher(settings, reports, relayAddresses);
 
-    std::vector<std::thread> threads;
-    threads.reserve(2 + relayCount);
+    std::deque<std::thread> threads;
     threads.emplace_back([&] { targetLoop->run(); });
-    threads.emplace_back([&] { entry.member.loop->run(); });
+    threads.emplace_back([&] { entries.loop->run(); });
     for (auto& member : relayMembers)
         threads.emplace_back([&member] { member.loop->run(); });
     Snapshot from;
     Snapshot to;
-    auto takeSnapshot = [&] { return Snapshot { dispatcher.parts, threadCpuMicroseconds(), dispatcher.starts, dispatcher.holds, dispatcher.iterations, entry.completed }; };
+    auto takeSnapshot = [&] { return Snapshot { dispatcher.parts, threadCpuMicroseconds(), dispatcher.starts, dispatcher.holds, dispatcher.iterations, entries.completed, dispatcher.member.batchesSent(), dispatcher.member.batchesReceived }; };
     auto begin = dispatcher.member.loop->after(warmUpTime, [&] { from = takeSnapshot(); });
     auto end = dispatcher.member.loop->after(warmUpTime + Milliseconds(1000) * seconds, [&] {
         to = takeSnapshot();
         dispatcher.member.loop->stop();
     });
     dispatcher.member.loop->run();
-    print(from, to, seconds, entry.others);
+    print(from, to, seconds, entries.others);
     std::fflush(stdout);
     // The other threads are in the middle of their work, which nothing waits for.
     std::_Exit(to.starts > from.starts ? 0 : 1);
