TestTransport: Keep the client of the fixture while its loop runs

The case response_beyond_the_bytes_of_all_unfinished_ones_fails replaced the client, whose timeout h2o still refers to: "memory access violation at address: 0xfffffffffffffff0" in h2o_timeout_get_wake_at(). It uses a second client now.

--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -567,7 +567,9 @@
 BOOST_FIXTURE_TEST_CASE(response_beyond_the_bytes_of_all_unfinished_ones_fails, Fixture)
 {
     size_t failures = 0;
-    client = HttpClient::create(*loop, { 64, 1'000'000, 200'000 }, [&] { ++failures; });
+    // A client must exist as long as its loop runs, so the one of the fixture is kept.
+    auto limited = HttpClient::create(*loop, { 64, 1'000'000, 200'000 }, [&] { ++failures; });
+    std::swap(client, limited);
     serve([](const auto& exchange) {
         exchange->respond(HttpResponse { 200, {}, std::string(exchange->request().target == "/large" ? 300'000 : 100'000, 'x') });
     });
