LibScheduler: Refuse at entry hosts what late dispatchers cannot handle

A dispatcher that gets more jobs than it has CPU time for reads submissions after more than 250 ms, ignores them, and gets them again.

The level is in the answers to renewals and in refusals. Entry hosts refuse locally what no reachable dispatcher admits (503, Retry-After of 1 to 4 s), and prefer shards that admit a job. A dispatcher refuses first submissions above its level without a record, if it knows nothing of their jobs, and does so instead of ignoring late ones while it limits admission.

--- a/Libraries/LibScheduler/Dispatcher/EntryInbox.cpp
+++ b/Libraries/LibScheduler/Dispatcher/EntryInbox.cpp
@@ -31,9 +31,9 @@
     return {};
 }
 
-void EntryInbox::observe(const std::string& member, uint64_t incarnation, Milliseconds sentAt, Instant now)
+Milliseconds EntryInbox::observe(const std::string& member, uint64_t incarnation, Milliseconds sentAt, Instant now)
 {
-    (void)this->transitTimes.excessTransitTime(member, incarnation, sentAt, now);
+    return this->transitTimes.excessTransitTime(member, incarnation, sentAt, now);
 }
 
 bool EntryInbox::submit(JobHome& home, TaskScheduler& scheduler, const std::string& from, const Submission& submission, Instant now)
--- a/Libraries/LibScheduler/Dispatcher/EntryInbox.h
+++ b/Libraries/LibScheduler/Dispatcher/EntryInbox.h
@@ -20,8 +20,9 @@
 public:
     explicit EntryInbox(Milliseconds maximumTransitTime, uint64_t ownIncarnation);
 
-    /// Records a message of any member that is not passed to the scheduler, so that its first submission can be compared with it.
-    void observe(const std::string& member, uint64_t incarnation, Milliseconds sentAt, Instant now);
+    /// Records a message of any member that is not passed to the scheduler, so that its first submission can be compared with it. Returns how
+    /// much longer it was in transit than the fastest recent one.
+    Milliseconds observe(const std::string& member, uint64_t incarnation, Milliseconds sentAt, Instant now);
     /// Submits a job. `from` is its entry host, or the dispatcher that has relayed its request. Returns whether the submission was on time.
     [[nodiscard]] bool submit(JobHome&, TaskScheduler&, const std::string& from, const Submission&, Instant now);
     /// Extends entry leases. Returns the listed jobs that the dispatcher does not know, or nothing if the renewal was not on time.
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -136,6 +136,8 @@
     [[nodiscard]] size_t openRuns() const;
     /// Whether a job is open here, has run here recently, or has runs on the targets of the shard.
     [[nodiscard]] bool mayHaveRuns(const std::string& job) const;
+    /// Whether a job is open here, has ended here recently, or has runs on the targets of the shard.
+    [[nodiscard]] bool knows(const std::string& job) const;
     /// Whether all targets of the shard are known, and have told which runs they have after they had accepted the current fencing token.
     [[nodiscard]] bool hasClaimedTargets() const;
     /// The open jobs that a home of that shard has placed here, and all jobs that are not open, but have runs on the targets.
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerRecords.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerRecords.cpp
@@ -70,6 +70,11 @@
     return held;
 }
 
+bool TaskScheduler::knows(const std::string& job) const
+{
+    return this->jobs.contains(job) || this->finishedJobs.find(job) || this->countRunsOnTargets(job) > 0;
+}
+
 bool TaskScheduler::mayHaveRuns(const std::string& job) const
 {
     if (this->jobs.contains(job))
--- a/Libraries/LibScheduler/Entry/DispatcherDirectory.cpp
+++ b/Libraries/LibScheduler/Entry/DispatcherDirectory.cpp
@@ -79,6 +79,33 @@
     return found;
 }
 
+bool DispatcherDirectory::anyAdmits(const std::string& pool, int64_t priority, std::string_view job, const std::vector<std::string>& excludedShards, Instant now) const
+{
+    std::vector<std::string> reachable;
+    for (const auto& candidate : this->candidates(pool, excludedShards, now))
+        reachable.push_back(candidate.dispatcher->address);
+    if (reachable.empty()) {
+        for (const auto& [shard, dispatcher] : this->dispatchersByShard) {
+            if (std::find(excludedShards.begin(), excludedShards.end(), shard) == excludedShards.end())
+                reachable.push_back(dispatcher.address);
+        }
+    }
+    return std::any_of(reachable.begin(), reachable.end(), [&](const auto& address) { return this->admission.admits(address, priority, job, now); });
+}
+
+std::vector<std::string> DispatcherDirectory::excludeRefusing(const std::string& pool, int64_t priority, std::string_view job, const std::vector<std::string>& excludedShards, Instant now) const
+{
+    auto excluded = excludedShards;
+    bool isAnyLeft = false;
+    for (const auto& candidate : this->candidates(pool, excludedShards, now)) {
+        if (this->admission.admits(candidate.dispatcher->address, priority, job, now))
+            isAnyLeft = true;
+        else
+            excluded.push_back(candidate.dispatcher->shard);
+    }
+    return isAnyLeft ? excluded : excludedShards;
+}
+
 // Returns the dispatcher that has most recently answered or been added, or null if none is known. It gets the jobs of a pool for
 // which no fresh dispatcher has reported targets, because any dispatcher may learn of such targets later. Among dispatchers with
 // the same time, the dispatcher of this entry host's shard is preferred.
--- a/Libraries/LibScheduler/Entry/DispatcherDirectory.h
+++ b/Libraries/LibScheduler/Entry/DispatcherDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibScheduler/Entry/LocalAdmission.h>
 #include <LibScheduler/Entry/ShardChoice.h>
 #include <LibScheduler/Types.h>
 #include <compare>
@@ -61,6 +62,13 @@
     void onAnswer(const std::string& address, Instant now);
     /// Stores the loads that the last answer carried.
     void updateLoads(const std::string& address, const std::vector<PoolLoad>&);
+    /// Stores the admission level that an answer carried.
+    void updateAdmission(const std::string& address, const AdmissionLevel& level, Instant now) { this->admission.update(address, level, now); }
+    /// Whether any dispatcher that is fresh and has targets of the pool admits a job, but for those of the excluded shards. If none of them
+    /// is, any other one counts.
+    [[nodiscard]] bool anyAdmits(const std::string& pool, int64_t priority, std::string_view job, const std::vector<std::string>& excludedShards, Instant now) const;
+    /// The excluded shards and those whose dispatcher does not admit a job; only the former if no other is left.
+    [[nodiscard]] std::vector<std::string> excludeRefusing(const std::string& pool, int64_t priority, std::string_view job, const std::vector<std::string>& excludedShards, Instant now) const;
     /// Resets the silence timeouts of all dispatchers. To be called after a pause of this process, during which it could not
     /// receive their messages.
     void resetSilenceTimeouts(Instant now);
@@ -101,6 +109,7 @@
     Options options;
     std::string ownShard;
     std::map<std::string, KnownDispatcher> dispatchersByShard;
+    LocalAdmission admission;
 };
 
 }
--- a/Libraries/LibScheduler/Entry/JobOwner.cpp
+++ b/Libraries/LibScheduler/Entry/JobOwner.cpp
@@ -206,9 +206,10 @@
     this->effects.renewals.push_back(std::move(renewal));
 }
 
-void JobOwner::onRenewalAnswer(const std::string& from, const std::vector<std::string>& unknownJobs, const std::vector<PoolLoad>& loads, Instant now)
+void JobOwner::onRenewalAnswer(const std::string& from, const std::vector<std::string>& unknownJobs, const std::vector<PoolLoad>& loads, Instant now, const AdmissionLevel& admission)
 {
     this->directory.onAnswer(from, now);
+    this->directory.updateAdmission(from, admission, now);
     this->directory.updateLoads(from, loads);
     this->confirmJobs(from, unknownJobs, now);
     for (const auto& name : unknownJobs) {
@@ -239,7 +240,9 @@
     if (kind == Answer::Kind::Unknown)
         this->noteLeft(job);
     const auto* home = this->directory.home();
-    if (kind == Answer::Kind::Refused && home)
+    // A late dispatcher refuses a first submission without any record.
+    bool isKnownNowhere = reason == dispatcherOverloaded && job.handoverCount == 1;
+    if (kind == Answer::Kind::Refused && home && !isKnownNowhere)
         this->effects.cancellations.push_back(Cancellation { home->address, position->first, true });
     this->effects.answers.push_back(Answer { position->first, kind, std::move(reason), retryAfter, job.dispatcher, job.handoverCount });
     return this->jobs.erase(position);
@@ -248,6 +251,8 @@
 void JobOwner::onOutcome(const std::string& from, const JobOutcome& outcome, Instant now)
 {
     this->directory.onAnswer(from, now);
+    if (outcome.reason == dispatcherOverloaded)
+        this->directory.updateAdmission(from, outcome.admission, now);
     auto position = this->jobs.find(outcome.job);
     if (position == this->jobs.end())
         return;
@@ -330,7 +335,10 @@
     job.refusedBy.push_back(job.shard);
     job.dispatcher.clear();
     this->noteKnownRuns(job, outcome, now);
-    if (!job.hasPausedSinceHandover && job.refusedBy.size() < this->options.maximumRefusals)
+    const auto& submission = job.submission;
+    // A request to the home on behalf of a dispatcher that would refuse the job, too, adds to the load.
+    bool mayBeAdmitted = outcome.reason != dispatcherOverloaded || this->directory.anyAdmits(submission.pool, submission.priority, submission.job, job.refusedBy, now);
+    if (!job.hasPausedSinceHandover && mayBeAdmitted && job.refusedBy.size() < this->options.maximumRefusals)
         this->handOver(job, job.refusedBy, now);
     if (!job.dispatcher.empty())
         return;
--- a/Libraries/LibScheduler/Entry/JobOwner.h
+++ b/Libraries/LibScheduler/Entry/JobOwner.h
@@ -110,8 +110,8 @@
     /// Hands a job over to the shard that its home has chosen, or forgets it if it belongs to another entry host. `from` is the home, or
     /// the dispatcher that has relayed the request.
     void onPlacement(const std::string& from, const Placement&, Instant now);
-    /// Hands over again the jobs that the dispatcher does not know, and stores the loads that it reported.
-    void onRenewalAnswer(const std::string& from, const std::vector<std::string>& unknownJobs, const std::vector<PoolLoad>&, Instant now);
+    /// Hands over again the jobs that the dispatcher does not know, and stores the loads and the admission level that it reported.
+    void onRenewalAnswer(const std::string& from, const std::vector<std::string>& unknownJobs, const std::vector<PoolLoad>&, Instant now, const AdmissionLevel& = {});
     /// Renews all jobs of the dispatcher at once.
     void onRenewalRequest(const std::string& from, uint64_t number, Instant now);
     /// To be called after a pause of this process.
@@ -123,6 +123,8 @@
     [[nodiscard]] bool contains(const std::string& job) const { return this->jobs.contains(job); }
     [[nodiscard]] size_t openJobs() const { return this->jobs.size(); }
     [[nodiscard]] size_t openJobsInQueue(const std::string& queue) const;
+    /// Whether any reachable dispatcher admits a job, as far as is known. Jobs that none admits are refused without adding them.
+    [[nodiscard]] bool isAdmitted(const std::string& pool, int64_t priority, std::string_view job, Instant now) const { return this->directory.dispatchers().empty() || this->directory.anyAdmits(pool, priority, job, {}, now); }
     /// Whether a job could be handed over now.
     [[nodiscard]] bool hasDispatcher() const { return !this->directory.dispatchers().empty(); }
 
--- a/Libraries/LibScheduler/Entry/JobOwnerPlacement.cpp
+++ b/Libraries/LibScheduler/Entry/JobOwnerPlacement.cpp
@@ -13,12 +13,13 @@
 {
     const auto& pool = job.submission.pool;
     const auto* home = this->directory.home();
-    auto choice = this->directory.chooseWithReason(job.submission.job, pool, excludedShards, now);
+    auto excluded = this->directory.excludeRefusing(pool, job.submission.priority, job.submission.job, excludedShards, now);
+    auto choice = this->directory.chooseWithReason(job.submission.job, pool, excluded, now);
     const auto* preferred = choice.dispatcher;
     if (!home || !preferred)
         return;
     bool canAskHome = preferred == home || this->directory.isFresh(*home, now);
-    this->request(job, canAskHome ? *home : *preferred, this->directory.explain(choice, pool, excludedShards, now), now);
+    this->request(job, canAskHome ? *home : *preferred, this->directory.explain(choice, pool, excluded, now), now);
 }
 
 // Asks the home through the receiver, which is the home itself or relays the request.
--- a/Libraries/LibScheduler/Home/JobHome.cpp
+++ b/Libraries/LibScheduler/Home/JobHome.cpp
@@ -90,6 +90,16 @@
         this->hold(from, submission, now, leaseAge);
 }
 
+bool JobHome::isFirst(const TaskScheduler& scheduler, const std::string& from, const Submission& submission) const
+{
+    if (!scheduler.isActive() || entryOf(from, submission) != from || mayHaveEarlierRuns(submission) || submission.untilUnknownRunsEnd > 0 || scheduler.knows(submission.job))
+        return false;
+    if (!submission.placement.isRequested)
+        return !this->terms.isOutdated(submission.placedBy);
+    bool mayDecide = this->isHomeOf(submission.placement.homeShard) && this->readiness.isReady() && !this->readiness.isSuperseded();
+    return mayDecide && this->registry.ownerOf(submission.job).empty();
+}
+
 void JobHome::hold(const std::string& from, const Submission& submission, Instant now, Milliseconds leaseAge)
 {
     auto untilRunsEnd = std::max(submission.untilEarlierRunsEnd, submission.untilOtherShardRunsEnd);
--- a/Libraries/LibScheduler/Home/JobHome.h
+++ b/Libraries/LibScheduler/Home/JobHome.h
@@ -50,6 +50,9 @@
     /// relayed its request. While it is not known what a former home has decided, the submission is held. `leaseAge` is what is used up of the
     /// entry lease already.
     void submit(TaskScheduler&, const std::string& from, const Submission&, Instant now, Milliseconds leaseAge = Milliseconds(0));
+    /// Whether a submission from its entry host is the first one of its job as far as is known here, so that it can be refused as not run
+    /// without any record.
+    [[nodiscard]] bool isFirst(const TaskScheduler&, const std::string& from, const Submission&) const;
     /// Withdraws a job. If nothing of it has run, its place is forgotten, too.
     void cancel(TaskScheduler&, const std::string& entry, const std::string& job, bool hasNotRun, Instant now);
     /// Returns the listed jobs that are unknown here.
--- a/Libraries/LibScheduler/Types.h
+++ b/Libraries/LibScheduler/Types.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibCatalog/Objects.h>
+#include <LibScheduler/AdmissionLevel.h>
 #include <LibScheduler/ClockEcho.h>
 #include <LibScheduler/Placement.h>
 #include <LibTransport/CodecFields.h>
@@ -150,8 +151,10 @@
     Milliseconds::rep untilRunsEnd { 0 };
     /// If the job was refused since its placement is outdated, the term of the later home.
     uint64_t homeTerm { 0 };
+    /// If the job was refused because the event loop of the dispatcher is late, what the dispatcher admits.
+    AdmissionLevel admission;
 
-    CODEC_FIELDS(job, end, reason, retryAfterMilliseconds, waitedMilliseconds, starts, firstRunNumber, untilRunsEnd, homeTerm);
+    CODEC_FIELDS(job, end, reason, retryAfterMilliseconds, waitedMilliseconds, starts, firstRunNumber, untilRunsEnd, homeTerm, admission);
     friend auto operator<=>(const JobOutcome&, const JobOutcome&) = default;
 };
 
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -4,6 +4,7 @@
 #include <LibTelemetry/Log.h>
 #include <LibTransport/Codec.h>
 #include <platform/Paths.h>
+#include <utility>
 
 namespace Sassafrasshift::Daemon {
 
@@ -68,6 +69,7 @@
     if (auto text = Ledger::readFile(this->settingsFile))
         this->settingsText = *text;
     this->tickTimer = this->loop->after(tickInterval, [this] { this->tick(); });
+    this->nextTickAt = this->loop->now() + tickInterval;
     Telemetry::log(LogLevel::Information, "host-started", "the cluster member has started", { { "address", self.address }, { "failureDomain", self.failureDomain } });
     return {};
 }
@@ -250,6 +252,7 @@
 {
     this->tickTimer = this->loop->after(tickInterval, [this] { this->tick(); });
     auto now = this->loop->now();
+    this->dispatch->observeTick(std::exchange(this->nextTickAt, now + tickInterval), now);
     this->detectPause(now);
     auto signals = this->pollSignals ? this->pollSignals() : Signals {};
     if (signals.stop)
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -84,6 +84,7 @@
     std::unique_ptr<Transport::HttpServer> metricsServer;
     std::unique_ptr<Transport::Timer> tickTimer;
     std::function<Signals()> pollSignals;
+    Instant nextTickAt {};
     Instant lastActiveAt {};
     Instant nextUnknownMessageLog {};
     Instant nextGossip {};
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -57,7 +57,10 @@
     Milliseconds::rep sentAt { 0 };
     uint64_t senderIncarnation { 0 };
 
-    CODEC_FIELDS(unknownJobs, loads, sentAt, senderIncarnation);
+    /// Which jobs the dispatcher admits.
+    Scheduler::AdmissionLevel admission {};
+
+    CODEC_FIELDS(unknownJobs, loads, sentAt, senderIncarnation, admission);
 };
 
 /// A target's report, forwarded by the host that accepted it.
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -43,6 +43,7 @@
     , scheduler(makeOptions(context.settings))
     , inbox(jobOwnerOptions.scheduler.maximumTransitTime, context.cluster.processIncarnation())
     , home({})
+    , admission(context)
     , logBudget(logLinesPerSecond)
 {
 }
@@ -64,8 +65,9 @@
 }
 
 // Entry hosts rely on the dispatcher ignoring messages that were delayed in transit.
-void DispatchService::observeTransit(std::string_view metric, bool isOnTime)
+void DispatchService::observeTransit(std::string_view metric, const std::string& from, bool isOnTime)
 {
+    this->admission.observeTransit(from, this->inbox.excessOfLastMessage());
     this->context.metrics.observeMilliseconds(metric, toMilliseconds(this->inbox.excessOfLastMessage()));
     if (!isOnTime)
         this->context.metrics.count("held_up_messages_total");
@@ -88,9 +90,16 @@
 {
     if (submission.placement.isRequested && !this->home.isHomeOf(submission.placement.homeShard))
         return this->relay(from, submission);
+    if (this->admission.refuses(submission, this->context.now()) && this->home.isFirst(this->scheduler, from, submission)) {
+        this->admission.observeTransit(from, this->inbox.observe(from, submission.entryIncarnation, Milliseconds(submission.sentAt), this->context.now()));
+        return this->admission.refuse(from, submission, "level");
+    }
     bool isOnTime = this->inbox.submit(this->home, this->scheduler, from, submission, this->context.now());
-    this->observeTransit("submission_transit_excess_milliseconds", isOnTime);
+    this->observeTransit("submission_transit_excess_milliseconds", from, isOnTime);
     if (!isOnTime) {
+        // Otherwise its entry host would send it again, which a late dispatcher ignores again.
+        if (this->admission.isLimited() && this->home.isFirst(this->scheduler, from, submission))
+            return this->admission.refuse(from, submission, "late");
         if (this->mayLog())
             Telemetry::log(LogLevel::Warning, "submission-ignored", "the submission was in transit for too long", { { "job", submission.job }, { "entry", from }, { "excessMs", std::to_string(this->inbox.excessOfLastMessage().count()) } });
         return;
@@ -106,13 +115,13 @@
 
 void DispatchService::observeTransitTime(const std::string& from, const Gossip& gossip)
 {
-    this->inbox.observe(from, gossip.senderIncarnation, Milliseconds(gossip.sentAt), this->context.now());
+    this->admission.observeTransit(from, this->inbox.observe(from, gossip.senderIncarnation, Milliseconds(gossip.sentAt), this->context.now()));
 }
 
 void DispatchService::onMessage(const std::string& from, const Scheduler::RenewSubmissions& renewal)
 {
     auto unknown = this->inbox.renew(this->home, this->scheduler, from, renewal, this->context.now());
-    this->observeTransit("renewal_transit_excess_milliseconds", unknown.has_value());
+    this->observeTransit("renewal_transit_excess_milliseconds", from, unknown.has_value());
     if (!unknown) {
         if (this->mayLog())
             Telemetry::log(LogLevel::Warning, "renewal-ignored", "the renewal was in transit for too long", { { "entry", from }, { "jobs", std::to_string(renewal.jobs.size()) }, { "excessMs", std::to_string(this->inbox.excessOfLastMessage().count()) } });
@@ -121,7 +130,7 @@
     if (!this->scheduler.isActive())
         return;
     auto sentAt = std::chrono::duration_cast<Milliseconds>(this->context.now().time_since_epoch()).count();
-    this->context.send(from, RenewResponse { std::move(*unknown), this->scheduler.loads(), sentAt, this->context.cluster.processIncarnation() });
+    this->context.send(from, RenewResponse { std::move(*unknown), this->scheduler.loads(), sentAt, this->context.cluster.processIncarnation(), this->admission.level() });
     this->scheduleEffects();
 }
 
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cluster/ClusterContext.h"
+#include "Cluster/DispatchAdmission.h"
 #include <LibScheduler/Dispatcher/EntryInbox.h>
 #include <LibScheduler/Dispatcher/HostSurvey.h>
 #include <LibScheduler/Dispatcher/TaskScheduler.h>
@@ -27,6 +28,8 @@
     /// with earlier messages.
     void observeTransitTime(const std::string& from, const Gossip&);
     void tick(Instant now);
+    /// Records a timer of the event loop that was due at a time.
+    void observeTick(Instant dueAt, Instant now) { this->admission.onTick(dueAt, this->scheduler.isActive(), now); }
     /// To be called after a pause of this process.
     void onPause(Instant now);
 
@@ -36,7 +39,7 @@
     /// Activates or deactivates the scheduler when this member's claim or shard has changed.
     void applyClaim(Instant now);
     /// Records the excess transit time of the last message of an entry host, and counts a message that was ignored.
-    void observeTransit(std::string_view metric, bool isOnTime);
+    void observeTransit(std::string_view metric, const std::string& from, bool isOnTime);
     /// Returns whether another line may be written now, and counts the line if not.
     [[nodiscard]] bool mayLog();
     /// Passes the request of an entry host that does not reach the home of its jobs on to it.
@@ -60,6 +63,7 @@
     Scheduler::TaskScheduler scheduler;
     Scheduler::EntryInbox inbox;
     Scheduler::JobHome home;
+    DispatchAdmission admission;
     Scheduler::HostSurvey survey;
     /// The epoch in which the scheduler is active; zero while it is not.
     uint64_t activeEpoch { 0 };
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -25,6 +25,7 @@
 static constexpr Milliseconds lateSendThreshold { 50 };
 static constexpr unsigned logLinesPerSecond = 300;
 static constexpr unsigned placementLogLinesPerSecond = 100;
+static constexpr unsigned refusalLogLinesPerSecond = 10;
 
 static void respond(const Exchange& exchange, int status, std::string body, Milliseconds retryAfter = Milliseconds(0))
 {
@@ -56,6 +57,7 @@
     , owner({})
     , logBudget(logLinesPerSecond)
     , placementLogBudget(placementLogLinesPerSecond)
+    , refusalLogBudget(refusalLogLinesPerSecond)
 {
 }
 
@@ -118,6 +120,8 @@
         return refuse(exchange, 409, "a job of this name is open in another queue");
     if (!Platform::isValidName(parsed.job))
         return refuse(exchange, 400, "the name of the job is too long, or has characters that are not printable ASCII");
+    if (!this->owner.isAdmitted(parsed.route->pool, parsed.route->priority, parsed.job, now))
+        return this->refuseLocally(exchange, parsed, now);
     auto description = Platform::decodeJob(exchange->request().body);
     if (!description)
         return refuse(exchange, 400, description.error().detail);
@@ -148,6 +152,15 @@
     this->executeEffects();
 }
 
+// Refuses a job that no reachable dispatcher admits, before it costs the dispatchers anything.
+void JobEntry::refuseLocally(const Exchange& exchange, const ParsedRequest& parsed, Instant now)
+{
+    this->context.metrics.count("local_refusals_total{priority=\"" + std::to_string(parsed.route->priority) + "\"}");
+    if (this->mayLog(this->refusalLogBudget, now))
+        Telemetry::log(LogLevel::Information, "job-refused-locally", "no reachable dispatcher admits the job", { { "job", parsed.job }, { "queue", parsed.route->name }, { "priority", std::to_string(parsed.route->priority) } });
+    refuse(exchange, 503, Scheduler::dispatcherOverloaded, Scheduler::LocalAdmission::retryAfter(parsed.job, now));
+}
+
 void JobEntry::addCaller(const std::string& job, const Exchange& exchange)
 {
     this->callers[job].exchanges.push_back(exchange);
@@ -215,7 +228,7 @@
 void JobEntry::onMessage(const std::string& from, const RenewResponse& response)
 {
     this->observeClock(from, response.senderIncarnation, response.sentAt);
-    this->owner.onRenewalAnswer(from, response.unknownJobs, response.loads, this->context.now());
+    this->owner.onRenewalAnswer(from, response.unknownJobs, response.loads, this->context.now(), response.admission);
     this->executeEffects();
 }
 
--- a/Services/sassafrasshiftd/Cluster/JobEntry.h
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.h
@@ -51,6 +51,7 @@
     /// Whether the job that the request names is open here in the queue of the request.
     [[nodiscard]] bool isOpen(const ParsedRequest&) const;
     void submit(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
+    void refuseLocally(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&, Instant now);
     void readStatus(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
     void cancel(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
     /// Adds a caller to those that wait for a job.
@@ -82,6 +83,7 @@
     bool leaving { false };
     Telemetry::LogBudget logBudget;
     Telemetry::LogBudget placementLogBudget;
+    Telemetry::LogBudget refusalLogBudget;
 };
 
 }
