LibScheduler: Keep jobs at dispatchers that are late, and refuse in time

A late dispatcher ignores renewals that were in transit for more than 250 ms, and its entry hosts take it for silent: they hand its jobs over and suspect it, which adds to the load. While it limits admission, it answers such a renewal with its level (AdmissionNotice, appended), which shows that it is not lost. The leases of its jobs are not extended.

A late dispatcher counts the deadline from a late reading and sends the refusal late, so that callers got 504 for jobs that had reached no target. While admission is limited, such jobs are refused earlier by twice the lag, at most 500 ms.

--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -114,6 +114,9 @@
     void endTakenOver(const std::string& job, Instant now);
     /// Sets whether the reports of all targets of the shard were received. Until then, no job is refused for lack of capacity.
     void setKnowsAllTargets(bool knows) { this->knowsAllTargets = knows; }
+    /// Sets by how much the answers to jobs are delayed. Jobs that cannot end in time are refused earlier by that, so that their entry hosts
+    /// still get the refusal before they have to answer that the job may have run.
+    void setAnswerDelay(Milliseconds delay) { this->answerDelay = delay; }
     /// To be called after a pause of this process. No run is started before the targets have reported their runs again.
     void onPause(Instant now);
 
@@ -344,6 +347,7 @@
     FinishedJobs finishedJobs;
     LapsedRuns lapsedRuns;
     bool knowsAllTargets { true };
+    Milliseconds answerDelay { 0 };
     bool isHomeSuperseded { false };
     /// Whether any job may have `awaitsHome` set.
     bool jobsAwaitHome { false };
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
@@ -88,7 +88,7 @@
 bool TaskScheduler::mayMissDeadline(double capacity, Instant now)
 {
     auto longestWait = Milliseconds(capacity > 0 ? static_cast<Milliseconds::rep>(static_cast<double>(this->work.waiting()) / capacity) : 0);
-    while (!this->latestStarts.empty() && std::get<Instant>(*this->latestStarts.begin()) <= now + longestWait + deadlineMargin) {
+    while (!this->latestStarts.empty() && std::get<Instant>(*this->latestStarts.begin()) <= now + longestWait + deadlineMargin + this->answerDelay) {
         auto& job = *std::get<Job*>(*this->latestStarts.begin());
         auto latestStart = job.deadline - job.expectedRunTime;
         if (job.starts == 0 && job.latestStart == latestStart)
@@ -113,7 +113,7 @@
     for (const auto& [rank, entry] : this->jobsByRank) {
         const auto& job = *entry;
         auto wait = capacity > 0 ? Milliseconds(static_cast<Milliseconds::rep>(workAhead / capacity)) : Milliseconds(0);
-        if (job.starts == 0 && job.waiting == job.tasks.size() && now + wait + job.expectedRunTime + deadlineMargin >= job.deadline)
+        if (job.starts == 0 && job.waiting == job.tasks.size() && now + wait + job.expectedRunTime + deadlineMargin + this->answerDelay >= job.deadline)
             missingDeadline.emplace_back(job.submission.job, wait);
         else
             workAhead += static_cast<double>(expectedWork(job, job.waiting));
--- a/Libraries/LibScheduler/Entry/JobOwner.cpp
+++ b/Libraries/LibScheduler/Entry/JobOwner.cpp
@@ -202,6 +202,12 @@
         this->effects.renewals.push_back(std::move(renewal));
 }
 
+void JobOwner::onAdmissionNotice(const std::string& from, const AdmissionLevel& admission, Instant now)
+{
+    this->directory.onAnswer(from, now);
+    this->directory.updateAdmission(from, admission, now);
+}
+
 void JobOwner::onRenewalRequest(const std::string& from, uint64_t number, Instant now)
 {
     this->directory.onAnswer(from, now);
--- a/Libraries/LibScheduler/Entry/JobOwner.h
+++ b/Libraries/LibScheduler/Entry/JobOwner.h
@@ -123,6 +123,9 @@
     void onPlacement(const std::string& from, const Placement&, Instant now);
     /// Hands over again the jobs that the dispatcher does not know, and stores the loads and the admission level that it reported.
     void onRenewalAnswer(const std::string& from, const std::vector<std::string>& unknownJobs, const std::vector<PoolLoad>&, Instant now, const DispatcherState& = {});
+    /// Records that a dispatcher is late: it has ignored a renewal, so that its jobs are not handed over, which would add to its load. The
+    /// leases of the jobs end as if it had not answered.
+    void onAdmissionNotice(const std::string& from, const AdmissionLevel&, Instant now);
     /// Renews all jobs of the dispatcher at once.
     void onRenewalRequest(const std::string& from, uint64_t number, Instant now);
     /// To be called after a pause of this process.
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -69,6 +69,14 @@
     CODEC_FIELDS(unknownJobs, loads, sentAt, senderIncarnation, admission, activeFor, unknownJobsWithRuns, renewalSentAt);
 };
 
+/// The response of a dispatcher that limits what it admits to RenewSubmissions that it ignored for their age. It shows that the dispatcher
+/// is late, not lost; it confirms no job and no lease.
+struct AdmissionNotice {
+    Scheduler::AdmissionLevel admission {};
+
+    CODEC_FIELDS(admission);
+};
+
 /// A target's report, forwarded by the host that accepted it.
 struct ReportNotice {
     Membership::TargetReport report;
@@ -128,6 +136,6 @@
 /// index.
 using ClusterMessage = std::variant<Gossip, Scheduler::Submission, CancelSubmission, Scheduler::RenewSubmissions, RenewResponse, Scheduler::JobOutcome, ReportNotice, ReportAcknowledgment,
     TargetGone, Ledger::Message, JoinRequest, ProposeRequest, ProposeResponse, DocumentRequest, DocumentTransfer, TargetListRequest, TargetListResponse, RenewalRequest, Scheduler::Placement, RelayedRequest,
-    Scheduler::PlacedJobsRequest, Scheduler::PlacedJobsResponse, LeaveRequest, LeaveResponse>;
+    Scheduler::PlacedJobsRequest, Scheduler::PlacedJobsResponse, LeaveRequest, LeaveResponse, AdmissionNotice>;
 
 }
--- a/Services/sassafrasshiftd/Cluster/DispatchAdmission.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchAdmission.cpp
@@ -1,12 +1,15 @@
 #include "Cluster/DispatchAdmission.h"
 #include <LibScheduler/Entry/LocalAdmission.h>
 #include <LibTelemetry/Log.h>
+#include <algorithm>
 
 namespace Sassafrasshift::Daemon {
 
 using Telemetry::LogLevel;
 
 static constexpr unsigned logLinesPerSecond = 2;
+// Submissions that were in transit for longer than 250 ms are ignored, and the tick is late by about as much.
+static constexpr Milliseconds maximumAnswerDelay { 500 };
 
 DispatchAdmission::DispatchAdmission(ClusterContext& context)
     : context(context)
@@ -44,6 +47,11 @@
         this->logLevel(now);
 }
 
+Milliseconds DispatchAdmission::answerDelay() const
+{
+    return this->isLimited() ? std::min(2 * this->monitor.recentLag(), maximumAnswerDelay) : Milliseconds(0);
+}
+
 bool DispatchAdmission::refuses(const Scheduler::Submission& submission, Instant now)
 {
     this->controller.observe(submission.priority, now);
--- a/Services/sassafrasshiftd/Cluster/DispatchAdmission.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchAdmission.h
@@ -19,6 +19,9 @@
 
     [[nodiscard]] const Scheduler::AdmissionLevel& level() const { return this->controller.level(); }
     [[nodiscard]] bool isLimited() const { return !this->level().admitsAll(); }
+    /// By how much the lag delays the answer to a job: its submission was handled late, and so is what decides about it. Zero while jobs are
+    /// admitted without a limit.
+    [[nodiscard]] Milliseconds answerDelay() const;
     /// Records a submission, and returns whether it is above the level.
     [[nodiscard]] bool refuses(const Scheduler::Submission&, Instant now);
     /// Sends the refusal of a job of which nothing has run here. The cause is "level" or "late".
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -123,6 +123,8 @@
     auto unknown = this->inbox.renew(this->home, this->scheduler, from, renewal, this->context.now());
     this->observeTransit("renewal_transit_excess_milliseconds", from, unknown.has_value());
     if (!unknown) {
+        if (this->scheduler.isActive() && this->admission.isLimited())
+            this->context.send(from, AdmissionNotice { this->admission.level() });
         if (this->mayLog())
             Telemetry::log(LogLevel::Warning, "renewal-ignored", "the renewal was in transit for too long", { { "entry", from }, { "jobs", std::to_string(renewal.jobs.size()) }, { "excessMs", std::to_string(this->inbox.excessOfLastMessage().count()) } });
         return;
@@ -249,6 +251,7 @@
     this->applyClaim(now);
     this->continueSurvey(now);
     this->updateHome(now);
+    this->scheduler.setAnswerDelay(this->admission.answerDelay());
     this->scheduler.tick(now);
     this->raiseEpochIfFenced(now);
     this->executeEffects();
--- a/Services/sassafrasshiftd/Cluster/JobEntry.cpp
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.cpp
@@ -238,6 +238,11 @@
     this->executeEffects();
 }
 
+void JobEntry::onMessage(const std::string& from, const AdmissionNotice& notice)
+{
+    this->owner.onAdmissionNotice(from, notice.admission, this->context.now());
+}
+
 void JobEntry::onMessage(const std::string& from, const JobOutcome& outcome)
 {
     this->owner.onOutcome(from, outcome, this->context.now());
--- a/Services/sassafrasshiftd/Cluster/JobEntry.h
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.h
@@ -22,6 +22,7 @@
     void onMessage(const std::string& from, const Scheduler::JobOutcome&);
     void onMessage(const std::string& from, const RenewResponse&);
     void onMessage(const std::string& from, const RenewalRequest&);
+    void onMessage(const std::string& from, const AdmissionNotice&);
     void onMessage(const std::string& from, const Scheduler::Placement&);
     /// Records the clock of a member, which messages to it echo. The message was received just now.
     void observeClock(const std::string& member, uint64_t incarnation, Milliseconds::rep reading);
--- a/Tests/LibScheduler/TestOverload.cpp
+++ b/Tests/LibScheduler/TestOverload.cpp
@@ -163,6 +163,36 @@
     BOOST_TEST(effects.handovers.at(0).submission.placement.preferredShard == "west");
 }
 
+// Guards against handovers because of lag alone.
+BOOST_FIXTURE_TEST_CASE(late_dispatcher_keeps_its_jobs, EntryFixture)
+{
+    this->submit();
+    this->owner.onAdmissionNotice("a", nothing, begin + 600ms);
+    this->answer("b", {});
+    this->owner.onRenewalAnswer("b", {}, {}, begin + 800ms);
+    this->owner.tick(begin + 800ms);
+    BOOST_TEST(this->owner.takeEffects().handovers.empty());
+}
+
+// Guards against 504 for jobs that were not started: a late dispatcher has to refuse them earlier.
+BOOST_AUTO_TEST_CASE(late_dispatcher_refuses_waiting_jobs_before_their_deadline)
+{
+    for (auto delay : { 0ms, 400ms }) {
+        TaskScheduler scheduler { TaskScheduler::Options {} };
+        scheduler.activate(1, begin, {});
+        scheduler.setKnowsAllTargets(false);
+        auto submission = makeJob("job", 1, 1);
+        submission.untilDeadline = 1500;
+        scheduler.submit("entry", submission, begin);
+        scheduler.setAnswerDelay(delay);
+        scheduler.tick(begin + 600ms);
+        auto expectedEnd = std::chrono::milliseconds(submission.estimateMilliseconds);
+        (void)scheduler.renew("entry", { "job" }, begin + 600ms);
+        scheduler.tick(begin + 1100ms - expectedEnd);
+        BOOST_TEST(scheduler.openJobs() == (delay == 0ms ? 1U : 0U));
+    }
+}
+
 // Guards against 504 for jobs whose submission the dispatcher has ignored.
 BOOST_FIXTURE_TEST_CASE(job_without_a_record_is_handed_over_again_as_not_run, EntryFixture)
 {
