Daemon: Handle submissions after all other messages

Renewals, answers of targets, gossip and claims waited behind the submissions that had arrived before them, so that leases ended and jobs were handed over when a dispatcher got many submissions at once.

A cancellation removes the submission that it overtakes.

--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -181,6 +181,50 @@
         this->send(placement.entry, placement);
 }
 
+void ClusterDaemon::handle(const std::string& from, const Scheduler::Submission& submission)
+{
+    this->enqueue({ from, submission, false });
+}
+
+void ClusterDaemon::handle(const std::string& from, const RelayedRequest& request)
+{
+    this->enqueue({ from, request.submission, true });
+}
+
+void ClusterDaemon::handle(const std::string& from, const CancelSubmission& cancellation)
+{
+    this->submissions.cancel(from, cancellation.job);
+    this->dispatch->onMessage(from, cancellation);
+}
+
+void ClusterDaemon::enqueue(Scheduler::SubmissionQueue::Waiting waiting)
+{
+    for (const auto& excess : this->submissions.push(std::move(waiting)))
+        this->deliver(excess);
+    if (std::exchange(this->deliveryScheduled, true))
+        return;
+    this->loop->defer([this] { this->deliverSubmissions(); });
+}
+
+void ClusterDaemon::deliver(const Scheduler::SubmissionQueue::Waiting& waiting)
+{
+    if (waiting.isRelayed)
+        this->dispatch->onMessage(waiting.from, RelayedRequest { waiting.submission });
+    else
+        this->dispatch->onMessage(waiting.from, waiting.submission);
+}
+
+// The event loop reads other messages between two batches.
+void ClusterDaemon::deliverSubmissions()
+{
+    this->detectPause(this->loop->now());
+    for (const auto& waiting : this->submissions.take())
+        this->deliver(waiting);
+    this->deliveryScheduled = !this->submissions.isEmpty();
+    if (this->deliveryScheduled)
+        this->loop->defer([this] { this->deliverSubmissions(); });
+}
+
 template <typename Message>
 void ClusterDaemon::handle(const std::string& from, const Message& message)
 {
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -6,6 +6,7 @@
 #include "Cluster/DocumentLedger.h"
 #include "Cluster/DocumentStore.h"
 #include "Cluster/JobEntry.h"
+#include <LibScheduler/Dispatcher/SubmissionQueue.h>
 #include <LibTransport/HttpClient.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/PeerHub.h>
@@ -45,8 +46,15 @@
     void handle(const std::string& from, const ReportNotice&);
     void handle(const std::string& from, const TargetGone&);
     void handle(const std::string& from, const Scheduler::Placement&);
+    void handle(const std::string& from, const Scheduler::Submission&);
+    void handle(const std::string& from, const RelayedRequest&);
+    void handle(const std::string& from, const CancelSubmission&);
     template <typename Message>
     void handle(const std::string& from, const Message&);
+    void enqueue(Scheduler::SubmissionQueue::Waiting);
+    /// Delivers a batch of the queued submissions, in each iteration of the event loop while there are any.
+    void deliverSubmissions();
+    void deliver(const Scheduler::SubmissionQueue::Waiting&);
     void tick();
     void tickEntry();
     /// The lowest epoch that a new claim may use.
@@ -84,6 +92,8 @@
     std::unique_ptr<Transport::HttpServer> metricsServer;
     std::unique_ptr<Transport::Timer> tickTimer;
     std::function<Signals()> pollSignals;
+    Scheduler::SubmissionQueue submissions { {} };
+    bool deliveryScheduled { false };
     Instant nextTickAt {};
     Instant lastActiveAt {};
     Instant nextUnknownMessageLog {};
--- a/Tests/LibScheduler/TestOverload.cpp
+++ b/Tests/LibScheduler/TestOverload.cpp
@@ -1,5 +1,6 @@
 #include "../../Benchmarks/OverloadModel.h"
 #include "SimulatedTargets.h"
+#include <LibScheduler/Dispatcher/SubmissionQueue.h>
 #include <LibScheduler/Entry/JobOwner.h>
 #include <LibScheduler/Home/JobHome.h>
 #include <boost/test/unit_test.hpp>
@@ -163,6 +164,25 @@
     BOOST_TEST(effects.handovers.at(0).submission.placement.preferredShard == "west");
 }
 
+// Guards against a start of a job after its cancellation, which is handled first.
+BOOST_AUTO_TEST_CASE(cancelled_submission_leaves_the_queue)
+{
+    SubmissionQueue queue({ .batch = 2, .maximumSubmissions = 3 });
+    for (const auto* job : { "a", "b", "c" })
+        BOOST_TEST(queue.push({ "entry", makeJob(job, 1, 1) }).empty());
+    queue.cancel("other", "a");
+    queue.cancel("entry", "b");
+    BOOST_TEST(queue.push({ "entry", makeJob("d", 1, 1) }).empty());
+    auto excess = queue.push({ "entry", makeJob("e", 1, 1) });
+    BOOST_REQUIRE(excess.size() == 1U);
+    BOOST_TEST(excess.at(0).submission.job == "a");
+    BOOST_TEST(queue.take().size() == 2U);
+    auto last = queue.take();
+    BOOST_REQUIRE(last.size() == 1U);
+    BOOST_TEST(last.at(0).submission.job == "e");
+    BOOST_TEST(queue.isEmpty());
+}
+
 // Guards against handovers because of lag alone.
 BOOST_FIXTURE_TEST_CASE(late_dispatcher_keeps_its_jobs, EntryFixture)
 {
