LibScheduler: Admit all jobs while lag is not caused by them

A trial with the processes of Tests/Cluster stopped the dispatcher for 200 ms of each 230 ms by signals. The lag of 189 ms lasted whatever was admitted, the level fell to 2 % of the most urgent class and stayed there: 40 jobs were served in 6 s, and 160 refused.

If the lag lasts for 1 s at the lowest level, all jobs are admitted and the lag is ignored for 10 s, unless it ends before. The script was not kept.

After a pause of an entry host, a job that has no dispatcher and cannot have run is answered with 503 also if it was handed over before.

Tests: TestOverload, TestLibScheduler, ctest -R '^Cluster$' once.

--- a/Libraries/LibScheduler/Dispatcher/AdmissionController.cpp
+++ b/Libraries/LibScheduler/Dispatcher/AdmissionController.cpp
@@ -50,12 +50,22 @@
 {
     this->currentLevel = {};
     this->nextReduction = {};
+    this->futileSince = {};
 }
 
 void AdmissionController::reduce(Milliseconds lag, double classCount, Instant now)
 {
     if (now < this->nextReduction)
         return;
+    if (this->isAtMinimum()) {
+        this->futileSince = this->futileSince.value_or(now);
+        if (now - *this->futileSince < this->options.futileTime)
+            return;
+        this->position = classCount;
+        this->futileSince = {};
+        this->lagIgnoredUntil = now + this->options.ignoredTime;
+        return;
+    }
     if (this->currentLevel.admitsAll())
         this->position = classCount;
     auto ratio = std::clamp(toMilliseconds(lag) / toMilliseconds(this->options.upperLag), 1.0, strongLagRatio);
@@ -70,6 +80,7 @@
     auto growth = std::min(std::ldexp(firstGrowth, static_cast<int>(this->raises / 2)), largestGrowth);
     this->position = std::min(this->position * (1 + growth), classCount);
     ++this->raises;
+    this->futileSince = {};
 }
 
 AdmissionLevel AdmissionController::levelAt(const std::vector<int64_t>& priorities) const
@@ -92,6 +103,10 @@
     bool isLimited = !this->currentLevel.admitsAll();
     // Once less is admitted, a return of the lag needs no proof that it lasts.
     auto lag = isLimited ? load.recentLag() : load.sustainedLag();
+    if (load.recentLag() < this->options.lowerLag)
+        this->lagIgnoredUntil = {};
+    if (lag > this->options.upperLag && now < this->lagIgnoredUntil)
+        return false;
     if (lag > this->options.upperLag)
         this->reduce(lag, classCount, now);
     else if (isLimited && load.recentLag() < this->options.lowerLag)
--- a/Libraries/LibScheduler/Dispatcher/AdmissionController.h
+++ b/Libraries/LibScheduler/Dispatcher/AdmissionController.h
@@ -4,6 +4,7 @@
 #include <LibScheduler/AdmissionLevel.h>
 #include <LibScheduler/Dispatcher/LoadMonitor.h>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Sassafrasshift::Scheduler {
@@ -23,6 +24,10 @@
         Milliseconds interval { 130 };
         /// After a reduction, entry hosts learn of the level with their next renewal; a further one waits for its effect.
         Milliseconds reductionInterval { 450 };
+        /// If the lag lasts for this time although hardly any job is admitted, jobs are not its cause, for example because the host stops
+        /// the process again and again. All jobs are admitted then, and for the second time the lag is ignored, unless it ends before.
+        Milliseconds futileTime { 1000 };
+        Milliseconds ignoredTime { 10'000 };
     };
 
     explicit AdmissionController(Options);
@@ -51,6 +56,9 @@
     double position { 0 };
     /// The number of raises since the last reduction.
     uint32_t raises { 0 };
+    /// Since when the least is admitted although the lag lasts.
+    std::optional<Instant> futileSince;
+    Instant lagIgnoredUntil {};
     Instant nextChange {};
     Instant nextReduction {};
 };
--- a/Libraries/LibScheduler/Entry/JobOwner.cpp
+++ b/Libraries/LibScheduler/Entry/JobOwner.cpp
@@ -420,7 +420,7 @@
         auto& job = position->second;
         job.hasPausedSinceHandover = true;
         if (job.dispatcher.empty())
-            position = this->finishWithAnswer(position, job.handoverCount == 0 ? Answer::Kind::Refused : Answer::Kind::Unknown, "entry-paused");
+            position = this->finishWithAnswer(position, mayHaveRun(job) ? Answer::Kind::Unknown : Answer::Kind::Refused, "entry-paused");
         else
             ++position;
     }
--- a/Tests/LibScheduler/TestOverload.cpp
+++ b/Tests/LibScheduler/TestOverload.cpp
@@ -50,6 +50,23 @@
     }
 }
 
+// Guards against refusals for as long as a host stops the process again and again, which refusals do not end.
+BOOST_AUTO_TEST_CASE(lag_that_jobs_do_not_cause_refuses_few_jobs)
+{
+    LoadMonitor monitor({});
+    AdmissionController controller({});
+    int limited = 0;
+    auto end = begin + 60s;
+    for (auto time = begin; time < end; time += 200ms) {
+        controller.observe(1, time);
+        monitor.onTick(time, time + 180ms);
+        (void)controller.update(monitor, time + 180ms);
+        limited += controller.level().admitsAll() ? 0 : 1;
+    }
+    BOOST_TEST(limited > 0);
+    BOOST_TEST(limited < 150);
+}
+
 static Milliseconds sustainedLag(Milliseconds timerDelay, size_t lateSenders)
 {
     LoadMonitor monitor({});
