--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -122,6 +122,9 @@
     void endTakenOver(const std::string& job, Instant now);
     /// Sets whether the reports of all targets of the shard were received. Until then, no job is refused for lack of capacity.
     void setKnowsAllTargets(bool knows) { this->knowsAllTargets = knows; }
+    /// Sets by how much the answers to jobs are delayed. Jobs that cannot end in time are refused earlier by that, so that their entry hosts
+    /// still get the refusal before they have to answer that the job may have run.
+    void setAnswerDelay(Milliseconds delay) { this->answerDelay = delay; }
     /// To be called after a pause of this process. No run is started before the targets have reported their runs again.
     void onPause(Instant now);
 
@@ -151,6 +154,8 @@
     [[nodiscard]] size_t openRuns() const;
     /// Whether a job is open here, has run here recently, or has runs on the targets of the shard.
     [[nodiscard]] bool mayHaveRuns(const std::string& job) const;
+    /// Whether a job is open here, has ended here recently, or has runs on the targets of the shard.
+    [[nodiscard]] bool knows(const std::string& job) const;
     /// Whether all targets of the shard are known, and have told which runs they have after they had accepted the current fencing token.
     [[nodiscard]] bool hasClaimedTargets() const;
     /// The open jobs that a home of that shard has placed here, and all jobs that are not open, but have runs on the targets.
@@ -375,6 +380,7 @@
     LapsedRuns lapsedRuns;
     EvacuationFilter evacuations;
     bool knowsAllTargets { true };
+    Milliseconds answerDelay { 0 };
     bool isHomeSuperseded { false };
     /// Whether any job may have `awaitsHome` set.
     bool jobsAwaitHome { false };
--- a/Libraries/LibScheduler/Home/JobHome.cpp
+++ b/Libraries/LibScheduler/Home/JobHome.cpp
@@ -90,6 +90,16 @@
         this->hold(from, submission, now, leaseAge);
 }
 
+bool JobHome::isFirst(const TaskScheduler& scheduler, const std::string& from, const Submission& submission) const
+{
+    if (!scheduler.isActive() || entryOf(from, submission) != from || mayHaveEarlierRuns(submission) || submission.untilUnknownRunsEnd > 0 || scheduler.knows(submission.job))
+        return false;
+    if (!submission.placement.isRequested)
+        return !this->terms.isOutdated(submission.placedBy);
+    bool mayDecide = this->isHomeOf(submission.placement.homeShard) && this->readiness.isReady() && !this->readiness.isSuperseded();
+    return mayDecide && this->registry.ownerOf(submission.job).empty();
+}
+
 void JobHome::hold(const std::string& from, const Submission& submission, Instant now, Milliseconds leaseAge)
 {
     auto untilRunsEnd = std::max(submission.untilEarlierRunsEnd, submission.untilOtherShardRunsEnd);
@@ -148,6 +158,13 @@
     return unknown;
 }
 
+std::vector<std::string> JobHome::withRecords(const TaskScheduler& scheduler, const std::vector<std::string>& jobs) const
+{
+    std::vector<std::string> found;
+    std::copy_if(jobs.begin(), jobs.end(), std::back_inserter(found), [&](const auto& job) { return scheduler.knows(job) || this->registry.isInOtherShard(job); });
+    return found;
+}
+
 // Decides about the held submissions that can be decided now, in the order of their arrival; before the others, those of entry hosts that
 // know of earlier runs.
 void JobHome::decideHeld(TaskScheduler& scheduler)
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <malloc.h>
 #include <platform/Paths.h>
+#include <utility>
 
 namespace Sassafrasshift::Daemon {
 
@@ -79,6 +80,7 @@
     if (auto text = Ledger::readFile(this->settingsFile))
         this->settingsText = *text;
     this->tickTimer = this->loop->after(tickInterval, [this] { this->tick(); });
+    this->nextTickAt = this->loop->now() + tickInterval;
     Telemetry::log(LogLevel::Information, "host-started", "the cluster member has started", { { "address", self.address }, { "failureDomain", self.failureDomain } });
     return {};
 }
@@ -262,6 +264,50 @@
         this->send(placement.entry, placement);
 }
 
+void ClusterDaemon::handle(const std::string& from, const Scheduler::Submission& submission)
+{
+    this->enqueue({ from, submission, false });
+}
+
+void ClusterDaemon::handle(const std::string& from, const RelayedRequest& request)
+{
+    this->enqueue({ from, request.submission, true });
+}
+
+void ClusterDaemon::handle(const std::string& from, const CancelSubmission& cancellation)
+{
+    this->submissions.cancel(from, cancellation.job);
+    this->dispatch->onMessage(from, cancellation);
+}
+
+void ClusterDaemon::enqueue(Scheduler::SubmissionQueue::Waiting waiting)
+{
+    for (const auto& excess : this->submissions.push(std::move(waiting)))
+        this->deliver(excess);
+    if (std::exchange(this->deliveryScheduled, true))
+        return;
+    this->loop->defer([this] { this->deliverSubmissions(); });
+}
+
+void ClusterDaemon::deliver(const Scheduler::SubmissionQueue::Waiting& waiting)
+{
+    if (waiting.isRelayed)
+        this->dispatch->onMessage(waiting.from, RelayedRequest { waiting.submission });
+    else
+        this->dispatch->onMessage(waiting.from, waiting.submission);
+}
+
+// The event loop reads other messages between two batches.
+void ClusterDaemon::deliverSubmissions()
+{
+    this->detectPause(this->loop->now());
+    for (const auto& waiting : this->submissions.take())
+        this->deliver(waiting);
+    this->deliveryScheduled = !this->submissions.isEmpty();
+    if (this->deliveryScheduled)
+        this->loop->defer([this] { this->deliverSubmissions(); });
+}
+
 template <typename Message>
 void ClusterDaemon::handle(const std::string& from, const Message& message)
 {
@@ -338,6 +384,7 @@
 {
     this->tickTimer = this->loop->after(tickInterval, [this] { this->tick(); });
     auto now = this->loop->now();
+    this->dispatch->observeTick(std::exchange(this->nextTickAt, now + tickInterval), now);
     this->detectPause(now);
     auto signals = this->pollSignals ? this->pollSignals() : Signals {};
     if (signals.stop)
--- a/Services/sassafrasshiftd/Cluster/ClusterMessages.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterMessages.h
@@ -58,7 +58,24 @@
     Milliseconds::rep sentAt { 0 };
     uint64_t senderIncarnation { 0 };
 
-    CODEC_FIELDS(unknownJobs, loads, sentAt, senderIncarnation);
+    /// Which jobs the dispatcher admits.
+    Scheduler::AdmissionLevel admission {};
+    /// For how long the sender has kept records of what it starts, in milliseconds; zero if it does not say.
+    Milliseconds::rep activeFor { 0 };
+    /// The unknown jobs of which it may have started something.
+    std::vector<std::string> unknownJobsWithRuns {};
+    /// The time of sending of the renewal.
+    Milliseconds::rep renewalSentAt { 0 };
+
+    CODEC_FIELDS(unknownJobs, loads, sentAt, senderIncarnation, admission, activeFor, unknownJobsWithRuns, renewalSentAt);
+};
+
+/// The response of a dispatcher that limits what it admits to RenewSubmissions that it ignored for their age. It shows that the dispatcher
+/// is late, not lost; it confirms no job and no lease.
+struct AdmissionNotice {
+    Scheduler::AdmissionLevel admission {};
+
+    CODEC_FIELDS(admission);
 };
 
 /// A target's report, forwarded by the host that accepted it.
@@ -134,6 +151,6 @@
 /// index.
 using ClusterMessage = std::variant<Gossip, Scheduler::Submission, CancelSubmission, Scheduler::RenewSubmissions, RenewResponse, Scheduler::JobOutcome, ReportNotice, ReportAcknowledgment,
     TargetGone, Ledger::Message, JoinRequest, ProposeRequest, ProposeResponse, DocumentRequest, DocumentTransfer, TargetListRequest, TargetListResponse, RenewalRequest, Scheduler::Placement, RelayedRequest,
-    Scheduler::PlacedJobsRequest, Scheduler::PlacedJobsResponse, LeaveRequest, LeaveResponse, Scheduler::RelayedOrders, Scheduler::RelayedAnswers, EvacuationRequest, EvacuationTransfer>;
+    Scheduler::PlacedJobsRequest, Scheduler::PlacedJobsResponse, LeaveRequest, LeaveResponse, Scheduler::RelayedOrders, Scheduler::RelayedAnswers, EvacuationRequest, EvacuationTransfer, AdmissionNotice>;
 
 }
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cluster/ClusterContext.h"
+#include "Cluster/DispatchAdmission.h"
 #include "Cluster/OrderSender.h"
 #include <LibScheduler/Dispatcher/EntryInbox.h>
 #include <LibScheduler/Dispatcher/HostSurvey.h>
@@ -30,6 +31,8 @@
     /// Null if they are not known yet.
     void setEvacuatedDomains(const std::set<std::string>* domains) { this->scheduler.setEvacuatedDomains(domains); }
     void tick(Instant now);
+    /// Records a timer of the event loop that was due at a time.
+    void observeTick(Instant dueAt, Instant now) { this->admission.onTick(dueAt, this->scheduler.isActive(), now); }
     /// To be called after a pause of this process.
     void onPause(Instant now);
 
@@ -39,7 +42,7 @@
     /// Activates or deactivates the scheduler when this member's claim or shard has changed.
     void applyClaim(Instant now);
     /// Records the excess transit time of the last message of an entry host, and counts a message that was ignored.
-    void observeTransit(std::string_view metric, bool isOnTime);
+    void observeTransit(std::string_view metric, const std::string& from, bool isOnTime);
     /// Returns whether another line may be written now, and counts the line if not.
     [[nodiscard]] bool mayLog();
     /// Passes the request of an entry host that does not reach the home of its jobs on to it.
@@ -65,10 +68,13 @@
     Scheduler::TaskScheduler scheduler;
     Scheduler::EntryInbox inbox;
     Scheduler::JobHome home;
+    DispatchAdmission admission;
     Scheduler::HostSurvey survey;
     /// The epoch in which the scheduler is active; zero while it is not.
     uint64_t activeEpoch { 0 };
     std::string activeShard;
+    /// Since when the scheduler has been active without a break.
+    Instant activeSince {};
     Instant nextEpochRaise {};
     Instant nextStateLog {};
     Telemetry::LogBudget logBudget;
--- a/Services/sassafrasshiftd/Cluster/JobEntry.h
+++ b/Services/sassafrasshiftd/Cluster/JobEntry.h
@@ -22,6 +22,7 @@
     void onMessage(const std::string& from, const Scheduler::JobOutcome&);
     void onMessage(const std::string& from, const RenewResponse&);
     void onMessage(const std::string& from, const RenewalRequest&);
+    void onMessage(const std::string& from, const AdmissionNotice&);
     void onMessage(const std::string& from, const Scheduler::Placement&);
     /// Records the clock of a member, which messages to it echo. The message was received just now.
     void observeClock(const std::string& member, uint64_t incarnation, Milliseconds::rep reading);
@@ -51,6 +52,7 @@
     /// Whether the job that the request names is open here in the queue of the request.
     [[nodiscard]] bool isOpen(const ParsedRequest&) const;
     void submit(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
+    void refuseLocally(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&, Instant now);
     void readStatus(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
     void cancel(const std::shared_ptr<Transport::HttpExchange>&, const ParsedRequest&);
     /// Adds a caller to those that wait for a job.
@@ -82,6 +84,7 @@
     bool leaving { false };
     Telemetry::LogBudget logBudget;
     Telemetry::LogBudget placementLogBudget;
+    Telemetry::LogBudget refusalLogBudget;
 };
 
 }
