LibScheduler: Keep tasks apart that slow each other down on a target

Tasks that share a target may slow each other down, and the scheduler packs them by free capacity only, so that a queue that suffers from another one is placed next to it again and again.

InterferenceModel learns from completed runs how much longer those of one queue take next to those of another, apart from the speed of the target, its kind and the usual error of the estimates. Once the effect is certain, the expected run time on targets where such a queue runs counts as longer. It only decides between targets that have room. Setting separateInterfering, default false; metrics interference_ratio, interference_seconds and separated_tasks_total; log lines interference-found and interference-ended.

--- a/Libraries/LibScheduler/Dispatcher/Decision.h
+++ b/Libraries/LibScheduler/Dispatcher/Decision.h
@@ -49,6 +49,9 @@
         /// Capacity is short, and is shared from now on; or it no longer is.
         SharingBegan,
         SharingEnded,
+        /// Placement begins or ceases to keep tasks of two queues apart.
+        InterferenceFound,
+        InterferenceEnded,
     };
 
     Kind kind { Kind::TargetAnswers };
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
@@ -18,6 +18,7 @@
     : options(options)
     , finishedJobs(options.outcomeRetention)
     , shares({})
+    , interference({})
 {
 }
 
@@ -64,6 +65,7 @@
     this->finishedJobs.clear();
     this->lapsedRuns.clear();
     this->shares.clear();
+    this->interference = InterferenceModel({});
     this->isHomeSuperseded = false;
     this->jobsAwaitHome = false;
     this->effects = {};
@@ -342,6 +344,9 @@
 void TaskScheduler::adoptRun(Job& job, Task& task, TargetSession& session, const RunId& id, Instant now)
 {
     session.adopt(id, job.submission.needs, job.lease, now);
+    auto target = this->targets.find(TargetKey { session.target().identity, session.target().address });
+    if (this->options.separateInterfering && target != this->targets.end())
+        this->interference.onStarted(target->second.neighbours, id, job.submission.queue, false, now);
     this->recordDecision(Decision::Kind::RunAdopted, session.target().identity, id, "the target reported a run of a submitted job");
     task.state = TaskState::Placed;
     task.target = session.target().identity;
@@ -499,6 +504,7 @@
         this->recordDecision(Decision::Kind::RunStopped, target.session.target().identity, event.run, "a run that was ordered to stop has ended", event.evidence);
     if (event.evidence->proof == RunEndProof::LeaseExpired)
         this->lapsedRuns.add(target.session.target().identity, event.run, *event.evidence, now);
+    this->observeNeighbours(target, event, now);
     auto position = this->jobs.find(event.run.task.job);
     if (position == this->jobs.end() || event.run.task.index >= position->second.tasks.size())
         return;
@@ -707,6 +713,7 @@
     this->observeUnfinishedRuns(now);
     this->restartStalledRuns(now);
     this->updateSharing(now);
+    this->updateInterference(now);
     this->demoteLateJobs(now);
     this->refuseJobsMissingDeadline(now);
     this->removeExpiredOutcomes(now);
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -4,6 +4,7 @@
 #include <LibScheduler/Dispatcher/CapacityShares.h>
 #include <LibScheduler/Dispatcher/Decision.h>
 #include <LibScheduler/Dispatcher/FinishedJobs.h>
+#include <LibScheduler/Dispatcher/InterferenceModel.h>
 #include <LibScheduler/Dispatcher/JobRank.h>
 #include <LibScheduler/Dispatcher/LapsedRuns.h>
 #include <LibScheduler/Dispatcher/SpeedEstimator.h>
@@ -20,6 +21,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Sassafrasshift::Scheduler {
@@ -43,6 +45,8 @@
         size_t maximumTasks { 200'000 };
         /// Whether capacity is shared between failure domains of origin and queues while it is short; see CapacityShares.
         bool shareCapacity { false };
+        /// Whether tasks are kept apart that slow each other down on the same target, where others have room; see InterferenceModel.
+        bool separateInterfering { false };
     };
 
     /// Notifies an entry host of the outcome of a job.
@@ -138,6 +142,9 @@
     void setShareWeights(std::map<std::string, double> domains, std::map<std::string, double> queues) { this->shares.setWeights(std::move(domains), std::move(queues)); }
     /// What has become of the jobs of each share since the last call; empty unless capacity is shared.
     [[nodiscard]] std::map<CapacityShares::Share, CapacityShares::Counts> takeShareCounts() { return this->shares.takeCounts(); }
+    /// The pairs of queues whose tasks are kept apart, and how many tasks were placed elsewhere for it since the last call.
+    [[nodiscard]] std::vector<InterferenceModel::Pair> interferingPairs() const { return this->interference.pairs(); }
+    [[nodiscard]] uint64_t takeSeparatedTasks() { return std::exchange(this->separatedTasks, 0); }
     [[nodiscard]] bool isSharingCapacity() const { return this->shares.isSharing(); }
     /// The number of targets with a session.
     [[nodiscard]] size_t targetCount() const { return this->targets.size(); }
@@ -233,6 +240,7 @@
         /// What the target adds to the sums.
         std::string countedPool {};
         int64_t countedMilliCores { 0 };
+        InterferenceModel::TargetRuns neighbours {};
     };
 
     /// A target that can start runs, as seen in one pass over the queue.
@@ -258,6 +266,8 @@
         bool isSearched { false };
         /// Whether some target was left out because the job would end late there.
         bool isRefusedAsLate { false };
+        /// Whether another target would have been chosen if tasks were not kept apart.
+        bool isSeparated { false };
     };
 
     /// Returns the last search, which has failed if tasks that may start are left.
@@ -278,6 +288,8 @@
     [[nodiscard]] bool mayStartTasks(const Job&, Instant now) const;
     void processEvents(Target&, Instant now);
     [[nodiscard]] bool mayHaveBeenTakenOver(const Job&, const Task&) const;
+    void observeNeighbours(Target&, const TargetSession::Event&, Instant now);
+    void updateInterference(Instant now);
     void observeRun(const Job&, Target&, Milliseconds duration, Instant now);
     void onRunEnded(Target&, const TargetSession::Event&, Instant now);
     void onRunDiscovered(TargetSession&, const RunId&, Instant now);
@@ -370,6 +382,8 @@
     uint64_t arrivals { 0 };
     SpeedEstimator speeds;
     CapacityShares shares;
+    InterferenceModel interference;
+    uint64_t separatedTasks { 0 };
     /// The queues of which some run was seen to progress.
     std::set<std::string> queuesWithProgress;
     Instant nextOutcomeCleanup {};
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
@@ -1,5 +1,6 @@
 #include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 // Placement of tasks on targets of different kinds, some of which may be temporarily slow.
@@ -71,6 +72,10 @@
     // While capacity is short, work that would end late is not started.
     bool refusesLateStart = this->shares.isSharing() && job.starts == 0 && !job.rank.isLate;
     std::pair<Milliseconds, int64_t> bestScore {};
+    // The choice without regard to interference.
+    const FreeTarget* plainChoice = nullptr;
+    std::pair<Milliseconds, int64_t> bestPlainScore {};
+    auto kind = this->interference.hasPairs() ? this->interference.findKind(submission.queue) : std::nullopt;
     for (auto& candidate : this->freeTargets) {
         if (!submission.needs.fitInto(candidate.free))
             continue;
@@ -93,11 +98,19 @@
             continue;
         }
         std::pair score { expected, candidate.free.minus(submission.needs).milliCores };
+        if (kind) {
+            if ((!plainChoice || score < bestPlainScore) && session.canLease(*job.lease, now)) {
+                plainChoice = &candidate;
+                bestPlainScore = score;
+            }
+            score.first = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expected) * this->interference.penalty(candidate.target->neighbours, *kind)));
+        }
         if ((!choice.target || score < bestScore) && session.canLease(*job.lease, now)) {
             choice.target = &candidate;
             bestScore = score;
         }
     }
+    choice.isSeparated = kind && choice.target != plainChoice;
     return choice;
 }
 
@@ -123,6 +136,9 @@
         }
         session.start(RunId { TaskId { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, job.submission.needs, job.submission.payload, job.lease, now);
         choice.target->free = session.freeCapacity();
+        this->separatedTasks += choice.isSeparated ? 1 : 0;
+        if (this->options.separateInterfering)
+            this->interference.onStarted(choice.target->target->neighbours, RunId { TaskId { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, job.submission.queue, true, now);
     }
     this->updateQueue(job);
     return choice;
@@ -190,6 +206,35 @@
         this->speeds.observe(job.submission.queue, kind, estimate, duration);
 }
 
+// Runs on a target that is currently slow say nothing about their neighbours.
+void TaskScheduler::observeNeighbours(Target& target, const TargetSession::Event& event, Instant now)
+{
+    if (!this->options.separateInterfering)
+        return;
+    std::optional<InterferenceModel::Sample> sample;
+    auto job = this->jobs.find(event.run.task.job);
+    if (event.end == RunEnd::Done && job != this->jobs.end() && target.speed.slowness(now) < maximumUsableSlowness) {
+        const auto& submission = job->second.submission;
+        sample = InterferenceModel::Sample { event.duration, Milliseconds(submission.estimateMilliseconds), submission.taskCount };
+    }
+    this->interference.onEnded(target.neighbours, event.run, sample, now);
+}
+
+void TaskScheduler::updateInterference(Instant now)
+{
+    if (!this->options.separateInterfering)
+        return;
+    for (const auto& [pair, hasBegun] : this->interference.evaluate(now)) {
+        auto percent = std::to_string(std::lround((pair.ratio - 1) * 100));
+        auto since = std::chrono::duration_cast<std::chrono::seconds>(now - pair.since).count();
+        auto cause = "runs of " + pair.queue + " take " + percent + " % longer next to runs of " + pair.neighbour;
+        if (hasBegun)
+            this->recordDecision(Decision::Kind::InterferenceFound, {}, {}, cause + "; they are kept apart where targets have room");
+        else
+            this->recordDecision(Decision::Kind::InterferenceEnded, {}, {}, cause + ", which is no longer certain after " + std::to_string(since) + " s; they are not kept apart any more");
+    }
+}
+
 // Detects slow targets by their runs that already take longer than usual, before these runs end.
 void TaskScheduler::observeUnfinishedRuns(Instant now)
 {
--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -65,6 +65,7 @@
     settings.orderRelayWeight = static_cast<int64_t>(relayCores * milliCoresPerCore);
     settings.maximumLease = reader.duration("maximumLease", 100ms, 600s, 1s);
     settings.shareCapacity = reader.boolean("shareCapacity", false);
+    settings.separateInterfering = reader.boolean("separateInterfering", false);
     settings.domainWeights = readWeights(reader, "domainWeights");
     settings.queueWeights = readWeights(reader, "queueWeights");
     settings.shutdownTimeout = reader.duration("shutdownTimeout", 1s, 600s, 30s);
--- a/Libraries/LibSettings/ClusterSettings.h
+++ b/Libraries/LibSettings/ClusterSettings.h
@@ -46,6 +46,8 @@
     Milliseconds maximumLease { 0 };
     /// Whether a dispatcher shares capacity between failure domains and queues while it is short.
     bool shareCapacity { false };
+    /// Whether a dispatcher keeps tasks apart that slow each other down on the same target.
+    bool separateInterfering { false };
     /// The weights of failure domains and queues that differ from 1.
     std::map<std::string, double> domainWeights {};
     std::map<std::string, double> queueWeights {};
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -36,6 +36,7 @@
     options.leases.holdWait = std::min(options.leases.holdWait, options.leases.maximumLease / 2);
     options.leases.answerTimeout = OrderSender::holdAnswerTimeout(settings);
     options.shareCapacity = settings.shareCapacity;
+    options.separateInterfering = settings.separateInterfering;
     return options;
 }
 
@@ -326,6 +327,10 @@
         return "sharing-began";
     case Kind::SharingEnded:
         return "sharing-ended";
+    case Kind::InterferenceFound:
+        return "interference-found";
+    case Kind::InterferenceEnded:
+        return "interference-ended";
     }
     return "unknown";
 }
@@ -417,12 +422,31 @@
     }
 }
 
+// The number of pairs is limited by InterferenceModel::Options::maximumKinds.
+void DispatchService::countInterference(Instant now)
+{
+    auto names = [](const auto& pair) { return "{queue=\"" + pair.queue + "\",neighbour=\"" + pair.neighbour + "\"}"; };
+    // A pair that is no longer kept apart has the ratio 1.
+    for (const auto& labels : std::exchange(this->interferenceLabels, {})) {
+        this->context.metrics.setGauge("interference_ratio" + labels, 1);
+        this->context.metrics.setGauge("interference_seconds" + labels, 0);
+    }
+    for (const auto& pair : this->scheduler.interferingPairs()) {
+        this->context.metrics.setGauge("interference_ratio" + names(pair), pair.ratio);
+        this->context.metrics.setGauge("interference_seconds" + names(pair), toMilliseconds(now - pair.since) / 1000);
+        this->interferenceLabels.push_back(names(pair));
+    }
+    if (auto tasks = this->scheduler.takeSeparatedTasks(); tasks > 0)
+        this->context.metrics.count("separated_tasks_total", tasks);
+}
+
 void DispatchService::logStateIfDue(Instant now)
 {
     if (!this->scheduler.isActive() || now < this->nextStateLog)
         return;
     this->nextStateLog = now + stateLogInterval;
     this->countShares();
+    this->countInterference(now);
     auto counts = this->scheduler.countTargets(now);
     Telemetry::log(LogLevel::Information, "dispatch-state", "state of the dispatcher on this member",
         { { "openJobs", std::to_string(this->scheduler.openJobs()) }, { "waitingTasks", std::to_string(this->scheduler.waitingTasks()) }, { "runs", std::to_string(this->scheduler.openRuns()) },
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -49,6 +49,7 @@
     /// Sends the orders and messages that the scheduler has produced, and logs its decisions.
     void executeEffects();
     void countShares();
+    void countInterference(Instant now);
     void logStateIfDue(Instant now);
     void logDecision(const Scheduler::Decision&);
     void logHomeEvent(const Scheduler::HomeEvent&);
@@ -69,6 +70,8 @@
     std::string activeShard;
     Instant nextEpochRaise {};
     Instant nextStateLog {};
+    /// The labels of the pairs in the gauges for interference.
+    std::vector<std::string> interferenceLabels;
     Telemetry::LogBudget logBudget;
     /// How far the epoch is raised next. It doubles with each raise while targets stay fenced.
     uint64_t epochRaiseStep { 1 };
--- a/Tests/LibScheduler/SimulatedTargets.cpp
+++ b/Tests/LibScheduler/SimulatedTargets.cpp
@@ -251,7 +251,7 @@
     for (const auto& order : effects.orders.starts) {
         auto submission = this->submissions.at(order.run.task.job);
         perform(
-            order, Milliseconds(0), true, [this, order, submission](SimulatedTarget& target, Instant at) { return target.start(order, submission.needs, this->runTime, this->tasksFail, at); },
+            order, Milliseconds(0), true, [this, order, submission](SimulatedTarget& target, Instant at) { return target.start(order, submission.needs, this->runTimeOf ? this->runTimeOf(order, target) : this->runTime, this->tasksFail, at); },
             [this, &dispatcher, order](const OrderAnswer& answer) { dispatcher.onStartAnswer(order.instance, order.run, answer, this->now); });
     }
     for (const auto& order : effects.orders.stops) {
--- a/Tests/LibScheduler/SimulatedTargets.h
+++ b/Tests/LibScheduler/SimulatedTargets.h
@@ -112,6 +112,8 @@
     /// The dispatcher to which each job was last submitted.
     std::map<std::string, size_t> owner;
     Milliseconds runTime { 100 };
+    /// The run time of one run, if set; otherwise `runTime`.
+    std::function<Milliseconds(const StartOrder&, const SimulatedTarget&)> runTimeOf;
     bool tasksFail { false };
     bool entriesRenew { true };
     bool stopsAreLost { false };
--- a/Tests/LibSettings/TestClusterSettings.cpp
+++ b/Tests/LibSettings/TestClusterSettings.cpp
@@ -46,15 +46,17 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(capacity_is_shared_only_if_the_settings_say_so)
+BOOST_AUTO_TEST_CASE(capacity_is_shared_and_tasks_are_separated_only_if_the_settings_say_so)
 {
     auto settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\n", "test");
     BOOST_REQUIRE(settings.has_value());
     BOOST_TEST(!settings->shareCapacity);
     BOOST_TEST(settings->queueWeights.empty());
-    settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\nshareCapacity: true\nqueueWeights:\n  - { name: q, weight: 2.5 }\n", "test");
+    BOOST_TEST(!settings->separateInterfering);
+    settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\nshareCapacity: true\nseparateInterfering: true\nqueueWeights:\n  - { name: q, weight: 2.5 }\n", "test");
     BOOST_REQUIRE(settings.has_value());
     BOOST_TEST(settings->shareCapacity);
+    BOOST_TEST(settings->separateInterfering);
     BOOST_TEST(settings->queueWeights.at("q") == 2.5);
     // A weight of zero would starve its share, and a second weight of the same name would be ignored.
     for (const auto* weights : { "[{ name: q, weight: 0 }]", "[{ name: q, weight: 1 }, { name: q, weight: 2 }]" })
