LibScheduler: Find interference while all places of the targets are taken

As no neighbour makes a run faster, kinds with negative slopes are now left out.

Tests: TestInterferenceModel has a load that takes all places.

--- a/Benchmarks/SchedulerSpeed.cpp
+++ b/Benchmarks/SchedulerSpeed.cpp
@@ -208,11 +208,13 @@
 
 }
 
-// bench-scheduler [sharing]
+// bench-scheduler [sharing|separating]
 int main(int argc, char** argv)
 {
     TaskScheduler::Options options;
-    options.shareCapacity = argc > 1 && std::string_view(argv[1]) == "sharing";
+    std::string_view rule = argc > 1 ? argv[1] : "";
+    options.shareCapacity = rule == "sharing";
+    options.separateInterfering = rule == "separating";
     std::printf("%10s %10s %14s\n", "waiting", "starts", "us per start");
     for (size_t waiting : { 10, 100, 1'000, 5'000 }) {
         Simulation simulation(waiting, options);
--- a/Libraries/LibScheduler/Dispatcher/InterferenceModel.cpp
+++ b/Libraries/LibScheduler/Dispatcher/InterferenceModel.cpp
@@ -206,32 +206,55 @@
     return changes;
 }
 
-void InterferenceModel::evaluate(size_t kind, std::vector<Change>& changes, Instant now)
+// Returns the slopes and their standard errors for some of the neighbours. `certainty` is by how much the sums have decayed since the last
+// observation.
+std::vector<InterferenceModel::Slope> InterferenceModel::solve(const Regression& regression, const std::vector<size_t>& neighbours, double certainty) const
 {
-    const auto& regression = this->regressions[kind];
-    auto count = this->options.maximumKinds;
-    // The estimate is that of the last observation; its certainty decays further while there is none.
-    auto certainty = this->decay(regression.updatedAt, now);
-    auto inverse = regression.products;
+    auto count = neighbours.size();
+    std::vector<double> inverse(count * count);
     for (size_t i = 0; i < count; ++i) {
         for (size_t j = 0; j < count; ++j)
-            inverse[i * count + j] *= certainty;
+            inverse[i * count + j] = regression.products[neighbours[i] * this->options.maximumKinds + neighbours[j]] * certainty;
         inverse[i * count + i] += ridge;
     }
     invert(inverse, count);
-    std::vector<double> slopes(count);
+    std::vector<Slope> slopes(count);
+    double explained = 0;
     for (size_t i = 0; i < count; ++i) {
         for (size_t j = 0; j < count; ++j)
-            slopes[i] += inverse[i * count + j] * regression.responses[j] * certainty;
+            slopes[i].value += inverse[i * count + j] * regression.responses[neighbours[j]] * certainty;
+        explained += slopes[i].value * regression.responses[neighbours[i]];
     }
-    double explained = 0;
+    auto variance = std::max(0.0, regression.squares - explained) / std::max(1.0, regression.weight - static_cast<double>(count));
     for (size_t i = 0; i < count; ++i)
-        explained += slopes[i] * regression.responses[i];
-    auto variance = std::max(0.0, regression.squares - explained) / std::max(1.0, regression.weight - static_cast<double>(this->numbers.size()));
-    for (size_t neighbour = 0; neighbour < count; ++neighbour) {
-        auto& effect = this->effects[kind * count + neighbour];
-        auto error = std::sqrt(variance * inverse[neighbour * count + neighbour]);
-        auto slope = slopes[neighbour];
+        slopes[i].error = std::sqrt(variance * inverse[i * count + i]);
+    return slopes;
+}
+
+// No neighbour makes a run faster. Without that, the effects could not be told apart where each place of a target is always taken: the more
+// time next to one kind, the less next to the others.
+void InterferenceModel::evaluate(size_t kind, std::vector<Change>& changes, Instant now)
+{
+    const auto& regression = this->regressions[kind];
+    auto certainty = this->decay(regression.updatedAt, now);
+    std::vector<size_t> neighbours;
+    for (const auto& [name, number] : this->numbers)
+        neighbours.push_back(number);
+    auto slopes = this->solve(regression, neighbours, certainty);
+    auto isLess = [](const auto& left, const auto& right) { return left.value < right.value; };
+    std::vector<Slope> slopeOf(this->kinds.size());
+    while (!slopes.empty()) {
+        auto lowest = std::min_element(slopes.begin(), slopes.end(), isLess);
+        if (lowest->value >= 0)
+            break;
+        neighbours.erase(neighbours.begin() + (lowest - slopes.begin()));
+        slopes = this->solve(regression, neighbours, certainty);
+    }
+    for (size_t i = 0; i < neighbours.size(); ++i)
+        slopeOf[neighbours[i]] = slopes[i];
+    for (size_t neighbour = 0; neighbour < slopeOf.size(); ++neighbour) {
+        auto& effect = this->effects[kind * this->kinds.size() + neighbour];
+        auto [slope, error] = slopeOf[neighbour];
         auto observed = std::min(regression.with[neighbour], regression.without[neighbour]) * certainty;
         effect.logRatio = slope;
         if (effect.isActing && (slope < std::log(this->options.negligibleEffect) || slope < endingStandardErrors * error))
--- a/Libraries/LibScheduler/Dispatcher/InterferenceModel.h
+++ b/Libraries/LibScheduler/Dispatcher/InterferenceModel.h
@@ -130,6 +130,11 @@
         Instant updatedAt {};
     };
 
+    struct Slope {
+        double value { 0 };
+        double error { 0 };
+    };
+
     struct Effect {
         bool isActing { false };
         double logRatio { 0 };
@@ -144,6 +149,7 @@
     void prepare(TargetRuns&) const;
     void observe(TargetRuns::Means&, size_t kind, const std::vector<double>& present, double logRatio, double weight, Instant now);
     void addObservation(Regression&, const std::vector<double>& present, const std::vector<double>& deviation, double response, double weight, Instant now) const;
+    [[nodiscard]] std::vector<Slope> solve(const Regression&, const std::vector<size_t>& neighbours, double certainty) const;
     void evaluate(size_t kind, std::vector<Change>&, Instant now);
     void setActing(size_t kind, size_t neighbour, bool isActing, std::vector<Change>&, Instant now);
 
--- a/Tests/LibScheduler/TestInterferenceModel.cpp
+++ b/Tests/LibScheduler/TestInterferenceModel.cpp
@@ -140,14 +140,14 @@
         this->fleet.submit(0, job);
     }
 
-    // About half of the places are used.
-    void play(Milliseconds duration)
+    // About half of the places are used at load 1, and all of them at 2.5.
+    void play(Milliseconds duration, double load = 1)
     {
         std::mt19937 random(7);
         for (auto end = this->fleet.now + duration; this->fleet.now < end; this->fleet.run(5ms)) {
-            if (random() % 100 < 24)
+            if (random() % 1000 < 240 * load)
                 this->submit("victim", 1);
-            if (random() % 100 < 10)
+            if (random() % 1000 < 100 * load)
                 this->submit("noisy", 1);
         }
     }
@@ -249,3 +249,14 @@
     BOOST_TEST(load.slowed == 12U);
     BOOST_TEST(scheduler.waitingTasks() == 0U);
 }
+
+// Guards against effects that cannot be told apart while each task has exactly one neighbour.
+BOOST_AUTO_TEST_CASE(interference_is_found_while_all_places_are_taken)
+{
+    Fleet load(true);
+    load.play(20s, 2.5);
+    auto pairs = load.fleet.dispatchers[0]->interferingPairs();
+    BOOST_REQUIRE(pairs.size() == 1U);
+    BOOST_TEST(pairs[0].queue == "victim");
+    BOOST_TEST(pairs[0].neighbour == "noisy");
+}
