--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
@@ -1,6 +1,7 @@
 #include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 // Placement of tasks on targets of different kinds, some of which may be temporarily slow.
@@ -63,25 +64,26 @@
     std::vector<std::pair<const std::string*, Milliseconds>> durations;
 };
 
-// Returns the target with the shortest expected run time, and among equal ones the target with the least free capacity after the
-// task is placed (best fit); null if the task cannot be placed now.
+// Chooses a target that is not cold if there is one, of these the target with the shortest expected run time, and among equal ones the target
+// with the least free capacity after the task is placed (best fit); none if the task cannot be placed now.
 TaskScheduler::Choice TaskScheduler::chooseTarget(const Job& job, ExpectedRunTimes& expectedRunTimes, Instant now)
 {
     const auto& submission = job.submission;
     Choice choice { nullptr, false, true };
     // While capacity is short, work that would end late is not started.
     bool refusesLateStart = this->shares.isSharing() && job.starts == 0 && !job.rank.isLate;
-    std::pair<Milliseconds, int64_t> bestScore {};
+    using Score = std::tuple<bool, Milliseconds, int64_t>;
+    Score bestScore {};
     // The choice without regard to interference.
     const FreeTarget* plainChoice = nullptr;
-    std::pair<Milliseconds, int64_t> bestPlainScore {};
+    Score bestPlainScore {};
     auto kind = this->interference.hasPairs() ? this->interference.findKind(submission.queue) : std::nullopt;
     for (auto& candidate : this->freeTargets) {
         if (!submission.needs.fitInto(candidate.free))
             continue;
         const auto& session = candidate.target->session;
         const auto& report = session.target();
-        if (report.pool != submission.pool || !candidate.target->isSelected)
+        if (report.pool != submission.pool || !candidate.target->isSelected || !this->mayStartOn(*candidate.target, submission.needs, now))
             continue;
         if (!submission.requiredLabel.empty() && std::find(report.labels.begin(), report.labels.end(), submission.requiredLabel) == report.labels.end())
             continue;
@@ -97,13 +99,13 @@
             choice.isRefusedAsLate = true;
             continue;
         }
-        std::pair score { expected, candidate.free.minus(submission.needs).milliCores };
+        Score score { candidate.target->coldStart.isCold(now), expected, candidate.free.minus(submission.needs).milliCores };
         if (kind) {
             if ((!plainChoice || score < bestPlainScore) && session.canLease(*job.lease, now)) {
                 plainChoice = &candidate;
                 bestPlainScore = score;
             }
-            score.first = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expected) * this->interference.penalty(candidate.target->neighbours, *kind)));
+            std::get<Milliseconds>(score) = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expected) * this->interference.penalty(candidate.target->neighbours, *kind)));
         }
         if ((!choice.target || score < bestScore) && session.canLease(*job.lease, now)) {
             choice.target = &candidate;
@@ -170,7 +172,7 @@
 void TaskScheduler::placeWaitingTasks(Instant now)
 {
     this->needsPlacement = false;
-    if (!this->isActive() || this->waitingJobs.isEmpty())
+    if (!this->isActive() || this->waitingJobs.isEmpty() || !this->evacuations.isKnown())
         return;
     using Result = WaitingJobs<Job>::Result;
     this->findFreeTargets(now);
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.h
@@ -5,8 +5,10 @@
 #include "Cluster/DispatchService.h"
 #include "Cluster/DocumentLedger.h"
 #include "Cluster/DocumentStore.h"
+#include "Cluster/EvacuationStore.h"
 #include "Cluster/JobEntry.h"
 #include "Cluster/OrderRelay.h"
+#include <LibTelemetry/LogBudget.h>
 #include <LibTransport/HttpClient.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/PeerHub.h>
@@ -37,6 +39,9 @@
 
     [[nodiscard]] ErrorOr<void> start();
     [[nodiscard]] ErrorOr<void> openServers();
+    void openClient();
+    void onLimit(std::string_view port, std::string_view cause);
+    void updateConnectionGauges();
     /// Delivers a batch of messages from a peer. Returns false if the batch cannot be decoded.
     [[nodiscard]] bool receive(const std::string& from, const std::string& bytes);
     void logUnknownMessages(const std::string& from, size_t count);
@@ -70,11 +75,13 @@
     std::unique_ptr<Transport::EventLoop> loop;
     Random random;
     Telemetry::Metrics metrics;
+    Telemetry::LogBudget limitLogBudget;
     std::unique_ptr<Membership::Cluster> cluster;
     std::unique_ptr<ClusterContext> context;
     std::unique_ptr<Transport::PeerHub> hub;
     std::unique_ptr<Transport::HttpClient> client;
     std::unique_ptr<DocumentStore> documents;
+    std::unique_ptr<EvacuationStore> evacuations;
     std::unique_ptr<DocumentLedger> ledger;
     std::unique_ptr<DispatchService> dispatch;
     std::unique_ptr<OrderRelay> relay;
@@ -90,9 +97,10 @@
     Instant nextUnknownMessageLog {};
     Instant nextGossip {};
     Instant nextSettingsCheck {};
-    /// The epoch and the configuration version in the last gossip message; a change is gossiped immediately.
+    /// The epoch, the configuration version and the evacuation revision in the last gossip message; a change is gossiped immediately.
     uint64_t gossipedEpoch { 0 };
     uint64_t gossipedVersion { 0 };
+    uint64_t gossipedEvacuation { 0 };
     bool leaving { false };
     bool acceptingConnections { true };
     Instant leavingSince {};
--- a/Tests/LibScheduler/SimpleRules.cpp
+++ b/Tests/LibScheduler/SimpleRules.cpp
@@ -86,7 +86,7 @@
 {
     double capacity = 0;
     for (const auto& [key, target] : scheduler.targets) {
-        if (TaskScheduler::countsAsCapacity(target.session))
+        if (scheduler.countsAsCapacity(target.session))
             capacity += static_cast<double>(target.session.target().capacity.milliCores);
     }
     if (capacity * usableCapacityShare != scheduler.usableCapacity())
