LibSettings: Limit admission by lag only where limitAdmission is set

Cause: a deployment that does not ask for it would have been served in another way while its dispatcher is late.

Change: limitAdmission (default false) enables the limit; the deployment sets it. Tests: TestLibSettings checks the default.

--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -152,6 +152,7 @@
     auto relayCores = reader.number("orderRelayCores", 0, maximumCores, 0);
     settings.orderRelayWeight = static_cast<int64_t>(relayCores * milliCoresPerCore);
     settings.maximumLease = reader.duration("maximumLease", 100ms, 600s, 1s);
+    settings.limitAdmission = reader.boolean("limitAdmission", false);
     settings.shareCapacity = reader.boolean("shareCapacity", false);
     settings.separateInterfering = reader.boolean("separateInterfering", false);
     settings.domainWeights = readWeights(reader, "domainWeights");
--- a/Libraries/LibSettings/ClusterSettings.h
+++ b/Libraries/LibSettings/ClusterSettings.h
@@ -62,6 +62,8 @@
     [[nodiscard]] bool usesOrderRelays() const { return this->dispatchWeight < this->orderRelayWeight; }
     /// The longest lease that targets grant for their runs. The dispatcher never requests a longer one.
     Milliseconds maximumLease { 0 };
+    /// Whether this process, as a dispatcher, limits which jobs it admits while its event loop is late.
+    bool limitAdmission { false };
     /// Whether a dispatcher shares capacity between failure domains and queues while it is short.
     bool shareCapacity { false };
     /// Whether a dispatcher keeps tasks apart that slow each other down on the same target.
--- a/Services/sassafrasshiftd/Cluster/DispatchAdmission.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchAdmission.cpp
@@ -43,7 +43,7 @@
         this->controller.reset();
         return this->logLevel(now);
     }
-    if (isDispatching && this->controller.update(this->monitor, now))
+    if (isDispatching && this->context.settings.limitAdmission && this->controller.update(this->monitor, now))
         this->logLevel(now);
 }
 
--- a/Tests/LibSettings/TestClusterSettings.cpp
+++ b/Tests/LibSettings/TestClusterSettings.cpp
@@ -51,6 +51,7 @@
     auto settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\n", "test");
     BOOST_REQUIRE(settings.has_value());
     BOOST_TEST(!settings->shareCapacity);
+    BOOST_TEST(!settings->limitAdmission);
     BOOST_TEST(settings->queueWeights.empty());
     BOOST_TEST(!settings->separateInterfering);
     settings = ClusterSettings::parse(requiredKeys + "seeds: [\"127.0.0.1:80\"]\nshareCapacity: true\nseparateInterfering: true\nqueueWeights:\n  - { name: q, weight: 2.5 }\n", "test");
