Read-through: Clarify names, comments and docs

Code, without a change of behaviour: - HttpServer: Rename IdleConnectionState to ConnectionState, since it now describes connections with requests in progress too. Say which timeouts apply when. - ClusterSettings: Document the fields of PortLimits, and name the bounds of header limits. Correct the comment on the descriptor shares, which add up to 69 % and not to less than two thirds. - ConnectionBudget, Http2FrameCounter: Clarify doc comments. - bench-sharing, bench-overload: Replace the labels "today" by "former" and "there/s" by "disp/s".

--- a/Benchmarks/OverloadCurve.cpp
+++ b/Benchmarks/OverloadCurve.cpp
@@ -5,10 +5,11 @@
 using namespace Sassafrasshift::Scheduler;
 using namespace std::chrono_literals;
 
-// Prints what a dispatcher serves at multiples of the load that it can handle, on a fake clock, without and with admission control.
+// Prints what a dispatcher serves at multiples of the load that it can handle, on a fake clock. Refusals by entry hosts are in the column
+// local/s, those by the dispatcher in disp/s.
 static void printCurve(bool controlsAdmission)
 {
-    std::printf("admission control %s\n%6s %8s %8s %8s %8s %10s %8s %8s %12s\n", controlsAdmission ? "on" : "off", "load", "offered", "served/s", "local/s", "there/s", "unanswered", "lagMs", "refusalMs", "recovery %");
+    std::printf("admission control %s\n%6s %8s %8s %8s %8s %10s %8s %8s %12s\n", controlsAdmission ? "on" : "off", "load", "offered", "served/s", "local/s", "disp/s", "unanswered", "lagMs", "refusalMs", "recovery %");
     for (double load : { 0.5, 0.8, 0.95, 1.0, 1.2, 1.5, 2.0, 3.0, 5.0, 10.0 }) {
         OverloadModel model({ .controlsAdmission = controlsAdmission });
         model.run(0.8, 3s);
--- a/Benchmarks/SharingMain.cpp
+++ b/Benchmarks/SharingMain.cpp
@@ -37,7 +37,7 @@
     auto jobs = recordLoad(load);
     std::printf("speeds %.2f %.2f %.2f, %.0f jobs/s, seed %llu, first domain %.0f times the others\n", speeds[0], speeds[1], speeds[2], load.jobsPerSecond, static_cast<unsigned long long>(load.seed), load.firstOriginFactor);
     Scheduler::TaskScheduler::Options options;
-    print("today", play(jobs, speeds, options));
+    print("former", play(jobs, speeds, options));
     options.shareCapacity = true;
     print("sharing", play(jobs, speeds, options));
 }
--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -38,7 +38,7 @@
 static constexpr int64_t maximumDescriptorLimit = 10'000'000;
 
 // The shares of a port in the limits of its host, in thousandths. They add up to about half of the memory, since the process itself, what
-// the C library retains, and what arrives between two measurements need the rest, and to less than two thirds of the descriptors, since
+// the C library retains, and what arrives between two measurements need the rest, and to at most 69 % of the descriptors, since
 // connections to members and targets need the rest.
 struct PortShares {
     int64_t memory;
@@ -66,6 +66,10 @@
 // Where the settings name no limits of the host: the time after which the HTTP library itself closes a connection without a complete request.
 static constexpr Milliseconds unlimitedTransferTimeout { 60'000 };
 static constexpr int64_t maximumCount = 10'000'000;
+static constexpr int64_t minimumHeaderFields = 16;
+static constexpr int64_t minimumHeaderBytes = 1024;
+// Below the 408 KiB from which h2o itself refuses a head (H2O_MAX_REQLEN).
+static constexpr int64_t maximumHeaderBytes = 400 * 1024;
 
 static PortLimits readPortLimits(std::optional<MappingReader> reader, const ClusterSettings& settings, PortShares shares, int64_t minimumMemory = minimumPortMemory)
 {
@@ -88,8 +92,8 @@
     limits.connections = reader->integer("connections", minimumPortConnections, maximumCount, limits.connections);
     limits.connectionsPerAddress = reader->integer("connectionsPerAddress", 1, maximumCount, limits.connectionsPerAddress);
     limits.pipelinedRequests = reader->integer("pipelinedRequests", 1, maximumCount, limits.pipelinedRequests);
-    limits.headerFields = reader->integer("headerFields", 16, maximumCount, limits.headerFields);
-    limits.headerBytes = reader->bytes("headerBytes", 1024, 400 * 1024, limits.headerBytes);
+    limits.headerFields = reader->integer("headerFields", minimumHeaderFields, maximumCount, limits.headerFields);
+    limits.headerBytes = reader->bytes("headerBytes", minimumHeaderBytes, maximumHeaderBytes, limits.headerBytes);
     limits.requestTimeout = reader->duration("requestTimeout", 1s, 600s, limits.requestTimeout);
     limits.answerTimeout = reader->duration("answerTimeout", 1s, 600s, limits.answerTimeout);
     reader->reportUnexpectedKeys();
--- a/Libraries/LibSettings/ClusterSettings.h
+++ b/Libraries/LibSettings/ClusterSettings.h
@@ -10,17 +10,20 @@
 
 namespace Sassafrasshift::Settings {
 
-/// What the clients of one listening port may use. 0 means no limit.
+/// What the clients of one listening port may use. 0 means no limit, except for the timeouts.
 struct PortLimits {
     /// The memory in bytes that unfinished requests, requests that are being handled, and unread answers may hold.
     int64_t memory { 0 };
     int64_t connections { 0 };
     int64_t connectionsPerAddress { 0 };
+    /// The number of requests that a connection may send in a row without waiting for an answer.
     int64_t pipelinedRequests { 0 };
+    /// The header fields of one request, and their bytes.
     int64_t headerFields { 0 };
     int64_t headerBytes { 0 };
-    /// The time for a request to arrive, and for an answer to be read.
+    /// The time for a request to arrive.
     Milliseconds requestTimeout { 0 };
+    /// The time for an answer to be read.
     Milliseconds answerTimeout { 0 };
 
     friend auto operator<=>(const PortLimits&, const PortLimits&) = default;
@@ -66,7 +69,7 @@
     bool shareCapacity { false };
     /// Whether a dispatcher keeps tasks apart that slow each other down on the same target.
     bool separateInterfering { false };
-    /// The weights of failure domains and queues that differ from 1.
+    /// The weights for sharing capacity; a failure domain or queue that is not listed has the weight 1.
     std::map<std::string, double> domainWeights {};
     std::map<std::string, double> queueWeights {};
     /// How long a graceful shutdown of this process may take.
--- a/Libraries/LibTransport/ConnectionBudget.h
+++ b/Libraries/LibTransport/ConnectionBudget.h
@@ -30,8 +30,9 @@
 
     enum class Admission {
         Admitted,
-        /// The limit of all connections, or that of the connections from one address, is reached.
+        /// The limit of all connections is reached.
         TotalLimit,
+        /// The limit of connections from one address is reached.
         AddressLimit,
     };
 
--- a/Libraries/LibTransport/Http2FrameCounter.h
+++ b/Libraries/LibTransport/Http2FrameCounter.h
@@ -37,7 +37,7 @@
     [[nodiscard]] size_t answerableBytes() const { return this->answerable; }
     void clearAnswerable() { this->answerable = 0; }
 
-    /// Whether the client has not sent the preface first, has reset most of its requests, or has more unfinished ones than h2o allows.
+    /// Whether the client did not begin with the preface, has reset most of its requests, or has more unfinished ones than h2o allows.
     [[nodiscard]] bool isAbusive() const;
 
 private:
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -50,8 +50,9 @@
 
 class ExchangeImplementation;
 
-// The state of a connection as of the latest timeout check that covered it. The checks cover only idle connections.
-struct IdleConnectionState {
+// What is recorded about an open connection. `bytes`, `lastActivityAt` and `incompleteHeadSince` are as of the latest check or
+// measurement that covered it.
+struct ConnectionState {
     Instant acceptedAt {};
     // The number of bytes that the connection had received and sent.
     size_t bytes { 0 };
@@ -107,7 +108,7 @@
     h2o_accept_ctx_t acceptContext {};
     h2o_socket_t* listener { nullptr };
     std::vector<std::weak_ptr<ExchangeImplementation>> trackedExchanges;
-    std::map<h2o_socket_t*, IdleConnectionState> connections;
+    std::map<h2o_socket_t*, ConnectionState> connections;
     Timeouts timeouts;
     Instant nextTimeoutCheck {};
     std::unique_ptr<Timer> connectionCheckTimer;
@@ -129,14 +130,14 @@
     [[nodiscard]] bool isLimited() const { return this->limits.budget.memory > 0 || this->limits.budget.connections > 0; }
     void touch(h2o_socket_t*);
     void measureTouched();
-    void measure(h2o_socket_t*, IdleConnectionState&, Instant now);
+    void measure(h2o_socket_t*, ConnectionState&, Instant now);
     void relieveMemory();
     [[nodiscard]] bool admit(h2o_socket_t*, uint32_t address);
     void read(h2o_socket_t*, const char* error);
-    void followUpgrade(h2o_socket_t*, IdleConnectionState&);
-    void watchRead(h2o_socket_t*, IdleConnectionState&);
-    [[nodiscard]] bool hasTooLongHead(const h2o_socket_t*, const IdleConnectionState&) const;
-    [[nodiscard]] bool hasTimedOutTransfer(const h2o_socket_t*, IdleConnectionState&, Instant now) const;
+    void followUpgrade(h2o_socket_t*, ConnectionState&);
+    void watchRead(h2o_socket_t*, ConnectionState&);
+    [[nodiscard]] bool hasTooLongHead(const h2o_socket_t*, const ConnectionState&) const;
+    [[nodiscard]] bool hasTimedOutTransfer(const h2o_socket_t*, ConnectionState&, Instant now) const;
     void closeListener();
     void checkConnections();
     void onDisconnect(h2o_socket_t*);
@@ -144,7 +145,7 @@
     void closeIdleConnections();
     void closeTimedOutConnections();
     [[nodiscard]] std::vector<h2o_socket_t*> idleConnections() const;
-    [[nodiscard]] bool updateAndCheckTimeouts(const h2o_socket_t*, IdleConnectionState&, Instant now) const;
+    [[nodiscard]] bool updateAndCheckTimeouts(const h2o_socket_t*, ConnectionState&, Instant now) const;
 };
 
 class ExchangeImplementation final : public HttpExchange {
@@ -256,7 +257,7 @@
 
 private:
     // The state of the connection that carries the request, or null if there is none.
-    IdleConnectionState* connectionState() const
+    ConnectionState* connectionState() const
     {
         auto position = this->server->connections.find(this->connection());
         return position == this->server->connections.end() ? nullptr : &position->second;
@@ -451,7 +452,7 @@
     if (!server->admit(socket, address))
         return true;
     auto now = server->loop->now();
-    server->connections.emplace(socket, IdleConnectionState { now, 0, now, {} });
+    server->connections.emplace(socket, ConnectionState { now, 0, now, {} });
     server->budget.add(socket, address, now);
     server->disconnectWatch->add(socket);
     socket->on_close.data = new AcceptedConnection { server, socket };
@@ -534,7 +535,7 @@
             busy.insert(exchange->connection());
     }
     std::vector<h2o_socket_t*> idle;
-    for (const auto& [socket, idleState] : this->connections) {
+    for (const auto& [socket, state] : this->connections) {
         if (!busy.contains(socket) && !h2o_socket_is_writing(socket))
             idle.push_back(socket);
     }
@@ -595,15 +596,15 @@
     return ioctl(descriptor, request, &bytes) == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
 }
 
-// Whether a client sends a head without an end. h2o itself accepts up to 400 KiB.
-bool HttpServer::Implementation::hasTooLongHead(const h2o_socket_t* socket, const IdleConnectionState& state) const
+// Whether a client sends a head without an end. h2o itself accepts up to 408 KiB (H2O_MAX_REQLEN).
+bool HttpServer::Implementation::hasTooLongHead(const h2o_socket_t* socket, const ConnectionState& state) const
 {
     if (this->limits.headerBytes == 0 || state.frames || state.openExchanges > 0 || socket->input->size <= this->limits.headerBytes)
         return false;
     return std::string_view(socket->input->bytes, this->limits.headerBytes).find("\r\n\r\n") == std::string_view::npos;
 }
 
-void HttpServer::Implementation::measure(h2o_socket_t* socket, IdleConnectionState& state, Instant now)
+void HttpServer::Implementation::measure(h2o_socket_t* socket, ConnectionState& state, Instant now)
 {
     this->followUpgrade(socket, state);
     if (this->hasTooLongHead(socket, state)) {
@@ -660,7 +661,7 @@
 }
 
 // Places a function before the one with which h2o reads from a connection, until it is known that it is not used for HTTP/2.
-void HttpServer::Implementation::watchRead(h2o_socket_t* socket, IdleConnectionState& state)
+void HttpServer::Implementation::watchRead(h2o_socket_t* socket, ConnectionState& state)
 {
     if (!socket->_cb.read || socket->_cb.read == onRead)
         return;
@@ -671,7 +672,7 @@
 // Follows the frames of a client that changes to HTTP/2 by an upgrade (RFC 7540 section 3.2). Such a client sends its first frames when it
 // has the answer to the upgrade, and the preface before them. Frames that came earlier are not known. They count as heads, and since no
 // preface follows them, the connection is closed at the next ones.
-void HttpServer::Implementation::followUpgrade(h2o_socket_t* socket, IdleConnectionState& state)
+void HttpServer::Implementation::followUpgrade(h2o_socket_t* socket, ConnectionState& state)
 {
     if (!state.frames && socket->data != state.protocolData) {
         state.frames = std::make_unique<Http2FrameCounter>(this->configuration.max_request_entity_size);
@@ -718,7 +719,7 @@
 }
 
 // Whether the request that a connection receives, or the answer that it sends, takes too long.
-bool HttpServer::Implementation::hasTimedOutTransfer(const h2o_socket_t* socket, IdleConnectionState& state, Instant now) const
+bool HttpServer::Implementation::hasTimedOutTransfer(const h2o_socket_t* socket, ConnectionState& state, Instant now) const
 {
     if (state.frames)
         state.incomingRequest.update(state.frames->hasUnfinished(), state.frames->oldestUnfinished(), now);
@@ -737,22 +738,22 @@
 }
 
 // Updates the state of an idle connection, and returns whether one of its timeouts has expired.
-bool HttpServer::Implementation::updateAndCheckTimeouts(const h2o_socket_t* socket, IdleConnectionState& idleState, Instant now) const
+bool HttpServer::Implementation::updateAndCheckTimeouts(const h2o_socket_t* socket, ConnectionState& state, Instant now) const
 {
     auto bytes = socket->bytes_read + socket->bytes_written;
-    if (bytes != idleState.bytes) {
-        idleState.bytes = bytes;
-        idleState.lastActivityAt = now;
+    if (bytes != state.bytes) {
+        state.bytes = bytes;
+        state.lastActivityAt = now;
     }
     std::string_view received(socket->input->bytes, socket->input->size);
     bool isHeadIncomplete = !received.empty() && received.find("\r\n\r\n") == std::string_view::npos;
     if (!isHeadIncomplete)
-        idleState.incompleteHeadSince.reset();
-    else if (!idleState.incompleteHeadSince)
-        idleState.incompleteHeadSince = now;
-    if (idleState.incompleteHeadSince && now - *idleState.incompleteHeadSince >= this->timeouts.head)
+        state.incompleteHeadSince.reset();
+    else if (!state.incompleteHeadSince)
+        state.incompleteHeadSince = now;
+    if (state.incompleteHeadSince && now - *state.incompleteHeadSince >= this->timeouts.head)
         return true;
-    return received.empty() && now - idleState.lastActivityAt >= this->timeouts.idle;
+    return received.empty() && now - state.lastActivityAt >= this->timeouts.idle;
 }
 
 void HttpServer::Implementation::closeTimedOutConnections()
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -56,7 +56,8 @@
     /// Called when a limit or a timeout makes the server close a connection or refuse a request, with the name of the cause.
     using LimitObserver = std::function<void(std::string_view cause)>;
 
-    /// The times after which a connection without a request in progress is closed.
+    /// The times after which a connection is closed. `head` and `idle` apply while no request is in progress; `request` and `answer` apply only
+    /// if memory or connections are limited.
     struct Timeouts {
         /// The time from the first byte of a request's head to the last.
         Milliseconds head { 60'000 };
