--- a/Benchmarks/DispatchCost.cpp
+++ b/Benchmarks/DispatchCost.cpp
@@ -141,7 +141,7 @@
 
     void hold(const Exchange& exchange, const Json& order)
     {
-        auto lastSeen = order.value("last_seen", uint64_t(0));
+        auto lastSeen = order.value(std::string(Platform::lastEndField), uint64_t(0));
         std::erase_if(this->ended, [&](const auto& row) { return row[0].template get<uint64_t>() <= lastSeen; });
         auto wait = order.value("wait_ms", 0);
         if (!this->ended.empty() || wait == 0)
