Read-through: Clarify names and comments

No behaviour, wire field, settings key, log event or metric changes.

- WorkSums, OrderRelay and chooseTarget() use small structs with named members instead of std::pair and std::tuple.
Their order is the same.
- AdmissionController: "classes" are called priorities, as elsewhere, and the time for which lag is ignored has its own comment.
- CapacityShares: onEnded() called onLate() for jobs that need not be late; both now call refund().
- InterferenceModel: `certainty` is called decayFactor, and the sums of the regression are described.
- WorkSums: openByPool holds twice the open work, and its name says so.
- DispatchAdmission: logLevel() also sets metrics, so it is reportLevel().
- EvacuationFilter::set(): A local variable no longer shadows a member.
- OrderSender: The parameters in the header match those in the source.
- TaskScheduler: The run identifier of a placed task is built once; a broken line wrap and a comment that stood for two functions are mended.
- Comments: Reword unclear ones and add missing ones in the new headers.

--- a/Libraries/LibDurableState/EvacuationView.h
+++ b/Libraries/LibDurableState/EvacuationView.h
@@ -17,6 +17,7 @@
     /// Puts a set in force if its revision is higher than the one in force. Returns whether it has.
     [[nodiscard]] bool activateIfNewer(const EvacuatedDomains&);
 
+    /// Another live member.
     struct Peer {
         std::string address;
         /// The revision in force there; zero if it has no set.
--- a/Libraries/LibScheduler/Dispatcher/AdmissionController.cpp
+++ b/Libraries/LibScheduler/Dispatcher/AdmissionController.cpp
@@ -4,9 +4,9 @@
 
 namespace Sassafrasshift::Scheduler {
 
-// A refused class is not seen at the dispatcher, and stays known for this time.
-static constexpr Milliseconds classRetention { 60'000 };
-static constexpr size_t maximumClasses = 16;
+// Entry hosts refuse the jobs above the level themselves, so a priority stays known for this time without submissions.
+static constexpr Milliseconds priorityRetention { 60'000 };
+static constexpr size_t maximumPriorities = 16;
 // Some jobs are always admitted, whose messages show whether the lag has ended.
 static constexpr double minimumPosition = 0.02;
 // The growth of the admitted part at the first raise after a reduction. It doubles with each second one up to the largest, so that a load
@@ -17,7 +17,7 @@
 static constexpr double gentleFactor = 0.8;
 static constexpr double strongFactor = 0.5;
 static constexpr double strongLagRatio = 3;
-static constexpr double wholeClass = 1000;
+static constexpr double permillePerPriority = 1000;
 
 AdmissionController::AdmissionController(Options options)
     : options(options)
@@ -29,11 +29,11 @@
     auto position = this->seenAt.find(priority);
     if (position != this->seenAt.end())
         position->second = now;
-    else if (this->seenAt.size() < maximumClasses)
+    else if (this->seenAt.size() < maximumPriorities)
         this->seenAt.emplace(priority, now);
 }
 
-std::vector<int64_t> AdmissionController::classes() const
+std::vector<int64_t> AdmissionController::knownPriorities() const
 {
     std::vector<int64_t> priorities;
     for (const auto& [priority, time] : this->seenAt)
@@ -53,7 +53,7 @@
     this->futileSince = {};
 }
 
-void AdmissionController::reduce(Milliseconds lag, double classCount, Instant now)
+void AdmissionController::reduce(Milliseconds lag, double priorityCount, Instant now)
 {
     if (now < this->nextReduction)
         return;
@@ -61,13 +61,13 @@
         this->futileSince = this->futileSince.value_or(now);
         if (now - *this->futileSince < this->options.futileTime)
             return;
-        this->position = classCount;
+        this->position = priorityCount;
         this->futileSince = {};
         this->lagIgnoredUntil = now + this->options.ignoredTime;
         return;
     }
     if (this->currentLevel.admitsAll())
-        this->position = classCount;
+        this->position = priorityCount;
     auto ratio = std::clamp(toMilliseconds(lag) / toMilliseconds(this->options.upperLag), 1.0, strongLagRatio);
     auto factor = gentleFactor - (gentleFactor - strongFactor) * (ratio - 1) / (strongLagRatio - 1);
     this->position = std::max(this->position * factor, minimumPosition);
@@ -75,10 +75,10 @@
     this->nextReduction = now + this->options.reductionInterval;
 }
 
-void AdmissionController::raise(double classCount)
+void AdmissionController::raise(double priorityCount)
 {
     auto growth = std::min(std::ldexp(firstGrowth, static_cast<int>(this->raises / 2)), largestGrowth);
-    this->position = std::min(this->position * (1 + growth), classCount);
+    this->position = std::min(this->position * (1 + growth), priorityCount);
     ++this->raises;
     this->futileSince = {};
 }
@@ -88,7 +88,7 @@
     if (this->position >= static_cast<double>(priorities.size()))
         return {};
     auto admitted = std::floor(this->position);
-    auto permille = static_cast<uint32_t>((this->position - admitted) * wholeClass);
+    auto permille = static_cast<uint32_t>((this->position - admitted) * permillePerPriority);
     return AdmissionLevel { priorities[static_cast<size_t>(admitted)], permille };
 }
 
@@ -97,9 +97,9 @@
     if (now < this->nextChange)
         return false;
     this->nextChange = now + this->options.interval;
-    std::erase_if(this->seenAt, [&](const auto& entry) { return now - entry.second > classRetention; });
-    auto priorities = this->classes();
-    auto classCount = static_cast<double>(priorities.size());
+    std::erase_if(this->seenAt, [&](const auto& entry) { return now - entry.second > priorityRetention; });
+    auto priorities = this->knownPriorities();
+    auto priorityCount = static_cast<double>(priorities.size());
     bool isLimited = !this->currentLevel.admitsAll();
     // Once less is admitted, a return of the lag needs no proof that it lasts.
     auto lag = isLimited ? load.recentLag() : load.sustainedLag();
@@ -108,9 +108,9 @@
     if (lag > this->options.upperLag && now < this->lagIgnoredUntil)
         return false;
     if (lag > this->options.upperLag)
-        this->reduce(lag, classCount, now);
+        this->reduce(lag, priorityCount, now);
     else if (isLimited && load.recentLag() < this->options.lowerLag)
-        this->raise(classCount);
+        this->raise(priorityCount);
     else
         return false;
     auto formerLevel = this->currentLevel;
--- a/Libraries/LibScheduler/Dispatcher/AdmissionController.h
+++ b/Libraries/LibScheduler/Dispatcher/AdmissionController.h
@@ -9,9 +9,9 @@
 
 namespace Sassafrasshift::Scheduler {
 
-/// Maps the lag of a dispatcher's event loop to the level of the jobs that it admits. It addresses more jobs than the dispatcher has CPU
-/// time for: messages wait, are ignored for their age and sent again, which costs more CPU time than refusals. Lag below the upper limit
-/// changes nothing. It performs no I/O.
+/// Maps the lag of a dispatcher's event loop to the level of the jobs that it admits. When more jobs arrive
+/// than it has CPU time for, messages become too old, are ignored and sent again, which costs more CPU time than refusals. Lag below the
+/// upper limit changes nothing. It performs no I/O.
 class AdmissionController {
 public:
     struct Options {
@@ -25,8 +25,9 @@
         /// After a reduction, entry hosts learn of the level with their next renewal; a further one waits for its effect.
         Milliseconds reductionInterval { 450 };
         /// If the lag lasts for this time although hardly any job is admitted, jobs are not its cause, for example because the host stops
-        /// the process again and again. All jobs are admitted then, and for the second time the lag is ignored, unless it ends before.
+        /// the process repeatedly. All jobs are admitted then.
         Milliseconds futileTime { 1000 };
+        /// For how long the lag is ignored after that, unless it ends before.
         Milliseconds ignoredTime { 10'000 };
     };
 
@@ -39,20 +40,20 @@
     /// Admits all jobs again.
     void reset();
     [[nodiscard]] const AdmissionLevel& level() const { return this->currentLevel; }
-    /// Whether no less can be admitted.
+    /// Whether the admitted part cannot be reduced further.
     [[nodiscard]] bool isAtMinimum() const;
 
 private:
-    [[nodiscard]] std::vector<int64_t> classes() const;
-    void reduce(Milliseconds lag, double classCount, Instant now);
-    void raise(double classCount);
+    [[nodiscard]] std::vector<int64_t> knownPriorities() const;
+    void reduce(Milliseconds lag, double priorityCount, Instant now);
+    void raise(double priorityCount);
     [[nodiscard]] AdmissionLevel levelAt(const std::vector<int64_t>&) const;
 
     Options options;
     AdmissionLevel currentLevel;
     /// The priorities of recent submissions, and when each was seen last.
     std::map<int64_t, Instant> seenAt;
-    /// The number of admitted classes, the fraction of the lowest one included, while not all jobs are admitted.
+    /// While not all jobs are admitted: the number of admitted priorities, most urgent first, with the fraction of the last one.
     double position { 0 };
     /// The number of raises since the last reduction.
     uint32_t raises { 0 };
--- a/Libraries/LibScheduler/Dispatcher/CapacityShares.cpp
+++ b/Libraries/LibScheduler/Dispatcher/CapacityShares.cpp
@@ -160,7 +160,8 @@
         this->removeWaiting(position);
 }
 
-void CapacityShares::onLate(Position& position)
+// Takes back the charge of a job that has not started.
+void CapacityShares::refund(Position& position)
 {
     if (position.charge <= 0 || position.period != this->period)
         return;
@@ -170,9 +171,14 @@
     this->removeWaiting(position);
 }
 
+void CapacityShares::onLate(Position& position)
+{
+    this->refund(position);
+}
+
 void CapacityShares::onEnded(Position& position)
 {
-    this->onLate(position);
+    this->refund(position);
     --this->levels[position.priority].flows[position.share].openJobs;
     --this->guarantees[position.share].openJobs;
 }
--- a/Libraries/LibScheduler/Dispatcher/CapacityShares.h
+++ b/Libraries/LibScheduler/Dispatcher/CapacityShares.h
@@ -94,6 +94,7 @@
     /// To be called for each job that was added. A job that has not started is not charged.
     void onEnded(Position&);
 
+    /// Adds to the counts of a share.
     void count(const Share&, const Counts&);
     /// Returns the counts since the last call.
     [[nodiscard]] std::map<Share, Counts> takeCounts();
@@ -128,6 +129,7 @@
     [[nodiscard]] double weightOf(const Level&, const Share&) const;
     void removeIdle();
     void removeWaiting(Position&);
+    void refund(Position&);
     [[nodiscard]] double guaranteedRate(const Share&) const;
     [[nodiscard]] double guaranteedCredit(const Share&, Instant now) const;
     [[nodiscard]] bool takeGuarantee(const Share&, double work, Instant now);
--- a/Libraries/LibScheduler/Dispatcher/EvacuationFilter.h
+++ b/Libraries/LibScheduler/Dispatcher/EvacuationFilter.h
@@ -8,14 +8,14 @@
 /// The failure domains on whose targets a dispatcher starts no tasks, or the fact that it does not know them yet.
 class EvacuationFilter {
 public:
-    /// Null if the domains are not known. Returns whether that is a change.
+    /// Sets the domains; null if they are not known. Returns whether that is a change.
     bool set(const std::set<std::string>* newDomains)
     {
-        bool known = newDomains != nullptr;
-        bool isChange = known != this->known || (known && *newDomains != this->domains);
-        this->known = known;
+        bool isNowKnown = newDomains != nullptr;
+        bool isChange = isNowKnown != this->known || (isNowKnown && *newDomains != this->domains);
+        this->known = isNowKnown;
         if (isChange)
-            this->domains = known ? *newDomains : std::set<std::string> {};
+            this->domains = isNowKnown ? *newDomains : std::set<std::string> {};
         return isChange;
     }
 
--- a/Libraries/LibScheduler/Dispatcher/InterferenceModel.cpp
+++ b/Libraries/LibScheduler/Dispatcher/InterferenceModel.cpp
@@ -206,15 +206,15 @@
     return changes;
 }
 
-// Returns the slopes and their standard errors for some of the neighbours. `certainty` is by how much the sums have decayed since the last
-// observation.
-std::vector<InterferenceModel::Slope> InterferenceModel::solve(const Regression& regression, const std::vector<size_t>& neighbours, double certainty) const
+// Returns the slopes and their standard errors for some of the neighbours. `decayFactor` is the part of the sums that
+// has remained since the last observation.
+std::vector<InterferenceModel::Slope> InterferenceModel::solve(const Regression& regression, const std::vector<size_t>& neighbours, double decayFactor) const
 {
     auto count = neighbours.size();
     std::vector<double> inverse(count * count);
     for (size_t i = 0; i < count; ++i) {
         for (size_t j = 0; j < count; ++j)
-            inverse[i * count + j] = regression.products[neighbours[i] * this->options.maximumKinds + neighbours[j]] * certainty;
+            inverse[i * count + j] = regression.products[neighbours[i] * this->options.maximumKinds + neighbours[j]] * decayFactor;
         inverse[i * count + i] += ridge;
     }
     invert(inverse, count);
@@ -222,7 +222,7 @@
     double explained = 0;
     for (size_t i = 0; i < count; ++i) {
         for (size_t j = 0; j < count; ++j)
-            slopes[i].value += inverse[i * count + j] * regression.responses[neighbours[j]] * certainty;
+            slopes[i].value += inverse[i * count + j] * regression.responses[neighbours[j]] * decayFactor;
         explained += slopes[i].value * regression.responses[neighbours[i]];
     }
     auto variance = std::max(0.0, regression.squares - explained) / std::max(1.0, regression.weight - static_cast<double>(count));
@@ -236,11 +236,11 @@
 void InterferenceModel::evaluate(size_t kind, std::vector<Change>& changes, Instant now)
 {
     const auto& regression = this->regressions[kind];
-    auto certainty = this->decay(regression.updatedAt, now);
+    auto decayFactor = this->decay(regression.updatedAt, now);
     std::vector<size_t> neighbours;
     for (const auto& [name, number] : this->numbers)
         neighbours.push_back(number);
-    auto slopes = this->solve(regression, neighbours, certainty);
+    auto slopes = this->solve(regression, neighbours, decayFactor);
     auto isLess = [](const auto& left, const auto& right) { return left.value < right.value; };
     std::vector<Slope> slopeOf(this->kinds.size());
     while (!slopes.empty()) {
@@ -248,14 +248,14 @@
         if (lowest->value >= 0)
             break;
         neighbours.erase(neighbours.begin() + (lowest - slopes.begin()));
-        slopes = this->solve(regression, neighbours, certainty);
+        slopes = this->solve(regression, neighbours, decayFactor);
     }
     for (size_t i = 0; i < neighbours.size(); ++i)
         slopeOf[neighbours[i]] = slopes[i];
     for (size_t neighbour = 0; neighbour < slopeOf.size(); ++neighbour) {
         auto& effect = this->effects[kind * this->kinds.size() + neighbour];
         auto [slope, error] = slopeOf[neighbour];
-        auto observed = std::min(regression.with[neighbour], regression.without[neighbour]) * certainty;
+        auto observed = std::min(regression.with[neighbour], regression.without[neighbour]) * decayFactor;
         effect.logRatio = slope;
         if (effect.isActing && (slope < std::log(this->options.negligibleEffect) || slope < endingStandardErrors * error))
             this->setActing(kind, neighbour, false, changes, now);
--- a/Libraries/LibScheduler/Dispatcher/InterferenceModel.h
+++ b/Libraries/LibScheduler/Dispatcher/InterferenceModel.h
@@ -14,8 +14,8 @@
 /// Learns from completed runs which kinds of work run longer next to which others on the same target. A kind is a queue, since job
 /// descriptions that name an image are refused.
 ///
-/// For each kind, a linear regression of the logarithm of the run time, relative to the estimate, on the parts of the run time during which
-/// the other kinds ran on the target. Both are taken as differences from their means on that target, so that the target, its kind and
+/// For each kind, the model is a linear regression of the logarithm of the run time, relative to the estimate, on the parts of the run
+/// time during which the other kinds ran on the target. Both are taken as differences from their means on that target, so that the target, its kind and
 /// the usual error of the estimates have no effect. The regression on all kinds at once tells neighbours apart that often occur together.
 class InterferenceModel {
 public:
@@ -80,6 +80,7 @@
         uint32_t tasks { 1 };
     };
 
+    /// A queue whose runs take longer next to those of another one.
     struct Pair {
         std::string queue;
         std::string neighbour;
@@ -88,6 +89,7 @@
         Instant since {};
     };
 
+    /// A pair on which placement begins or ceases to act.
     struct Change {
         Pair pair;
         bool hasBegun { false };
@@ -119,12 +121,16 @@
         uint64_t generation { 0 };
     };
 
-    /// The decaying sums of a regression.
+    /// The decaying sums of the regression of one kind.
     struct Regression {
+        /// The products of the deviations of two neighbours, as a square matrix.
         std::vector<double> products;
+        /// The products of the deviation of a neighbour and the response.
         std::vector<double> responses;
+        /// The squares of the response.
         double squares { 0 };
         double weight { 0 };
+        /// By neighbour: the numbers of jobs observed with it and without it, counted by the part of the run time.
         std::vector<double> with;
         std::vector<double> without;
         Instant updatedAt {};
@@ -149,7 +155,7 @@
     void prepare(TargetRuns&) const;
     void observe(TargetRuns::Means&, size_t kind, const std::vector<double>& present, double logRatio, double weight, Instant now);
     void addObservation(Regression&, const std::vector<double>& present, const std::vector<double>& deviation, double response, double weight, Instant now) const;
-    [[nodiscard]] std::vector<Slope> solve(const Regression&, const std::vector<size_t>& neighbours, double certainty) const;
+    [[nodiscard]] std::vector<Slope> solve(const Regression&, const std::vector<size_t>& neighbours, double decayFactor) const;
     void evaluate(size_t kind, std::vector<Change>&, Instant now);
     void setActing(size_t kind, size_t neighbour, bool isActing, std::vector<Change>&, Instant now);
 
--- a/Libraries/LibScheduler/Dispatcher/JobRank.h
+++ b/Libraries/LibScheduler/Dispatcher/JobRank.h
@@ -10,7 +10,7 @@
 struct JobRank {
     /// Whether the job can no longer meet its objective. Such jobs come after those that still can.
     bool isLate { false };
-    /// That of the job, or a higher one while capacity is short.
+    /// The priority of the job; while capacity is short, jobs that have started or are within a guarantee get a more urgent one.
     int64_t priority { 0 };
     /// The order between shares while capacity is short; otherwise zero.
     double tag { 0 };
--- a/Libraries/LibScheduler/Dispatcher/LoadMonitor.cpp
+++ b/Libraries/LibScheduler/Dispatcher/LoadMonitor.cpp
@@ -6,7 +6,7 @@
 
 // The senders are members of the cluster; further ones in a window are not needed for the median.
 static constexpr size_t maximumSenders = 1000;
-// A message that arrives at the begin of an iteration of the event loop waits for that one and most of the next one.
+// A message that arrives at the beginning of an iteration of the event loop waits for that one and most of the next one.
 static constexpr int maximumTransitRatio = 2;
 static constexpr size_t maximumWindows = 16;
 
--- a/Libraries/LibScheduler/Dispatcher/LoadMonitor.h
+++ b/Libraries/LibScheduler/Dispatcher/LoadMonitor.h
@@ -37,8 +37,13 @@
     [[nodiscard]] Milliseconds lastLag() const { return this->windows.empty() ? Milliseconds(0) : this->windows.back().lag; }
 
 private:
+    struct Window {
+        Milliseconds duration { 0 };
+        Milliseconds lag { 0 };
+    };
+
     [[nodiscard]] Milliseconds transitLag() const;
-    /// The smallest lag of the last windows, of which there are at least so many and which cover a duration; zero before there are.
+    /// The smallest lag of the last windows, at least `count` of them and as many as cover the duration; zero if there are too few.
     [[nodiscard]] Milliseconds smallestLag(size_t count, Milliseconds duration) const;
 
     Options options;
@@ -46,11 +51,6 @@
     Milliseconds longestDelay { 0 };
     /// The smallest excess by sender, in the current window.
     std::map<std::string, Milliseconds> excessBySender;
-    struct Window {
-        Milliseconds duration { 0 };
-        Milliseconds lag { 0 };
-    };
-
     std::deque<Window> windows;
 };
 
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -89,9 +89,8 @@
     [[nodiscard]] std::vector<Membership::TargetReport> knownReports() const { return this->reports.presentReports(); }
 
     /// Queues or refuses a job. If the job is open here from another entry host, it now belongs to this one, and the other one is told.
-    /// If it is open from the
-    /// same one, that has withdrawn the job and handed it over again: its runs are stopped, and it is queued like a new job. If the
-    /// job has ended here recently, its outcome is sent again; if it was dropped, its done tasks are not run again. Other work under
+    /// If it is open from the same one, that has withdrawn the job and handed it over again: its runs are stopped, and it is queued like a
+    /// new job. If the job has ended here recently, its outcome is sent again; if it was dropped, its done tasks are not run again. Other work under
     /// the name of an open job is refused. `leaseAge` is what is used up of the entry lease already.
     void submit(const std::string& entry, const Submission&, Instant now, Milliseconds leaseAge = Milliseconds(0));
     /// Refuses a job since a home of a higher term decides about it.
@@ -150,8 +149,9 @@
     void setShareWeights(std::map<std::string, double> domains, std::map<std::string, double> queues) { this->shares.setWeights(std::move(domains), std::move(queues)); }
     /// What has become of the jobs of each share since the last call; empty unless capacity is shared.
     [[nodiscard]] std::map<CapacityShares::Share, CapacityShares::Counts> takeShareCounts() { return this->shares.takeCounts(); }
-    /// The pairs of queues whose tasks are kept apart, and how many tasks were placed elsewhere for it since the last call.
+    /// The pairs of queues whose tasks are kept apart.
     [[nodiscard]] std::vector<InterferenceModel::Pair> interferingPairs() const { return this->interference.pairs(); }
+    /// The number of tasks that were placed on another target to keep them apart, since the last call.
     [[nodiscard]] uint64_t takeSeparatedTasks() { return std::exchange(this->separatedTasks, 0); }
     [[nodiscard]] bool isSharingCapacity() const { return this->shares.isSharing(); }
     /// The number of targets with a session.
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
@@ -1,7 +1,6 @@
 #include <LibScheduler/Dispatcher/TaskScheduler.h>
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 #include <utility>
 
 // Placement of tasks on targets of different kinds, some of which may be temporarily slow.
@@ -72,7 +71,14 @@
     Choice choice { nullptr, false, true };
     // While capacity is short, work that would end late is not started.
     bool refusesLateStart = this->shares.isSharing() && job.starts == 0 && !job.rank.isLate;
-    using Score = std::tuple<bool, Milliseconds, int64_t>;
+    // Lower is better.
+    struct Score {
+        bool isCold { false };
+        Milliseconds expected { 0 };
+        int64_t freeMilliCores { 0 };
+
+        auto operator<=>(const Score&) const = default;
+    };
     Score bestScore {};
     // The choice without regard to interference.
     const FreeTarget* plainChoice = nullptr;
@@ -105,7 +111,7 @@
                 plainChoice = &candidate;
                 bestPlainScore = score;
             }
-            std::get<Milliseconds>(score) = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expected) * this->interference.penalty(candidate.target->neighbours, *kind)));
+            score.expected = Milliseconds(static_cast<Milliseconds::rep>(toMilliseconds(expected) * this->interference.penalty(candidate.target->neighbours, *kind)));
         }
         if ((!choice.target || score < bestScore) && session.canLease(*job.lease, now)) {
             choice.target = &candidate;
@@ -136,11 +142,12 @@
             job.waitTime = std::chrono::duration_cast<Milliseconds>(now - job.arrivedAt);
             this->shares.onStarted(job.share);
         }
-        session.start(RunId { TaskId { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, job.submission.needs, job.submission.payload, job.lease, now);
+        RunId run { TaskId { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run };
+        session.start(run, job.submission.needs, job.submission.payload, job.lease, now);
         choice.target->free = session.freeCapacity();
         this->separatedTasks += choice.isSeparated ? 1 : 0;
         if (this->options.separateInterfering)
-            this->interference.onStarted(choice.target->target->neighbours, RunId { TaskId { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run }, job.submission.queue, true, now);
+            this->interference.onStarted(choice.target->target->neighbours, run, job.submission.queue, true, now);
     }
     this->updateQueue(job);
     return choice;
--- a/Libraries/LibScheduler/Dispatcher/WaitingJobs.h
+++ b/Libraries/LibScheduler/Dispatcher/WaitingJobs.h
@@ -14,6 +14,7 @@
 template <typename Job>
 class WaitingJobs {
 public:
+    /// What a task needs of a target, apart from the number of tasks per target.
     struct Shape {
         Catalog::Resources needs;
         std::string pool;
@@ -45,8 +46,8 @@
     };
 
     /// Visits jobs in the order of their ranks, until `largestFree()` is 0. Jobs that need more cores than that are left out. The visitor
-    /// may remove the job that it is given, and no other, and adds none. It also gets a time that it can change, and that it gets again with
-    /// the other jobs of the same shape.
+    /// may remove the job that it is given, and no other, and adds none. It also gets a reference to a time,
+    /// initially zero, that is kept for the jobs of the same shape during the pass.
     template <typename LargestFree, typename Visit>
     void visit(const LargestFree& largestFree, const Visit& visitor)
     {
--- a/Libraries/LibScheduler/Dispatcher/WorkSums.cpp
+++ b/Libraries/LibScheduler/Dispatcher/WorkSums.cpp
@@ -16,9 +16,9 @@
 void WorkSums::change(const std::string& pool, const JobWork& work, int64_t sign)
 {
     if (!work.isLate)
-        addTo(this->waitingByPlace, { work.priority, work.tagSteps }, sign * work.waiting);
+        addTo(this->waitingByPlace, Place { work.priority, work.tagSteps }, sign * work.waiting);
     this->allWaiting += sign * work.waiting;
-    addTo(this->openByPool, pool, sign * (2 * work.waiting + work.placed));
+    addTo(this->doubledOpenByPool, pool, sign * (2 * work.waiting + work.placed));
 }
 
 void WorkSums::addCapacity(const std::string& pool, int64_t milliCores)
@@ -30,7 +30,7 @@
 int64_t WorkSums::aheadOf(int64_t priority, int64_t tagSteps) const
 {
     int64_t sum = 0;
-    const std::pair place { priority, tagSteps };
+    const Place place { priority, tagSteps };
     for (auto position = this->waitingByPlace.begin(); position != this->waitingByPlace.end() && position->first <= place; ++position)
         sum += position->second;
     return sum;
@@ -38,8 +38,8 @@
 
 int64_t WorkSums::doubledOpenWork(const std::string& pool) const
 {
-    auto position = this->openByPool.find(pool);
-    return position == this->openByPool.end() ? 0 : position->second;
+    auto position = this->doubledOpenByPool.find(pool);
+    return position == this->doubledOpenByPool.end() ? 0 : position->second;
 }
 
 }
--- a/Libraries/LibScheduler/Dispatcher/WorkSums.h
+++ b/Libraries/LibScheduler/Dispatcher/WorkSums.h
@@ -25,9 +25,11 @@
         friend bool operator==(const JobWork&, const JobWork&) = default;
     };
 
+    /// Adds what a job counts for in its pool, or removes exactly what was added.
     void add(const std::string& pool, const JobWork& work) { this->change(pool, work, 1); }
     void remove(const std::string& pool, const JobWork& work) { this->change(pool, work, -1); }
 
+    /// Adds to the capacity of a pool; a negative amount removes.
     void addCapacity(const std::string& pool, int64_t milliCores);
 
     /// The work of the waiting tasks of the jobs that are not late and have a higher priority, or the same one and no more steps.
@@ -45,9 +47,17 @@
 private:
     void change(const std::string& pool, const JobWork&, int64_t sign);
 
-    /// By priority and steps.
-    std::map<std::pair<int64_t, int64_t>, int64_t> waitingByPlace;
-    std::map<std::string, int64_t> openByPool;
+    /// A place in the queue, in serving order.
+    struct Place {
+        int64_t priority { 0 };
+        int64_t tagSteps { 0 };
+
+        friend auto operator<=>(const Place&, const Place&) = default;
+    };
+
+    std::map<Place, int64_t> waitingByPlace;
+    /// The doubled open work of each pool.
+    std::map<std::string, int64_t> doubledOpenByPool;
     std::map<std::string, int64_t> poolCapacity;
     int64_t allWaiting { 0 };
     int64_t allCapacity { 0 };
--- a/Libraries/LibScheduler/Relay/RelayAssignment.h
+++ b/Libraries/LibScheduler/Relay/RelayAssignment.h
@@ -7,11 +7,10 @@
 
 namespace Sassafrasshift::Scheduler {
 
-/// Chooses the relays of a dispatcher, and the relay for each target. It is pure: the same candidates in the same order of changes give the
+/// Chooses the relays of a dispatcher, and the relay for each target. It is deterministic: the same sequence of updates gives the
 /// same relays.
 ///
-/// The load that it addresses: a dispatcher with little CPU time and so many targets that it cannot exchange the orders and answers with all
-/// of them itself.
+/// Relays are for a dispatcher that has too little CPU time to exchange orders and answers with all of its targets itself.
 ///
 /// Each relay has a place, and each target belongs to a place. A relay that is lost is replaced in its place, or the targets of the
 /// place are spread over the others; the targets of the other relays keep theirs.
--- a/Services/sassafrasshiftd/Cluster/DispatchAdmission.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchAdmission.cpp
@@ -19,7 +19,7 @@
 {
 }
 
-void DispatchAdmission::logLevel(Instant now)
+void DispatchAdmission::reportLevel(Instant now)
 {
     const auto& level = this->level();
     this->context.metrics.setGauge("dispatch_admission_limited", level.admitsAll() ? 0 : 1);
@@ -41,10 +41,10 @@
     this->wasDispatching = isDispatching;
     if (hasEnded && this->isLimited()) {
         this->controller.reset();
-        return this->logLevel(now);
+        return this->reportLevel(now);
     }
     if (isDispatching && this->controller.update(this->monitor, now))
-        this->logLevel(now);
+        this->reportLevel(now);
 }
 
 Milliseconds DispatchAdmission::answerDelay() const
--- a/Services/sassafrasshiftd/Cluster/DispatchAdmission.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchAdmission.h
@@ -14,13 +14,14 @@
 public:
     explicit DispatchAdmission(ClusterContext&);
 
+    /// Adjusts the level in each tick, and admits all jobs again when this process stops dispatching.
     void onTick(Instant dueAt, bool isDispatching, Instant now);
     void observeTransit(const std::string& sender, Milliseconds excess) { this->monitor.observeTransit(sender, excess); }
 
     [[nodiscard]] const Scheduler::AdmissionLevel& level() const { return this->controller.level(); }
     [[nodiscard]] bool isLimited() const { return !this->level().admitsAll(); }
-    /// By how much the lag delays the answer to a job: its submission was handled late, and so is what decides about it. Zero while jobs are
-    /// admitted without a limit.
+    /// The estimated delay of the answer to a job by the lag: once for its submission, and once for the tick that decides about it. Zero while
+    /// all jobs are admitted.
     [[nodiscard]] Milliseconds answerDelay() const;
     /// Records a submission, and returns whether it is above the level.
     [[nodiscard]] bool refuses(const Scheduler::Submission&, Instant now);
@@ -28,7 +29,7 @@
     void refuse(const std::string& entry, const Scheduler::Submission&, std::string_view cause);
 
 private:
-    void logLevel(Instant now);
+    void reportLevel(Instant now);
 
     ClusterContext& context;
     Scheduler::LoadMonitor monitor;
--- a/Services/sassafrasshiftd/Cluster/OrderRelay.cpp
+++ b/Services/sassafrasshiftd/Cluster/OrderRelay.cpp
@@ -65,7 +65,7 @@
     auto batch = this->batches.extract(dispatcher);
     if (batch.empty())
         return;
-    this->context.send(dispatcher.first, Scheduler::RelayedAnswers { dispatcher.second, std::move(batch.mapped().answers) });
+    this->context.send(dispatcher.address, Scheduler::RelayedAnswers { dispatcher.process, std::move(batch.mapped().answers) });
 }
 
 }
--- a/Services/sassafrasshiftd/Cluster/OrderRelay.h
+++ b/Services/sassafrasshiftd/Cluster/OrderRelay.h
@@ -13,13 +13,19 @@
 public:
     OrderRelay(ClusterContext&, Transport::HttpClient&);
 
+    /// Sends the orders to their targets. Orders that are late or exceed the limit of open calls are answered as not run.
     void onMessage(const std::string& from, const Scheduler::RelayedOrders&);
     /// Records the transit time of a message that every member sends, with which the transit times of orders are compared.
     void observeTransitTime(const std::string& from, const Gossip&);
 
 private:
-    /// A process of a dispatcher, by its address and number.
-    using Dispatcher = std::pair<std::string, uint64_t>;
+    /// A process of a dispatcher. A process that replaces it at the same address does not get its answers.
+    struct Dispatcher {
+        std::string address;
+        uint64_t process { 0 };
+
+        friend auto operator<=>(const Dispatcher&, const Dispatcher&) = default;
+    };
     using Answer = decltype(Scheduler::RelayedAnswer::answer);
 
     [[nodiscard]] bool isLate(const std::string& from, const Scheduler::RelayedOrders&);
--- a/Services/sassafrasshiftd/Cluster/OrderSender.cpp
+++ b/Services/sassafrasshiftd/Cluster/OrderSender.cpp
@@ -7,7 +7,7 @@
 using Scheduler::RelayedCalls;
 using Telemetry::LogLevel;
 
-// The time between two ticks, by which the expiry of a relayed call is noticed late, twice.
+// Two ticks: a call expires only in the second check after its time.
 static constexpr Milliseconds expiryDelay { 40 };
 
 OrderSender::OrderSender(ClusterContext& context, Transport::HttpClient& client, AnswerHandlers handlers)
--- a/Services/sassafrasshiftd/Cluster/OrderSender.h
+++ b/Services/sassafrasshiftd/Cluster/OrderSender.h
@@ -24,11 +24,13 @@
     /// How long the answer to a hold order may take in addition to the wait that it asks for.
     [[nodiscard]] static Milliseconds holdAnswerTimeout(const Settings::ClusterSettings&);
 
+    /// Sends each order through the relay of its target, or directly if the target has none.
     void send(Scheduler::TargetSession::Orders);
+    /// Passes on the answers of a relay. Answers to calls that have expired are ignored.
     void onMessage(const std::string& from, const Scheduler::RelayedAnswers&);
-    /// Handles the expiry of calls, and chooses the relays of a dispatcher with that many targets. To be called in each tick while the
+    /// Handles the expiry of calls, and chooses the relays for this number of targets. To be called in each tick while the
     /// dispatcher is active.
-    void tick(const std::string& shard, size_t targets, Instant now);
+    void tick(const std::string& shard, size_t targetCount, Instant now);
 
 private:
     template <typename Order>
@@ -39,7 +41,7 @@
     void sendBatches();
     void complete(const Scheduler::RelayedCalls::Call&, Scheduler::RelayedAnswer);
     void expireCalls(Instant now);
-    void updateRelays(const std::string& shard, size_t targets, Instant now);
+    void updateRelays(const std::string& shard, size_t targetCount, Instant now);
 
     ClusterContext& context;
     Platform::TargetClient targets;
