LibTransport: Measure the connections of members without a call for each answer

Change: the input of HTTP/2 connections is noticed where their frames are followed, their unacknowledged bytes are asked for four times a second, and the heap keeps up to 2 MiB.

--- a/Libraries/LibTransport/DisconnectWatch.cpp
+++ b/Libraries/LibTransport/DisconnectWatch.cpp
@@ -44,6 +44,14 @@
     (void)epoll_ctl(this->descriptor, EPOLL_CTL_ADD, h2o_socket_get_fd(socket), &event);
 }
 
+void DisconnectWatch::ignoreInput(h2o_socket_t* socket)
+{
+    epoll_event event {};
+    event.events = EPOLLRDHUP | EPOLLET;
+    event.data.ptr = socket;
+    (void)epoll_ctl(this->descriptor, EPOLL_CTL_MOD, h2o_socket_get_fd(socket), &event);
+}
+
 void DisconnectWatch::handleEvents()
 {
     std::array<epoll_event, maximumEventsAtATime> events {};
--- a/Libraries/LibTransport/DisconnectWatch.h
+++ b/Libraries/LibTransport/DisconnectWatch.h
@@ -24,6 +24,8 @@
 
     /// Watches a connection until its socket is closed.
     void add(st_h2o_socket_t*);
+    /// Tells no more of bytes that arrive on a watched connection, only of its end.
+    void ignoreInput(st_h2o_socket_t*);
 
 private:
     DisconnectWatch() = default;
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -87,8 +87,9 @@
     size_t openExchanges { 0 };
     // The bytes of answers whose requests h2o has not disposed of.
     size_t answerBytes { 0 };
-    // Whether the kernel may have bytes of an answer that the client has not acknowledged.
+    // Whether the kernel may have bytes of an answer that the client has not acknowledged, and how many it last had.
     bool mayHaveUnsent { false };
+    size_t unsentBytes { 0 };
     // The requests that followed one another without a pause.
     size_t pipelinedRequests { 0 };
     bool isTouched { false };
@@ -130,7 +131,12 @@
     [[nodiscard]] bool isLimited() const { return this->limits.budget.memory > 0 || this->limits.budget.connections > 0; }
     void touch(h2o_socket_t*);
     void measureTouched();
-    void measure(h2o_socket_t*, ConnectionState&, Instant now);
+    enum class Measurement {
+        AfterEvent,
+        Periodic,
+    };
+    void measure(h2o_socket_t*, ConnectionState&, Measurement, Instant now);
+    void followFrames(h2o_socket_t*, ConnectionState&);
     void relieveMemory();
     [[nodiscard]] bool admit(h2o_socket_t*, uint32_t address);
     void read(h2o_socket_t*, const char* error);
@@ -584,7 +590,7 @@
         if (position == this->connections.end())
             continue;
         position->second.isTouched = false;
-        this->measure(socket, position->second, now);
+        this->measure(socket, position->second, Measurement::AfterEvent, now);
     }
     this->relieveMemory();
 }
@@ -604,7 +610,9 @@
     return std::string_view(socket->input->bytes, this->limits.headerBytes).find("\r\n\r\n") == std::string_view::npos;
 }
 
-void HttpServer::Implementation::measure(h2o_socket_t* socket, ConnectionState& state, Instant now)
+// Between two periodic measurements, the unacknowledged bytes of an HTTP/2 client are not asked for again: members send many small
+// batches on one connection, and the system call for each answer would cost more than the answer.
+void HttpServer::Implementation::measure(h2o_socket_t* socket, ConnectionState& state, Measurement measurement, Instant now)
 {
     this->followUpgrade(socket, state);
     if (this->hasTooLongHead(socket, state)) {
@@ -618,9 +626,11 @@
         h2o_buffer_init(&socket->input, &h2o_socket_buffer_prototype);
     }
     size_t unread = state.openExchanges > 0 && !state.frames ? kernelBytes(socket, FIONREAD) : 0;
-    size_t unsent = state.mayHaveUnsent ? kernelBytes(socket, SIOCOUTQ) : 0;
-    state.mayHaveUnsent = unsent > 0 || isWriting;
-    auto held = bytesPerConnection + std::max(socket->input->size, std::min(socket->input->capacity, smallInputBuffer)) + unread + unsent + state.answerBytes;
+    if (measurement == Measurement::Periodic || !state.frames) {
+        state.unsentBytes = state.mayHaveUnsent ? kernelBytes(socket, SIOCOUTQ) : 0;
+        state.mayHaveUnsent = state.unsentBytes > 0 || isWriting;
+    }
+    auto held = bytesPerConnection + std::max(socket->input->size, std::min(socket->input->capacity, smallInputBuffer)) + unread + state.unsentBytes + state.answerBytes;
     if (state.frames) {
         if (!isWriting)
             state.frames->clearAnswerable();
@@ -669,13 +679,20 @@
     socket->_cb.read = onRead;
 }
 
+// Counts the frames of an HTTP/2 client from now on. The function that reads from the connection tells of its input then.
+void HttpServer::Implementation::followFrames(h2o_socket_t* socket, ConnectionState& state)
+{
+    state.frames = std::make_unique<Http2FrameCounter>(this->configuration.max_request_entity_size);
+    this->disconnectWatch->ignoreInput(socket);
+}
+
 // Follows the frames of a client that changes to HTTP/2 by an upgrade (RFC 7540 section 3.2). Such a client sends its first frames when it
 // has the answer to the upgrade, and the preface before them. Frames that came earlier are not known. They count as heads, and since no
 // preface follows them, the connection is closed at the next ones.
 void HttpServer::Implementation::followUpgrade(h2o_socket_t* socket, ConnectionState& state)
 {
     if (!state.frames && socket->data != state.protocolData) {
-        state.frames = std::make_unique<Http2FrameCounter>(this->configuration.max_request_entity_size);
+        this->followFrames(socket, state);
         state.frames->addUnknown(socket->bytes_read + socket->bytes_written - state.bytes);
         state.leftInput = 0;
     }
@@ -689,7 +706,9 @@
     std::string_view input(socket->input->bytes, socket->input->size);
     bool isHttp2 = input.starts_with(Http2FrameCounter::preface);
     if (!state.frames && isHttp2)
-        state.frames = std::make_unique<Http2FrameCounter>(this->configuration.max_request_entity_size);
+        this->followFrames(socket, state);
+    if (state.frames)
+        this->touch(socket);
     if (state.frames && input.size() > state.leftInput) {
         state.frames->feed(input.substr(state.leftInput));
         if (state.frames->isAbusive()) {
@@ -773,7 +792,7 @@
     for (auto& [socket, state] : this->connections) {
         if (this->hasTimedOutTransfer(socket, state, now))
             shutDownConnection(socket);
-        this->measure(socket, state, now);
+        this->measure(socket, state, Measurement::Periodic, now);
     }
     this->relieveMemory();
 }
--- a/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
+++ b/Services/sassafrasshiftd/Cluster/ClusterDaemon.cpp
@@ -90,8 +90,10 @@
 static void keepLargeBuffersSeparate()
 {
     static constexpr int separateFrom = 64 * 1024;
+    // With a lower threshold the heap would shrink and grow again in most iterations of a busy event loop.
+    static constexpr int unusedHeap = 2 * 1024 * 1024;
     mallopt(M_MMAP_THRESHOLD, separateFrom);
-    mallopt(M_TRIM_THRESHOLD, separateFrom);
+    mallopt(M_TRIM_THRESHOLD, unusedHeap);
 }
 
 void ClusterDaemon::openClient()
