Cluster: Compare evacuations and relays no more often than needed

Change: sets of evacuated domains are compared ten times a second, relays only while there are targets.

--- a/Services/sassafrasshiftd/Cluster/EvacuationStore.cpp
+++ b/Services/sassafrasshiftd/Cluster/EvacuationStore.cpp
@@ -7,6 +7,8 @@
 using Telemetry::LogLevel;
 
 static constexpr size_t maximumLoggedDomains = 20;
+// Each comparison goes through the records of all members.
+static constexpr Milliseconds comparisonInterval { 100 };
 
 EvacuationStore::EvacuationStore(ClusterContext& context)
     : context(context)
@@ -44,6 +46,9 @@
 
 void EvacuationStore::synchronize(Instant now)
 {
+    if (now < this->nextComparison)
+        return;
+    this->nextComparison = now + comparisonInterval;
     std::vector<DurableState::EvacuationView::Peer> peers;
     for (const auto* member : this->context.cluster.liveMembers(now)) {
         if (member != &this->context.cluster.self())
--- a/Services/sassafrasshiftd/Cluster/EvacuationStore.h
+++ b/Services/sassafrasshiftd/Cluster/EvacuationStore.h
@@ -32,6 +32,7 @@
 private:
     ClusterContext& context;
     DurableState::EvacuationView view;
+    Instant nextComparison {};
 };
 
 }
--- a/Services/sassafrasshiftd/Cluster/OrderSender.cpp
+++ b/Services/sassafrasshiftd/Cluster/OrderSender.cpp
@@ -129,7 +129,9 @@
 void OrderSender::tick(const std::string& shard, size_t targetCount, Instant now)
 {
     this->expireCalls(now);
-    if (this->context.settings.usesOrderRelays())
+    // A member that does not dispatch has no targets.
+    bool isIdle = targetCount == 0 && this->assignment.relays().empty();
+    if (this->context.settings.usesOrderRelays() && !isIdle)
         this->updateRelays(shard, targetCount, now);
 }
 
