LibTransport: Acknowledge each batch of a member at once

Cause: let receivers acknowledge batches up to 20 ms late, with 16 instead of 4 in flight. Change: batches are acknowledged at once, 4 in flight, as before. Passes stay 3 ms apart only where the settings enable order relays.

--- a/Benchmarks/DispatchCost.cpp
+++ b/Benchmarks/DispatchCost.cpp
@@ -34,8 +34,8 @@
 static constexpr int jobsPerSecond = 470;
 static constexpr int64_t coresPerTask = 8;
 static constexpr Milliseconds tickInterval { 20 };
-// As in DispatchService.
-static constexpr Milliseconds passInterval { 3 };
+// As in DispatchService, where orders are relayed.
+static constexpr Milliseconds relayedPassInterval { 3 };
 static constexpr Milliseconds renewalInterval { 250 };
 static constexpr Milliseconds warmUpTime { 3000 };
 
@@ -441,7 +441,8 @@
     void executeEffects()
     {
         ++this->iterations;
-        this->nextPass = this->member.loop->now() + passInterval;
+        if (this->member.context.settings.usesOrderRelays())
+            this->nextPass = this->member.loop->now() + relayedPassInterval;
         Scheduler::TaskScheduler::Effects effects;
         {
             PartScope scope(this->parts.selection);
--- a/Libraries/LibTransport/PeerHub.cpp
+++ b/Libraries/LibTransport/PeerHub.cpp
@@ -1,18 +1,11 @@
 #include <LibBase/Try.h>
 #include <LibTransport/PeerHub.h>
-#include <utility>
 
 namespace Sassafrasshift::Transport {
 
 // One message can contain a whole snapshot of the ledger.
 static constexpr size_t maximumPeerBodyBytes = 256 * 1024 * 1024;
 
-// The responses of a connection that are written together cost both processes one system call, and the sender waits for none of them. It is
-// much shorter than the time after which a sender closes a connection without responses.
-static constexpr Milliseconds acknowledgementDelay { 20 };
-// Longer batches are acknowledged at once, since they occupy memory until then.
-static constexpr size_t maximumDelayedBytes = 16 * 1024;
-
 PeerHub::PeerHub(EventLoop& loop, std::string senderName, Handler handler, RefusalObserver refusalObserver)
     : loop(loop)
     , senderName(std::move(senderName))
@@ -49,21 +42,7 @@
     std::string sender(headerValue(request.headers, peerSenderHeader));
     if (!this->handler(sender, request.body))
         return this->refuse(exchange, 400, "malformed");
-    this->acknowledge(exchange);
-}
-
-void PeerHub::acknowledge(const std::shared_ptr<HttpExchange>& exchange)
-{
-    if (exchange->request().body.size() > maximumDelayedBytes)
-        return exchange->respond(HttpResponse { 204, {}, {} });
-    this->unacknowledged.push_back(exchange);
-    if (this->acknowledgementTimer)
-        return;
-    this->acknowledgementTimer = this->loop.after(acknowledgementDelay, [this] {
-        this->acknowledgementTimer.reset();
-        for (const auto& received : std::exchange(this->unacknowledged, {}))
-            received->respond(HttpResponse { 204, {}, {} });
-    });
+    exchange->respond(HttpResponse { 204, {}, {} });
 }
 
 void PeerHub::send(const Endpoint& endpoint, std::string encodedMessage)
--- a/Libraries/LibTransport/PeerHub.h
+++ b/Libraries/LibTransport/PeerHub.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace Sassafrasshift::Transport {
 
@@ -40,8 +39,6 @@
     PeerHub(EventLoop&, std::string senderName, Handler, RefusalObserver);
 
     void receive(const std::shared_ptr<HttpExchange>&);
-    /// Responds to a batch after `acknowledgementDelay`, together with others.
-    void acknowledge(const std::shared_ptr<HttpExchange>&);
     void refuse(const std::shared_ptr<HttpExchange>&, int status, std::string_view cause);
 
     EventLoop& loop;
@@ -49,8 +46,6 @@
     Handler handler;
     RefusalObserver refusalObserver;
     std::unique_ptr<HttpServer> server;
-    std::vector<std::shared_ptr<HttpExchange>> unacknowledged;
-    std::unique_ptr<Timer> acknowledgementTimer;
     std::map<Endpoint, std::unique_ptr<PeerLink>> links;
 };
 
--- a/Libraries/LibTransport/PeerLink.cpp
+++ b/Libraries/LibTransport/PeerLink.cpp
@@ -15,8 +15,7 @@
 static constexpr size_t maximumQueuedBytes = 64 * 1024 * 1024;
 // A longer message is sent in a batch of its own.
 static constexpr size_t maximumBatchBytes = 1024 * 1024;
-// Receivers acknowledge batches together, up to 20 ms late; see PeerHub.
-static constexpr size_t maximumBatchesInFlight = 16;
+static constexpr size_t maximumBatchesInFlight = 4;
 static constexpr Milliseconds acknowledgementTimeout { 700 };
 static constexpr Milliseconds connectTimeout { 250 };
 static constexpr Milliseconds minimumReconnectDelay { 20 };
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -21,10 +21,10 @@
 static constexpr Milliseconds stateLogInterval { 1000 };
 static constexpr unsigned logLinesPerSecond = 300;
 static constexpr Scheduler::JobOwner::Options jobOwnerOptions {};
+// The shortest time between two passes over the queue that events cause, where orders go through relays: each pass sends up to one batch to
+// each relay and entry host, whatever it contains. An event that comes alone is handled at once.
+static constexpr Milliseconds relayedPassInterval { 3 };
 static constexpr Milliseconds epochRaiseInterval { 200 };
-// The shortest time between two passes over the queue that events cause. Each pass sends up to one batch to each relay and entry host. An
-// event that comes alone is handled at once.
-static constexpr Milliseconds passInterval { 3 };
 // How long the jobs of an entry host may run after its last heartbeat: as long as runs may last after its last message, and the time between
 // two heartbeats.
 static constexpr Milliseconds entryRetention { 1500 };
@@ -473,11 +473,12 @@
             { "targets", std::to_string(counts.known) }, { "usable", std::to_string(counts.usable) }, { "slow", std::to_string(counts.slow) }, { "sharing", this->scheduler.isSharingCapacity() ? "true" : "false" } });
 }
 
-// Deferring the execution sends the orders from one iteration of the event loop, and under load from `passInterval`, together.
+// Deferring the execution sends the orders from one iteration of the event loop, or from `relayedPassInterval`, together.
 void DispatchService::scheduleEffects()
 {
-    if (std::exchange(this->effectsScheduled, true))
+    if (this->effectsScheduled)
         return;
+    this->effectsScheduled = true;
     auto execute = [this] {
         this->effectsScheduled = false;
         this->executeEffects();
@@ -491,7 +492,8 @@
 
 void DispatchService::executeEffects()
 {
-    this->nextPass = this->context.now() + passInterval;
+    if (this->context.settings.usesOrderRelays())
+        this->nextPass = this->context.now() + relayedPassInterval;
     auto effects = this->scheduler.takeEffects(this->context.now());
     this->context.metrics.count("orders_total{kind=\"start\"}", effects.orders.starts.size());
     this->context.metrics.count("orders_total{kind=\"stop\"}", effects.orders.stops.size());
--- a/Services/sassafrasshiftd/Cluster/DispatchService.h
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.h
@@ -58,7 +58,7 @@
     void logStateIfDue(Instant now);
     void logDecision(const Scheduler::Decision&);
     void logHomeEvent(const Scheduler::HomeEvent&);
-    /// Executes the effects once, in the next iteration of the event loop or a short time after the last execution.
+    /// Executes the effects once, in the next iteration of the event loop, or some time after the last execution where orders are relayed.
     void scheduleEffects();
     void updateContacts(const std::vector<const Membership::MemberRecord*>& dispatchers, Instant now);
     void updateHome(Instant now);
@@ -83,9 +83,9 @@
     Telemetry::LogBudget logBudget;
     /// How far the epoch is raised next. It doubles with each raise while targets stay fenced.
     uint64_t epochRaiseStep { 1 };
+    bool effectsScheduled { false };
     std::unique_ptr<Transport::Timer> passTimer;
     Instant nextPass {};
-    bool effectsScheduled { false };
 };
 
 }
