--- a/review/standins-3/executor.py
+++ b/review/standins-3/executor.py
@@ -12,6 +12,7 @@
 HEARTBEAT_SECONDS = 1.5
 ENDS_IN_ONE_ANSWER = 500
 LONGEST_WAIT_SECONDS = 2.0
+CHANNELS = 64
 
 
 class Observer:
@@ -57,6 +58,32 @@
     return int(words[1]) / 1000 if len(words) > 2 and words[0] == "run" else 0.05
 
 
+class ChannelLimitedServer(http.server.ThreadingHTTPServer):
+    """Serves as many channels at a time as an executor on the sheets has. Further ones wait."""
+
+    allow_reuse_address = True
+    request_queue_size = 1024
+    daemon_threads = True
+
+    def __init__(self, address, handler):
+        self.channels = threading.Semaphore(CHANNELS)
+        self.is_closing = False
+        super().__init__(address, handler)
+
+    def process_request(self, request, client_address):
+        while not self.channels.acquire(timeout=0.05):
+            if self.is_closing:
+                self.shutdown_request(request)
+                return
+        super().process_request(request, client_address)
+
+    def process_request_thread(self, request, client_address):
+        try:
+            super().process_request_thread(request, client_address)
+        finally:
+            self.channels.release()
+
+
 class Executor:
     """One executor under one id and address, which can crash and start again."""
 
@@ -80,8 +107,7 @@
             boot = self.boot
         handler = type("Handler", (Handler,), {"executor": self, "boot": boot})
         host, port = self.address.split(":")
-        server_class = type("Server", (http.server.ThreadingHTTPServer,), {"allow_reuse_address": True, "request_queue_size": 1024, "daemon_threads": True})
-        self.server = server_class((host, int(port)), handler)
+        self.server = ChannelLimitedServer((host, int(port)), handler)
         self.connections = set()
         for function in (self.server.serve_forever, lambda: self.report_until_end(boot), lambda: self.end_due_runs(boot)):
             threading.Thread(target=function, daemon=True).start()
@@ -94,6 +120,7 @@
                 self.observer.on_end(self.identity, boot, task, run, "crashed")
             self.runs = {}
             self.condition.notify_all()
+        self.server.is_closing = True
         self.server.shutdown()
         self.server.server_close()
         for connection in list(self.connections):
