--- a/review/11/run.py
+++ b/review/11/run.py
@@ -1,4 +1,4 @@
-"""One client hands in one small request: a job with very many tiny tasks. The stand-in for the platform looks at each front once a
+"""One client hands in one small job with very many tiny tasks, and sends it again while it gets no answer. The stand-in for the platform looks at each front once a
 second, as the balancer does."""
 
 import json
@@ -16,11 +16,13 @@
 from client import NO_ANSWER, call, configuration, job, publish, submit, wait_until
 from deployment import CannotRun, Deployment, Record
 
-TASKS = 30_000
+TASKS = 60_000
 # The balancer takes a front out of rotation after two misses.
 HANGING_MISSES = 5
 WATCH_SECONDS = 45
-PATIENCE_MS = 20_000
+PATIENCE_MS = 1500  # the time limit on the sheet
+RETRANSMIT_SECONDS = 1.3
+SENDS = 4
 
 
 class Balancer:
@@ -71,7 +73,18 @@
         own = next(front for front in deployment.fronts if front is not dispatcher)
         body = tiny_tasks(TASKS if trouble else 20)
         record.write(f"the client's body has {len(json.dumps(body))} bytes")
-        client = threading.Thread(target=submit, args=(record, deployment.front_address(own), "rota", secrets.token_hex(8), body, PATIENCE_MS))
+        identity = secrets.token_hex(8)
+
+        def hand_in():
+            """Sends the job, and again after no answer, 502 or 504, at the next front."""
+            fronts = [own, *(front for front in deployment.fronts if front is not own)]
+            for attempt in range(SENDS):
+                status = submit(record, deployment.front_address(fronts[attempt % len(fronts)]), "rota", identity, body, PATIENCE_MS)
+                if status not in (NO_ANSWER, 502, 504):
+                    return
+                time.sleep(RETRANSMIT_SECONDS)
+
+        client = threading.Thread(target=hand_in)
         client.start()
         end = time.monotonic() + WATCH_SECONDS
         served = []
--- a/review/13/run.py
+++ b/review/13/run.py
@@ -1,83 +1,124 @@
-"""An executor crashes while it is cut off from control, and starts again under its id and address, as another kind. Jobs that may run
-on executors of the former kind only are handed in all the while."""
+"""Six core machines, of which two may be lost; one is taken away as planned. Of the five that are left, one has no power for some seconds;
+another one is gone for good meanwhile, and is replaced. Before the first is back, two others lose their disks."""
 
+import json
 import os
-import secrets
+import shutil
+import signal
+import subprocess
 import sys
-import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins-3"))
 
-from client import call, configuration, job, publish, submit, wait_until
+from client import call, configuration, publish, wait_until
 from deployment import CannotRun, Deployment, Record
-from executor import Executor, Observer
 
-CUT_SECONDS = 5.0  # for_s of the kind; its share is 0.2, which is one of five executors
-DOWN_SECONDS = 0.5
-# The dispatcher has been told of the new boot by its answer to a hold order. Starts within this time after it are left out.
-NOTICE_SECONDS = 1.0
-CALLERS = 6
+DARK_SECONDS = 9.5
+SUCCESSOR_SECONDS = 1.0
+CATCH_UP_SECONDS = 6.0
+RECOVERY_SECONDS = 15.0
+READ_SECONDS = 20.0
+GRACE_SECONDS = 6.0
+
+
+def metric(machine, name):
+    """The value of a metric of a machine; None if it can't be read."""
+    _, text = call(f"{machine.address}:{machine.deployment.ports['metrics']}", "GET", "/metrics", timeout=1)
+    for line in text.splitlines():
+        if line.startswith(f"sassafrasshift_{name} "):
+            return float(line.split()[1])
+    return None
+
+
+def lose_disk(machine):
+    machine.kill()
+    shutil.rmtree(machine.data_folder)
+    machine.deployment.record.write(f"{machine.name} has lost its disk")
+
+
+def read_back(record, addresses, seconds):
+    """The versions that reads return within the time."""
+    versions, statuses = set(), {}
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for address in addresses:
+            status, text = call(address, "GET", "/api/config", timeout=2)
+            statuses[status] = statuses.get(status, 0) + 1
+            if status == 200:
+                versions.add(json.loads(text)["version"])
+        time.sleep(0.2)
+    record.write(f"reads of the configuration: statuses {statuses}, versions {sorted(versions)}")
+    return versions
 
 
 def main():
     trouble = os.environ.get("TROUBLE") != "0"
     record = Record(__file__)
-    deployment = Deployment(record, fronts=3)
-    executors = []
+    deployment = Deployment(record, fronts=2, cores=7, tolerated_machines=2)
+    successor = deployment.cores[6]
+    first = deployment.cores[:6]
     try:
-        deployment.start()
-        if not publish(record, deployment.control_addresses(), configuration(7)):
+        deployment.start(spare=[successor])
+        if not publish(record, [f"{core.address}:{deployment.ports['control']}" for core in first], configuration(7)):
             raise CannotRun("no configuration was confirmed")
-        observer = Observer(record)
-        for number, kind in enumerate("aabbb"):
-            address = f"{deployment.executor_net}.{number + 1}:{deployment.ports['executor']}"
-            executors.append(Executor(observer, f"i-{number}", address, deployment.control_addresses(), "desk", "zone-a", [kind, "r1-1"]))
-            executors[-1].start()
-        if not wait_until(lambda: all(call(deployment.ready_address(front), "GET", "/api/ready", timeout=1)[0] == 200 for front in deployment.fronts), 20):
-            raise CannotRun("not all fronts are ready")
-        time.sleep(4)
-        stopping, statuses = threading.Event(), []
-
-        def hand_jobs_in(number):
-            while not stopping.is_set():
-                body = job(60, 2, required_label="a")
-                statuses.append(submit(record, deployment.front_address(deployment.fronts[number % 3]), "swap", secrets.token_hex(8), body, 1500, timeout=3))
-                time.sleep(0.1)
-
-        callers = [threading.Thread(target=hand_jobs_in, args=(number,)) for number in range(CALLERS)]
-        for caller in callers:
-            caller.start()
-        time.sleep(3)
-        changed = executors[1]
+        leaders = lambda: [core for core in first if metric(core, "ledger_leads") == 1]
+        if not wait_until(lambda: any(metric(leader, "ledger_voters") == 6 for leader in leaders()), 20):
+            raise CannotRun("the six core machines do not become voters")
+        time.sleep(2)
+        removed = next(core for core in first[3:] if core not in leaders())
+        removed.signal(signal.SIGTERM)
+        try:
+            removed.process.wait(GRACE_SECONDS)
+        except subprocess.TimeoutExpired:
+            raise CannotRun("the machine that is taken away does not end") from None
+        record.write(f"{removed.name} has been taken away as planned")
+        first = [core for core in first if core is not removed]
+        # It stops counting after catch_up_s at the latest.
+        time.sleep(CATCH_UP_SECONDS + 0.5)
+        if not any(metric(leader, "ledger_voters") == 5 for leader in leaders()):
+            raise CannotRun("the machine that was taken away is still a voter")
+        leader = leaders()[0]
+        others = [core for core in first if core is not leader]
+        dark, gone, wiped = others[0], others[1], others[2:]
+        record.write(f"the leader is {leader.name}")
+        members = first
+        if trouble:
+            dark.kill()
+            dark_at = time.monotonic()
+            record.write(f"{dark.name} has no power")
+            time.sleep(0.5)
+            gone.kill()
+            record.write(f"{gone.name} is gone for good")
+            time.sleep(SUCCESSOR_SECONDS)
+            successor.start()
+            members = [core for core in first if core is not gone] + [successor]
+            # The machine that is gone stops counting once its successor has had catch_up_s.
+            time.sleep(CATCH_UP_SECONDS + 0.5)
+        addresses = [f"{core.address}:{deployment.ports['control']}" for core in members]
+        running = [f"{core.address}:{deployment.ports['control']}" for core in members if core.is_running()]
+        record.write(f"voters before the disks are lost: {metric(leader, 'ledger_voters')}, quorum {metric(leader, 'ledger_quorum')}")
+        if not publish(record, running, configuration(9), within_seconds=5):
+            raise CannotRun("the second configuration was not confirmed")
         if trouble:
-            record.write("i-1 is cut off from control; it crashes, and starts again as kind b")
-            changed.cut_from_control = True
-            changed.labels = ["b", "r1-1"]
-            changed.crash_and_restart(DOWN_SECONDS)
-        time.sleep(CUT_SECONDS)
-        changed.cut_from_control = False
-        record.write("the cut of i-1 has healed")
-        time.sleep(4)
-        stopping.set()
-        for caller in callers:
-            caller.join()
-        if statuses.count(200) < len(statuses) / 4:
-            raise CannotRun("most jobs are not served")
-        # All jobs require the label "a". The executors i-2 to i-4, and i-1 from its second boot on, do not have it.
-        wrong = [start for start in observer.starts if start[1] in ("i-2", "i-3", "i-4") or start[1:3] == ("i-1", 2)]
-        told_at = observer.listed.get(("i-1", 2))
-        after_notice = [start for start in wrong if start[1] != "i-1" or (told_at is not None and start[0] > told_at + NOTICE_SECONDS)]
-        record.write(f"starts: {len(observer.starts)}, without the label: {len(wrong)}, of these over {NOTICE_SECONDS} s after the new boot had answered a hold order: {len(after_notice)}")
-        record.write("BROKEN" if after_notice else "HELD")
-        return 1 if after_notice else 0
+            for core in wiped:
+                lose_disk(core)
+            time.sleep(max(0, dark_at + DARK_SECONDS - time.monotonic()))
+            dark.start()
+            time.sleep(0.5)
+            for core in wiped:
+                core.start()
+            time.sleep(RECOVERY_SECONDS)
+        versions = read_back(record, addresses, READ_SECONDS)
+        record.write(f"voters at the end: { {core.name: metric(core, 'ledger_voters') for core in members} }")
+        is_broken = 9 not in versions
+        record.write("BROKEN" if is_broken else "HELD")
+        return 1 if is_broken else 0
     except CannotRun as error:
         record.write(f"could not run: {error}")
         return 2
     finally:
-        for executor in executors:
-            executor.stop()
         deployment.close()
 
 
--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -116,8 +116,8 @@
         return {"node": self.name, "role": self.role, "machine_class": self.machine_class, "serves": ["front" if is_front else "control"],
                 "ip": self.address, "zone": self.zone, "region": "here", "zones": {zone: "here" for zone in self.deployment.zones}, "listen": listen,
                 "internal_ports": [ports["peer"], ports["peer"]], "seeds": [f"{core.address}:{ports['control']}" for core in self.deployment.cores[:3]],
-                "bootstrap": bootstrap, "fault_counted": not is_front, "limits": FRONT_LIMITS if is_front else CORE_LIMITS,
-                "data_dir": None if is_front else self.data_folder, "fault_tolerance": {"machines": 1, "zones": 1, "regions": 0}, "bounds": BOUNDS}
+                "bootstrap": bootstrap, "fault_counted": not is_front, "limits": self.deployment.front_limits if is_front else CORE_LIMITS,
+                "data_dir": None if is_front else self.data_folder, "fault_tolerance": {"machines": self.deployment.tolerated_machines, "zones": 1, "regions": 0}, "bounds": BOUNDS}
 
     def start(self, bootstrap=False):
         if self.machine_class == "core":
@@ -179,8 +179,9 @@
 class Deployment:
     """All machines of one deployment, in one zone or several."""
 
-    def __init__(self, record, fronts, cores=3, zones=("zone-a",)):
-        self.record, self.zones = record, list(zones)
+    def __init__(self, record, fronts, cores=3, zones=("zone-a",), tolerated_machines=1, front_limits=None):
+        self.record, self.zones, self.tolerated_machines = record, list(zones), tolerated_machines
+        self.front_limits = {**FRONT_LIMITS, **(front_limits or {})}
         self.folder = tempfile.mkdtemp(prefix="review-3-")
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
@@ -209,9 +210,10 @@
     def ready_address(self, machine):
         return f"{machine.address}:{self.ports['ready']}"
 
-    def start(self):
+    def start(self, spare=()):
         for machine in self.machines():
-            machine.start(bootstrap=True)
+            if machine not in spare:
+                machine.start(bootstrap=True)
 
     def dispatcher(self):
         """The running front that has begun to dispatch last and has not ended it, as its log says; None if there is none."""
