--- a/review/13/run.py
+++ b/review/13/run.py
@@ -15,8 +15,9 @@
 from client import call, configuration, publish, wait_until
 from deployment import CannotRun, Deployment, Record
 
-DARK_SECONDS = 9.5
-SUCCESSOR_SECONDS = 1.0
+# The longest time for single core machines in the site file, and a successor that comes sooner than the 1 s of the kind.
+DARK_SECONDS = 7.0
+SUCCESSOR_SECONDS = 0.1
 CATCH_UP_SECONDS = 6.0
 RECOVERY_SECONDS = 15.0
 READ_SECONDS = 20.0
@@ -88,14 +89,14 @@
             dark.kill()
             dark_at = time.monotonic()
             record.write(f"{dark.name} has no power")
-            time.sleep(0.5)
+            time.sleep(0.2)
             gone.kill()
             record.write(f"{gone.name} is gone for good")
             time.sleep(SUCCESSOR_SECONDS)
             successor.start()
             members = [core for core in first if core is not gone] + [successor]
             # The machine that is gone stops counting once its successor has had catch_up_s.
-            time.sleep(CATCH_UP_SECONDS + 0.5)
+            time.sleep(CATCH_UP_SECONDS + 0.2)
         addresses = [f"{core.address}:{deployment.ports['control']}" for core in members]
         running = [f"{core.address}:{deployment.ports['control']}" for core in members if core.is_running()]
         record.write(f"voters before the disks are lost: {metric(leader, 'ledger_voters')}, quorum {metric(leader, 'ledger_quorum')}")
