--- a/Tests/LibLedger/TestReplica.cpp
+++ b/Tests/LibLedger/TestReplica.cpp
@@ -55,6 +55,12 @@
     BOOST_TEST(holdsForRandomSchedules(3, scheduleCount(1500)));
 }
 
+// An even number of replicas, in which retired identities change the quorum.
+BOOST_AUTO_TEST_CASE(four_replicas_agree_under_random_schedules)
+{
+    BOOST_TEST(holdsForRandomSchedules(4, scheduleCount(800)));
+}
+
 BOOST_AUTO_TEST_CASE(five_replicas_agree_under_random_schedules)
 {
     BOOST_TEST(holdsForRandomSchedules(5, scheduleCount(800)));
