LibScheduler: Bound the work of one pass over the queue

Cause: one pass started all tasks that fit in one turn of the event loop, and each start, each answer to one and each failed run walked over all runs of the target or of the job.

Evidence: TestLargeJobs counts orders: 3,000 starts, and 3,000 stops at the end of the job, in one pass.

Change: RunTable keeps what is asked of all runs of a target (leases of jobs, unconfirmed starts, runs to stop). A pass starts 256 tasks and returns 256 stop orders at most, and the next one follows after other events; a target gets 1,000 runs at most, since a list of them is read as a whole; a failed run looks for runs of its own task only. A job with more tasks than the dispatcher can start before the deadline, at 20 us of a core each, is refused at once as too-many-tasks: 18,750 in 1.5 s with a quarter of a core.

Ruled out: the walk alone (a start costs about 50 us without it, so that 60,000 in one turn still take seconds).

TestLibScheduler: 380 cases without errors.

--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
@@ -11,6 +11,8 @@
 // How many run numbers are skipped when a target refuses a run because it has had a run of the same task with the same or a higher
 // number.
 static constexpr uint64_t staleRunNumberStep { 100 };
+// The stop orders that one call of takeEffects() returns at most. The leases of runs that are being stopped are not extended meanwhile.
+static constexpr size_t maximumStopsPerPass = 256;
 // For how long after a target has announced its end an earlier dispatcher may keep runs there alive, because it has not been told.
 static constexpr Milliseconds removalNoticeTime { 2000 };
 
@@ -307,11 +309,24 @@
 // that run has ended.
 void TaskScheduler::adoptRuns(Job& job, Instant now)
 {
-    const RunId lowest { TaskId { job.submission.job, 0, 0, 0 }, 0 };
+    const auto& name = job.submission.job;
+    this->adoptRunsFrom(
+        RunId { TaskId { name, 0, 0, 0 }, 0 }, [&](const TaskId& task) { return task.job == name; }, now);
+}
+
+void TaskScheduler::adoptRunsOfTask(Job& job, uint32_t index, Instant now)
+{
+    const TaskId wanted { job.submission.job, 0, 0, index };
+    this->adoptRunsFrom(
+        RunId { wanted, 0 }, [&](const TaskId& task) { return task == wanted; }, now);
+}
+
+void TaskScheduler::adoptRunsFrom(const RunId& lowest, const std::function<bool(const TaskId&)>& belongs, Instant now)
+{
     for (auto& [key, target] : this->targets) {
         std::vector<RunId> found;
         const auto& runs = target.session.runs();
-        for (auto position = runs.lower_bound(lowest); position != runs.end() && position->first.task.job == job.submission.job; ++position)
+        for (auto position = runs.lower_bound(lowest); position != runs.end() && belongs(position->first.task); ++position)
             found.push_back(position->first);
         for (const auto& id : found)
             this->onRunDiscovered(target.session, id, now);
@@ -528,6 +543,7 @@
         return;
     }
     task.state = TaskState::Waiting;
+    job.firstWaiting = std::min<size_t>(job.firstWaiting, event.run.task.index);
     task.leasesExpiredAt.reset();
     if (event.evidence->proof == RunEndProof::LeaseExpired)
         this->requestRenewal(job, task, now);
@@ -539,7 +555,7 @@
     if (hasFailed && ++task.failures >= job.submission.maximumFailures)
         return this->finishJob(event.run.task.job, JobEnd::Failed, "task-failed", now);
     // Another dispatcher may have started the task since then; such a run was found, but not adopted while the task had this one.
-    this->adoptRuns(job, now);
+    this->adoptRunsOfTask(job, event.run.task.index, now);
 }
 
 // Called when a target lists a run as done that had been taken as ended without success, since the target was silent until its leases
@@ -748,10 +764,14 @@
 {
     if (this->needsPlacement)
         this->placeWaitingTasks(now);
+    this->isPassIncomplete = this->needsPlacement;
+    auto stopsLeft = maximumStopsPerPass;
     for (auto& [key, target] : this->targets) {
         if (!target.session.hasOrders())
             continue;
-        auto orders = target.session.takeOrders();
+        auto orders = target.session.takeOrders(stopsLeft);
+        stopsLeft -= orders.stops.size();
+        this->isPassIncomplete = this->isPassIncomplete || target.session.hasOrders();
         auto append = [](auto& to, auto& from) { to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end())); };
         append(this->effects.orders.holds, orders.holds);
         append(this->effects.orders.starts, orders.starts);
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -45,6 +45,11 @@
         /// Jobs beyond this number of open jobs are refused, and jobs whose tasks would exceed this number of tasks of open jobs.
         size_t maximumJobs { 20'000 };
         size_t maximumTasks { 200'000 };
+        /// The number of runs on one target beyond which no task is started there. Each list of the runs on a target is read as a whole.
+        size_t maximumRunsPerTarget { 1000 };
+        /// The processor time that this dispatcher needs at least for each task, at the share of the processor that it has. A job whose
+        /// tasks need more than the time to its deadline is refused. Zero refuses none.
+        Microseconds minimumTimePerTask { 0 };
         /// Whether capacity is shared between failure domains of origin and queues while it is short; see CapacityShares.
         bool shareCapacity { false };
         /// Whether tasks are kept apart that slow each other down on the same target, where others have room; see InterferenceModel.
@@ -133,6 +138,9 @@
 
     /// Places waiting tasks where possible, and returns the effects to execute.
     [[nodiscard]] Effects takeEffects(Instant now);
+    /// Whether the last call of takeEffects() has left tasks to place or orders to send, since the number of both is limited for each
+    /// call. It has to be called again after other events were handled.
+    [[nodiscard]] bool hasMoreEffects() const { return this->isPassIncomplete; }
 
     /// The number of targets by state, for logs and metrics.
     struct TargetCounts {
@@ -216,6 +224,8 @@
         /// The expected run time of one task on the fastest kind of target.
         Milliseconds expectedRunTime { 0 };
         std::vector<Task> tasks;
+        /// No task before this one is waiting.
+        size_t firstWaiting { 0 };
         /// The numbers of tasks that are waiting and done.
         size_t waiting { 0 };
         size_t done { 0 };
@@ -282,7 +292,7 @@
     };
 
     /// Returns the last search, which has failed if tasks that may start are left.
-    Choice placeTasks(Job&, Instant now);
+    Choice placeTasks(Job&, size_t& startsLeft, Instant now);
     [[nodiscard]] Choice chooseTarget(const Job&, ExpectedRunTimes&, Instant now);
     void findFreeTargets(Instant now);
     [[nodiscard]] int64_t largestFreeCapacity() const;
@@ -320,6 +330,9 @@
     void notifyTakenOver(const std::string& entry, const std::string& job);
     void takeOver(Job&, const std::string& entry, const Submission&, Instant now, Milliseconds leaseAge);
     void adoptRuns(Job&, Instant now);
+    void adoptRunsOfTask(Job&, uint32_t index, Instant now);
+    /// Adopts the runs from `lowest` on for as long as they belong to what the predicate tells.
+    void adoptRunsFrom(const RunId& lowest, const std::function<bool(const TaskId&)>& belongs, Instant now);
     void adoptOrStopRun(Job&, Task&, TargetSession&, const RunId&, Instant now);
     void adoptRun(Job&, Task&, TargetSession&, const RunId&, Instant now);
     void finishJob(const std::string& job, JobEnd, std::string reason, Instant now, Milliseconds retryAfter = Milliseconds(0));
@@ -409,6 +422,7 @@
     Instant nextPeriodicCheck {};
     /// Whether state that affects placement may have changed since tasks were last placed.
     bool needsPlacement { false };
+    bool isPassIncomplete { false };
     Effects effects;
 };
 
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerAdmission.cpp
@@ -57,6 +57,11 @@
         outcome.retryAfterMilliseconds = 1000;
         return outcome;
     }
+    if (this->options.minimumTimePerTask * submission.taskCount > Milliseconds(submission.untilDeadline)) {
+        outcome.reason = "too-many-tasks";
+        outcome.retryAfterMilliseconds = maximumRetryAfter.count();
+        return outcome;
+    }
     auto wait = this->expectedWait(submission, now);
     auto expected = this->speeds.expectedOnFastestKind(submission.queue, Milliseconds(submission.estimateMilliseconds));
     if (wait.count() + expected.count() <= submission.untilDeadline)
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
@@ -9,6 +9,9 @@
 // A target whose measured slowness is higher than this gets no tasks until the slowness has decayed.
 static constexpr double maximumUsableSlowness { 2.5 };
 
+// The tasks that one pass over the queue starts at most, so that other events are handled between two passes.
+static constexpr size_t maximumStartsPerPass = 256;
+
 // That all known targets have been claimed does not prove that the runs of an earlier dispatcher are known: that one may have had
 // other targets, or may have claimed targets again since.
 bool TaskScheduler::mayStartTasks(const Job& job, Instant now) const
@@ -97,6 +100,8 @@
             candidate.slowness = candidate.target->speed.slowness(now);
         if (*candidate.slowness > maximumUsableSlowness)
             continue;
+        if (session.runs().size() >= this->options.maximumRunsPerTarget)
+            continue;
         choice.hasRoom = true;
         if (submission.maximumPerTarget > 0 && session.countRuns(submission.job) >= submission.maximumPerTarget)
             continue;
@@ -122,11 +127,13 @@
     return choice;
 }
 
-TaskScheduler::Choice TaskScheduler::placeTasks(Job& job, Instant now)
+TaskScheduler::Choice TaskScheduler::placeTasks(Job& job, size_t& startsLeft, Instant now)
 {
     ExpectedRunTimes expectedRunTimes(this->speeds, job.submission);
     Choice choice { nullptr, true, false };
-    for (size_t index = 0; index < job.tasks.size() && job.waiting > 0; ++index) {
+    while (job.firstWaiting < job.tasks.size() && job.tasks[job.firstWaiting].state != TaskState::Waiting)
+        ++job.firstWaiting;
+    for (auto index = job.firstWaiting; index < job.tasks.size() && job.waiting > 0 && startsLeft > 0; ++index) {
         auto& task = job.tasks[index];
         if (task.state != TaskState::Waiting || this->mayHaveBeenTakenOver(job, task))
             continue;
@@ -138,6 +145,7 @@
         task.target = session.target().identity;
         task.run = task.nextRunNumber++;
         --job.waiting;
+        --startsLeft;
         if (job.starts++ == 0) {
             job.waitTime = std::chrono::duration_cast<Milliseconds>(now - job.arrivedAt);
             this->shares.onStarted(job.share);
@@ -175,7 +183,8 @@
 
 // Neither the set of free targets nor their speeds change during a pass, and their free capacity only shrinks. So a shape that has no room
 // once has none for the rest of the pass. A start on a target lets it accept no job whose entry lease is older than that of the
-// started one, so if all targets refuse a job for its lease, they refuse those with older ones too.
+// started one, so if all targets refuse a job for its lease, they refuse those with older ones too. A pass that has started as many tasks as
+// it may leaves the rest to the next one.
 void TaskScheduler::placeWaitingTasks(Instant now)
 {
     this->needsPlacement = false;
@@ -186,16 +195,23 @@
     auto largestFree = this->largestFreeCapacity();
     // Their ranks change after the pass, since a visit must not add jobs to the queue.
     std::vector<Job*> started;
+    auto startsLeft = maximumStartsPerPass;
     auto visit = [&](Job& job, Instant& refusedLease) {
+        if (startsLeft == 0) {
+            this->needsPlacement = true;
+            return Result::PassIsOver;
+        }
         bool mayLease = job.submission.maximumPerTarget > 0 || job.lease->lastExtendedAt > refusedLease;
         if (!mayLease || !this->mayStartTasks(job, now))
             return Result::Continue;
         auto waiting = job.waiting;
-        auto last = this->placeTasks(job, now);
+        auto last = this->placeTasks(job, startsLeft, now);
         if (job.waiting < waiting)
             largestFree = this->largestFreeCapacity();
         if (job.waiting > 0 && job.waiting < waiting)
             started.push_back(&job);
+        if (startsLeft == 0 && job.waiting > 0)
+            this->needsPlacement = true;
         if (last.isSearched && !last.target && !last.isRefusedAsLate && job.submission.maximumPerTarget == 0)
             refusedLease = job.lease->lastExtendedAt;
         return last.hasRoom ? Result::Continue : Result::ShapeHasNoRoom;
--- a/Libraries/LibScheduler/Dispatcher/WaitingJobs.h
+++ b/Libraries/LibScheduler/Dispatcher/WaitingJobs.h
@@ -43,6 +43,8 @@
         Continue,
         /// No job of the same shape has room on any target.
         ShapeHasNoRoom,
+        /// No further job is visited.
+        PassIsOver,
     };
 
     /// Visits jobs in the order of their ranks, until `largestFree()` is 0. Jobs that need more cores than that are left out. The visitor
@@ -62,7 +64,10 @@
             if (cursor.milliCores <= largestFree()) {
                 auto& job = *cursor.position->second;
                 hasMore = ++cursor.position != cursor.end;
-                hasMore = visitor(job, cursor.time) == Result::Continue && hasMore;
+                auto result = visitor(job, cursor.time);
+                if (result == Result::PassIsOver)
+                    return;
+                hasMore = result == Result::Continue && hasMore;
             }
             if (hasMore)
                 std::push_heap(cursors.begin(), cursors.end(), isServedLater);
--- a/Libraries/LibScheduler/Target/TargetSession.cpp
+++ b/Libraries/LibScheduler/Target/TargetSession.cpp
@@ -1,5 +1,6 @@
 #include <LibScheduler/Target/TargetSession.h>
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Sassafrasshift::Scheduler {
@@ -89,7 +90,7 @@
     bool haveExpired = this->haveLeasesExpired(now);
     if (haveExpired)
         this->finishAll(RunEnd::Lapsed, RunEndProof::LeaseExpired, now);
-    if (this->knownRuns.empty() && (this->hasRunList || haveExpired)) {
+    if (this->knownRuns.isEmpty() && (this->hasRunList || haveExpired)) {
         this->phase = Phase::Gone;
         this->addEvent(Event::Kind::Gone);
     }
@@ -109,7 +110,8 @@
 uint32_t TargetSession::countRuns(const RunId& lowest) const
 {
     uint32_t count = 0;
-    for (auto position = this->knownRuns.lower_bound(lowest); position != this->knownRuns.end() && position->first.task.job == lowest.task.job; ++position)
+    const auto& runs = this->knownRuns.all();
+    for (auto position = runs.lower_bound(lowest); position != runs.end() && position->first.task.job == lowest.task.job; ++position)
         ++count;
     return count;
 }
@@ -141,38 +143,42 @@
     run.jobLease = std::move(jobLease);
     run.discoveredAt = now;
     run.restartsBeforeStart = this->restarts;
-    this->knownRuns.emplace(id, run);
+    this->knownRuns.add(id, std::move(run));
     this->used = this->used.plus(needs);
     (void)this->grantLease(now);
     this->lastLeaseOrderAt = now;
     this->orders.starts.push_back(StartOrder { this->instance(), this->fence, id, payload, this->latestLeaseEnd });
 }
 
-void TargetSession::sendStop(const RunId& id, Run& run, Instant now)
+void TargetSession::sendStop(const RunId& id, Instant now)
 {
-    run.stopSentAt = now;
-    if (run.stopOrders++ == 0)
-        run.firstStopSentAt = now;
+    this->knownRuns.change(id, [now](Run& run) {
+        run.stopSentAt = now;
+        if (run.stopOrders++ == 0)
+            run.firstStopSentAt = now;
+    });
     this->orders.stops.push_back(StopOrder { this->instance(), this->fence, id });
 }
 
 void TargetSession::stop(const RunId& id, Instant now)
 {
-    auto position = this->knownRuns.find(id);
-    if (position == this->knownRuns.end() || position->second.state == RunState::Stopping || position->second.state == RunState::Uncertain)
+    const auto* run = this->knownRuns.find(id);
+    if (!run || run->state == RunState::Stopping || run->state == RunState::Uncertain)
         return;
-    position->second.state = RunState::Stopping;
-    this->sendStop(id, position->second, now);
+    this->knownRuns.change(id, [](Run& stopped) { stopped.state = RunState::Stopping; });
+    this->sendStop(id, now);
 }
 
 void TargetSession::adopt(const RunId& id, const Catalog::Resources& needs, std::shared_ptr<const JobLease> jobLease, Instant now)
 {
-    auto position = this->knownRuns.find(id);
-    if (position == this->knownRuns.end() || position->second.state != RunState::Unadopted)
+    const auto* run = this->knownRuns.find(id);
+    if (!run || run->state != RunState::Unadopted)
         return;
-    position->second.state = RunState::Running;
-    position->second.jobLease = std::move(jobLease);
-    this->setNeeds(position->second, needs);
+    this->knownRuns.change(id, [&](Run& adopted) {
+        adopted.state = RunState::Running;
+        adopted.jobLease = std::move(jobLease);
+        this->setNeeds(adopted, needs);
+    });
     this->extendLeaseIfDue(now);
 }
 
@@ -193,17 +199,17 @@
     return evidence;
 }
 
-void TargetSession::finish(std::map<RunId, Run>::iterator position, std::optional<RunEnd> end, RunEndProof proof, Instant now, bool staleNumber)
+void TargetSession::finish(const RunId& id, std::optional<RunEnd> end, RunEndProof proof, Instant now, bool staleNumber)
 {
-    const auto& run = position->second;
+    const auto& run = *this->knownRuns.find(id);
     if (!run.needsKnown)
         --this->runsWithUnknownNeeds;
     this->used = this->used.minus(run.needs);
     // If the preceding hold orders were not answered, the run may have ended long before now.
     bool isKnown = run.startedAt != Instant {} && this->unansweredHolds == 0;
     auto duration = isKnown ? std::chrono::duration_cast<Milliseconds>(now - run.startedAt) : Milliseconds(0);
-    this->events.push_back(Event { Event::Kind::Ended, position->first, end, staleNumber, duration, this->evidence(run, proof, now), 0, Milliseconds(0) });
-    this->knownRuns.erase(position);
+    this->events.push_back(Event { Event::Kind::Ended, id, end, staleNumber, duration, this->evidence(run, proof, now), 0, Milliseconds(0) });
+    this->knownRuns.remove(this->events.back().run);
 }
 
 void TargetSession::addEvent(Event::Kind kind, const RunId& run)
@@ -216,8 +222,8 @@
 
 void TargetSession::finishAll(std::optional<RunEnd> end, RunEndProof proof, Instant now)
 {
-    while (!this->knownRuns.empty())
-        this->finish(this->knownRuns.begin(), end, proof, now);
+    while (!this->knownRuns.isEmpty())
+        this->finish(this->knownRuns.all().begin()->first, end, proof, now);
 }
 
 void TargetSession::eject(Milliseconds duration, Instant now)
@@ -316,7 +322,7 @@
 void TargetSession::onUnansweredHold(Instant now)
 {
     ++this->unansweredHolds;
-    this->nextHold = now + (this->knownRuns.empty() ? this->options.claimRetryInterval : Milliseconds(0));
+    this->nextHold = now + (this->knownRuns.isEmpty() ? this->options.claimRetryInterval : Milliseconds(0));
     if (this->phase == Phase::Retired)
         this->nextHold = now + retiredRetryInterval;
     if (this->unansweredHolds == failureThreshold)
@@ -345,8 +351,10 @@
     this->lastEndAcknowledged = 0;
     this->latestLeaseEnd = 0;
     this->assumeUnknownLeases(now);
-    for (auto& [id, run] : this->knownRuns)
-        run.stopConfirmedAt.reset();
+    for (const auto& [id, run] : this->knownRuns.all()) {
+        if (run.stopConfirmedAt)
+            this->knownRuns.change(id, [](Run& stopped) { stopped.stopConfirmedAt.reset(); });
+    }
 }
 
 // Called when an answer shows that another process may have replaced the target. No run is started before a list has named it.
@@ -361,8 +369,7 @@
 {
     for (const auto& ended : list.ended) {
         this->lastEndSeen = std::max(this->lastEndSeen, std::min(ended.sequence, list.lastReadableEnd));
-        auto position = this->knownRuns.find(ended.run);
-        if (position == this->knownRuns.end()) {
+        if (!this->knownRuns.find(ended.run)) {
             if (ended.end == RunEnd::Done)
                 this->addEvent(Event::Kind::FoundDone, ended.run);
             continue;
@@ -371,36 +378,44 @@
             this->countFailure(now);
         else if (ended.end == RunEnd::Done)
             this->consecutiveFailures = 0;
-        this->finish(position, ended.end, RunEndProof::Listed, now);
+        this->finish(ended.run, ended.end, RunEndProof::Listed, now);
     }
     this->applyRunningRuns(list, sentAt, now);
 }
 
+void TargetSession::addDiscoveredRun(const RunId& id, Instant now)
+{
+    Run run;
+    run.state = RunState::Unadopted;
+    run.needs = Catalog::Resources { 0, 0, 0 };
+    run.needsKnown = false;
+    run.discoveredAt = now;
+    this->knownRuns.add(id, std::move(run));
+    ++this->runsWithUnknownNeeds;
+    this->addEvent(Event::Kind::Discovered, id);
+}
+
 void TargetSession::applyRunningRuns(const RunList& list, Instant sentAt, Instant now)
 {
     std::set<RunId> running(list.running.begin(), list.running.end());
     for (const auto& id : running) {
-        auto [position, isNew] = this->knownRuns.try_emplace(id);
-        position->second.lastReportedRunningAt = now;
-        if (auto progress = list.progress.find(id); progress != list.progress.end())
-            position->second.progress.observe(progress->second, now);
-        if (!isNew && !position->second.knownStartedAt)
+        const auto* known = this->knownRuns.find(id);
+        if (!known)
+            this->addDiscoveredRun(id, now);
+        else if (!known->knownStartedAt)
             this->reportIfFoundLate(id, now);
-        if (!position->second.knownStartedAt)
-            position->second.knownStartedAt = now;
-        if (!isNew)
-            continue;
-        position->second.state = RunState::Unadopted;
-        position->second.needs = Catalog::Resources { 0, 0, 0 };
-        position->second.needsKnown = false;
-        position->second.discoveredAt = now;
-        ++this->runsWithUnknownNeeds;
-        this->addEvent(Event::Kind::Discovered, id);
+        this->knownRuns.change(id, [&](Run& run) {
+            run.lastReportedRunningAt = now;
+            if (auto progress = list.progress.find(id); progress != list.progress.end())
+                run.progress.observe(progress->second, now);
+            if (!run.knownStartedAt)
+                run.knownStartedAt = now;
+        });
     }
     if (!list.isComplete)
         return;
     std::vector<RunId> absent;
-    for (const auto& [id, run] : this->knownRuns) {
+    for (const auto& [id, run] : this->knownRuns.all()) {
         if (running.contains(id))
             continue;
         // A run that is missing from the answer has ended if it was known to have started, or the target had confirmed its stop
@@ -412,7 +427,7 @@
             absent.push_back(id);
     }
     for (const auto& id : absent)
-        this->finish(this->knownRuns.find(id), {}, RunEndProof::Absent, now);
+        this->finish(id, {}, RunEndProof::Absent, now);
 }
 
 void TargetSession::reportIfFoundLate(const RunId& id, Instant now)
@@ -426,47 +441,49 @@
 
 void TargetSession::onStartAnswer(const RunId& id, const OrderAnswer& answer, Instant now)
 {
-    auto position = this->knownRuns.find(id);
-    if (position == this->knownRuns.end())
+    const auto* run = this->knownRuns.find(id);
+    if (!run)
         return;
-    auto& run = position->second;
     if (const auto* acknowledged = std::get_if<Acknowledged>(&answer)) {
-        run.startedAt = now;
-        if (!run.knownStartedAt)
-            run.knownStartedAt = now;
-        if (run.state == RunState::Starting)
-            run.state = RunState::Running;
+        auto restartsBeforeStart = run->restartsBeforeStart;
+        this->knownRuns.change(id, [now](Run& started) {
+            started.startedAt = now;
+            if (!started.knownStartedAt)
+                started.knownStartedAt = now;
+            if (started.state == RunState::Starting)
+                started.state = RunState::Running;
+        });
         if (this->clock && acknowledged->clock < *this->clock - clockResetThresholdMilliseconds)
             this->onUnknownProcess(now);
-        else if (run.restartsBeforeStart == this->restarts)
+        else if (restartsBeforeStart == this->restarts)
             this->observeClock(acknowledged->clock, now);
         return;
     }
     if (const auto* refused = std::get_if<Refused>(&answer)) {
-        this->finish(position, {}, RunEndProof::StartRefused, now, refused->reason == OrderRefusal::StaleRun);
+        this->finish(id, {}, RunEndProof::StartRefused, now, refused->reason == OrderRefusal::StaleRun);
         this->onRefusal(refused->reason, now);
         return;
     }
     this->countFailure(now);
     if (std::get<Unanswered>(answer).verdict == Verdict::NotRun) {
         this->eject(baseEjectionTime, now);
-        this->finish(position, {}, RunEndProof::StartNotSent, now);
+        this->finish(id, {}, RunEndProof::StartNotSent, now);
         return;
     }
     this->hasUnansweredStart = true;
     this->addEvent(Event::Kind::StartUnanswered, id);
     // Once the target has confirmed the stop order, it refuses a start order that arrives later.
-    run.state = RunState::Uncertain;
-    this->sendStop(id, run, now);
+    this->knownRuns.change(id, [](Run& unanswered) { unanswered.state = RunState::Uncertain; });
+    this->sendStop(id, now);
 }
 
 void TargetSession::onStopAnswer(const RunId& id, const OrderAnswer& answer, Instant now)
 {
-    auto position = this->knownRuns.find(id);
     if (std::holds_alternative<Acknowledged>(answer)) {
-        if (position != this->knownRuns.end())
-            position->second.stopConfirmedAt = now;
-        if (position != this->knownRuns.end() && !this->openProbe)
+        if (!this->knownRuns.find(id))
+            return;
+        this->knownRuns.change(id, [now](Run& stopped) { stopped.stopConfirmedAt = now; });
+        if (!this->openProbe)
             this->sendProbe(now);
         return;
     }
@@ -478,7 +495,7 @@
 // answers again.
 bool TargetSession::needsHold() const
 {
-    return !this->knownRuns.empty() || this->lastEndSeen > this->lastEndAcknowledged || this->unansweredHolds > 0 || this->phase != Phase::Claimed;
+    return !this->knownRuns.isEmpty() || this->lastEndSeen > this->lastEndAcknowledged || this->unansweredHolds > 0 || this->phase != Phase::Claimed;
 }
 
 void TargetSession::tick(Instant now)
@@ -492,26 +509,37 @@
     }
     if (this->phase == Phase::Retired)
         this->tickRetired(now);
-    else if (this->haveLeasesExpired(now) && !this->knownRuns.empty()) {
+    else if (this->haveLeasesExpired(now) && !this->knownRuns.isEmpty()) {
         this->finishAll(RunEnd::Lapsed, RunEndProof::LeaseExpired, now);
         if (this->phase == Phase::Claimed)
             this->reclaim(this->fence, now);
     }
     if (this->phase == Phase::Fenced || this->phase == Phase::Gone)
         return;
+    this->stopUnsettledRuns(now);
+    if (!this->openHold && now >= this->nextHold && this->needsHold())
+        this->sendHold(now);
+    this->extendLeaseIfDue(now);
+}
+
+// Stops the runs that nobody has adopted in time, and repeats the stop orders that were not confirmed.
+void TargetSession::stopUnsettledRuns(Instant now)
+{
     std::vector<RunId> orphans;
-    for (auto& [id, run] : this->knownRuns) {
+    std::vector<RunId> unconfirmed;
+    // Stop orders that have not been taken yet are not repeated.
+    bool hasSentStops = this->orders.stops.empty();
+    for (const auto& id : this->knownRuns.unsettled()) {
+        const auto& run = *this->knownRuns.find(id);
         if (run.state == RunState::Unadopted && now >= run.discoveredAt + this->options.adoptionTimeout)
             orphans.push_back(id);
-        bool unconfirmed = (run.state == RunState::Stopping || run.state == RunState::Uncertain) && !run.stopConfirmedAt;
-        if (unconfirmed && run.stopSentAt && now >= *run.stopSentAt + stopRetryInterval)
-            this->sendStop(id, run, now);
+        else if (hasSentStops && run.awaitsStop() && run.stopSentAt && now >= *run.stopSentAt + stopRetryInterval)
+            unconfirmed.push_back(id);
     }
+    for (const auto& id : unconfirmed)
+        this->sendStop(id, now);
     for (const auto& id : orphans)
         this->stop(id, now);
-    if (!this->openHold && now >= this->nextHold && this->needsHold())
-        this->sendHold(now);
-    this->extendLeaseIfDue(now);
 }
 
 std::vector<TargetSession::Event> TargetSession::takeEvents()
@@ -519,9 +547,15 @@
     return std::exchange(this->events, {});
 }
 
-TargetSession::Orders TargetSession::takeOrders()
+TargetSession::Orders TargetSession::takeOrders(size_t maximumStops)
 {
-    return std::exchange(this->orders, {});
+    auto taken = std::exchange(this->orders, {});
+    if (taken.stops.size() > maximumStops) {
+        auto firstLeft = taken.stops.begin() + static_cast<ptrdiff_t>(maximumStops);
+        this->orders.stops.assign(std::make_move_iterator(firstLeft), std::make_move_iterator(taken.stops.end()));
+        taken.stops.erase(firstLeft, taken.stops.end());
+    }
+    return taken;
 }
 
 }
--- a/Libraries/LibScheduler/Target/TargetSession.h
+++ b/Libraries/LibScheduler/Target/TargetSession.h
@@ -4,8 +4,9 @@
 #include <LibScheduler/JobLease.h>
 #include <LibScheduler/Target/OrderAnswer.h>
 #include <LibScheduler/Target/RunEvidence.h>
-#include <LibScheduler/Target/StallDetector.h>
+#include <LibScheduler/Target/RunTable.h>
 #include <LibScheduler/Types.h>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,43 +49,8 @@
 /// the runs that earlier dispatchers started.
 class TargetSession {
 public:
-    enum class RunState {
-        /// The start order was sent.
-        Starting,
-        Running,
-        /// The start order was not answered: the run may be running, or may still start.
-        Uncertain,
-        Stopping,
-        /// The target reported the run, but it is not assigned to a task of a known job.
-        Unadopted,
-    };
-
-    /// The state of one run on the target.
-    struct Run {
-        RunState state { RunState::Starting };
-        Catalog::Resources needs;
-        /// The lease of the job; null until a discovered run is adopted.
-        std::shared_ptr<const JobLease> jobLease;
-        /// Whether `needs` is known; it is unknown until a discovered run is adopted.
-        bool needsKnown { true };
-        /// When the start order was sent, or when the target first reported a run that this session did not start.
-        Instant discoveredAt {};
-        /// When the target confirmed the start order; unset if it has not.
-        Instant startedAt {};
-        /// When it was first known that the run had started, from the answer to the start order or from a list.
-        std::optional<Instant> knownStartedAt;
-        /// When the target last reported that the run was running.
-        Instant lastReportedRunningAt {};
-        StallDetector progress;
-        /// When the target confirmed the stop order: the run cannot start any more, or is being stopped.
-        std::optional<Instant> stopConfirmedAt;
-        std::optional<Instant> stopSentAt;
-        /// When the first stop order for the run was sent, and how many have been sent.
-        std::optional<Instant> firstStopSentAt;
-        uint32_t stopOrders { 0 };
-        /// How many restarts of the target were known when the start order was sent.
-        uint32_t restartsBeforeStart { 0 };
-    };
+    using RunState = Scheduler::RunState;
+    using Run = TargetRun;
 
     /// A change in the state of the target or of one of its runs.
     struct Event {
@@ -172,10 +138,11 @@
     [[nodiscard]] bool hasEvents() const { return !this->events.empty(); }
     [[nodiscard]] std::vector<Event> takeEvents();
     [[nodiscard]] bool hasOrders() const { return !this->orders.holds.empty() || !this->orders.starts.empty() || !this->orders.stops.empty(); }
-    [[nodiscard]] Orders takeOrders();
+    /// Takes the orders to send, with that many stop orders at most. The others stay for the next call.
+    [[nodiscard]] Orders takeOrders(size_t maximumStops = std::numeric_limits<size_t>::max());
 
     [[nodiscard]] const Membership::TargetReport& target() const { return this->report; }
-    [[nodiscard]] const std::map<RunId, Run>& runs() const { return this->knownRuns; }
+    [[nodiscard]] const std::map<RunId, Run>& runs() const { return this->knownRuns.all(); }
     [[nodiscard]] bool isClaimed() const { return this->phase == Phase::Claimed; }
     /// Whether the target has not answered consecutive hold orders.
     [[nodiscard]] bool isSilent() const;
@@ -211,26 +178,27 @@
     [[nodiscard]] int64_t grantLease(Instant now);
     void assumeUnknownLeases(Instant now);
     [[nodiscard]] Milliseconds allowingForDrift(Milliseconds duration) const { return duration * (100 + this->options.clockDriftPercent) / 100; }
-    [[nodiscard]] bool hasUnconfirmedStart() const;
     [[nodiscard]] bool needsHold() const;
     [[nodiscard]] bool haveLeasesExpired(Instant now) const;
     void sendHold(Instant now);
     void sendProbe(Instant now);
     void extendLeaseIfDue(Instant now);
+    void stopUnsettledRuns(Instant now);
     [[nodiscard]] OpenHold makeHold(Milliseconds wait, Instant now);
     [[nodiscard]] bool mayApply(const RunList&) const;
     void applyHoldAnswer(const OpenHold&, const RunList&, Instant now);
     void onUnansweredHold(Instant now);
     void setNeeds(Run&, const Catalog::Resources&);
-    void sendStop(const RunId&, Run&, Instant now);
+    void sendStop(const RunId&, Instant now);
     void addEvent(Event::Kind, const RunId& = {});
     [[nodiscard]] bool isFromEarlierProcess(const RunList&) const;
     void onRestart(const std::string& incarnation, Instant now);
     void onUnknownProcess(Instant now);
     void applyRunList(const RunList&, Instant sentAt, Instant now);
+    void addDiscoveredRun(const RunId&, Instant now);
     void applyRunningRuns(const RunList&, Instant sentAt, Instant now);
     void reportIfFoundLate(const RunId&, Instant now);
-    void finish(std::map<RunId, Run>::iterator, std::optional<RunEnd>, RunEndProof, Instant now, bool staleNumber = false);
+    void finish(const RunId&, std::optional<RunEnd>, RunEndProof, Instant now, bool staleNumber = false);
     void tickRetired(Instant now);
     [[nodiscard]] Milliseconds untilLeaseEnd(Instant now) const;
     void finishAll(std::optional<RunEnd>, RunEndProof, Instant now);
@@ -246,7 +214,7 @@
     LeaseOptions options;
     Phase phase { Phase::Claiming };
     uint64_t fence { 0 };
-    std::map<RunId, Run> knownRuns;
+    RunTable knownRuns;
     Catalog::Resources used { 0, 0, 0 };
     /// The number of runs whose needs are unknown. No run is started while there are any, as it could overcommit the target.
     size_t runsWithUnknownNeeds { 0 };
--- a/Libraries/LibScheduler/Target/TargetSessionLeases.cpp
+++ b/Libraries/LibScheduler/Target/TargetSessionLeases.cpp
@@ -26,9 +26,9 @@
 {
     if (this->phase != Phase::Claimed || this->unansweredHolds > 0)
         return now;
-    auto end = now + this->options.maximumLease;
-    for (const auto& [id, run] : this->knownRuns)
-        end = std::min(end, run.jobLease && run.state != RunState::Stopping ? this->latestRunEnd(*run.jobLease) : now);
+    auto end = this->knownRuns.forbidsExtension() ? now : now + this->options.maximumLease;
+    for (const auto& [lease, runs] : this->knownRuns.jobLeases())
+        end = std::min(end, this->latestRunEnd(*lease));
     return end;
 }
 
@@ -56,12 +56,6 @@
     this->clockReadAt = now;
 }
 
-// Returns whether a start order was sent of which it is not known whether, and by which process, it was obeyed.
-bool TargetSession::hasUnconfirmedStart() const
-{
-    return std::any_of(this->knownRuns.begin(), this->knownRuns.end(), [](const auto& entry) { return !entry.second.knownStartedAt; });
-}
-
 // Returns when all leases that the target may have granted have expired, even if its clock is as slow as `clockDriftPercent`
 // permits.
 Instant TargetSession::leasesExpireAt() const
@@ -85,7 +79,7 @@
     if (now < this->unknownGrantsEndAt)
         return false;
     // A process that has replaced the target may have obeyed the start order, and reads the lease on its own clock.
-    if (this->hasUnconfirmedStart() && now < this->lastLeaseOrderAt + this->allowingForDrift(this->options.maximumGrantedLease))
+    if (this->knownRuns.hasUnconfirmedStart() && now < this->lastLeaseOrderAt + this->allowingForDrift(this->options.maximumGrantedLease))
         return false;
     return now >= this->leasesExpireAt();
 }
@@ -101,7 +95,7 @@
 // Extends the leases once that is possible without limits, even while the target delays its answer to another hold order.
 void TargetSession::extendLeaseIfDue(Instant now)
 {
-    bool canExtend = this->isLeaseLimited && this->clock && !this->knownRuns.empty() && this->permittedLeaseEnd(now) >= now + this->options.maximumLease;
+    bool canExtend = this->isLeaseLimited && this->clock && !this->knownRuns.isEmpty() && this->permittedLeaseEnd(now) >= now + this->options.maximumLease;
     if (!canExtend)
         return;
     if (!this->openHold)
--- a/Libraries/LibSettings/ClusterSettings.cpp
+++ b/Libraries/LibSettings/ClusterSettings.cpp
@@ -9,7 +9,6 @@
 using namespace std::chrono_literals;
 
 static const std::array<std::string, 4> logLevels { "debug", "information", "warning", "error" };
-static constexpr int64_t milliCoresPerCore = 1000;
 static constexpr int64_t maximumCores = 1000;
 static constexpr int64_t maximumToleratedDiskLosses = 100;
 static constexpr size_t maximumFailureDomains = 1000;
--- a/Libraries/LibSettings/ClusterSettings.h
+++ b/Libraries/LibSettings/ClusterSettings.h
@@ -10,6 +10,9 @@
 
 namespace Sassafrasshift::Settings {
 
+/// Shares of processors are counted in thousandths of a core.
+inline constexpr int64_t milliCoresPerCore = 1000;
+
 /// What the clients of one listening port may use. 0 means no limit, except for the timeouts.
 struct PortLimits {
     /// The memory in bytes that unfinished requests, requests that are being handled, and unread answers may hold.
--- a/Services/sassafrasshiftd/Cluster/DispatchService.cpp
+++ b/Services/sassafrasshiftd/Cluster/DispatchService.cpp
@@ -32,6 +32,9 @@
 // targets from continuously raising their epochs above each other's.
 static constexpr uint64_t maximumRaiseIntervals = 16;
 
+// The processor time that a dispatcher needs at least for the orders and answers of one task.
+static constexpr Microseconds minimumTimePerTask { 20 };
+
 static Scheduler::TaskScheduler::Options makeOptions(const Settings::ClusterSettings& settings)
 {
     Scheduler::TaskScheduler::Options options;
@@ -39,6 +42,8 @@
     options.leases.maximumGrantedLease = settings.maximumLease;
     options.leases.holdWait = std::min(options.leases.holdWait, options.leases.maximumLease / 2);
     options.leases.answerTimeout = OrderSender::holdAnswerTimeout(settings);
+    bool hasPartOfCore = settings.dispatchWeight > 0 && settings.dispatchWeight < Settings::milliCoresPerCore;
+    options.minimumTimePerTask = hasPartOfCore ? minimumTimePerTask * Settings::milliCoresPerCore / settings.dispatchWeight : minimumTimePerTask;
     options.shareCapacity = settings.shareCapacity;
     options.separateInterfering = settings.separateInterfering;
     return options;
@@ -495,6 +500,8 @@
     if (this->context.settings.usesOrderRelays())
         this->nextPass = this->context.now() + relayedPassInterval;
     auto effects = this->scheduler.takeEffects(this->context.now());
+    if (this->scheduler.hasMoreEffects())
+        this->scheduleEffects();
     this->context.metrics.count("orders_total{kind=\"start\"}", effects.orders.starts.size());
     this->context.metrics.count("orders_total{kind=\"stop\"}", effects.orders.stops.size());
     this->context.metrics.count("orders_total{kind=\"hold\"}", effects.orders.holds.size());
