LibTransport: Read nothing from a connection after the decision to close it

What callers saw: the connection ended after they had sent a whole request, without an answer.

Cause: idle connections were closed by shutdown(), and h2o read what had arrived before it saw the end of the stream. A request that was whole was handled, and its answer could not be written. A shorter idle timeout in a new configuration closed all connections that had been idle for longer at the next check, on all hosts at the same moment.

Evidence: request_that_has_arrived_when_idle_connections_are_closed_is_answered got no answer before.

Change: an idle connection is closed at once, as after a failed read; at a planned stop only if nothing has arrived, in the kernel neither, and at the idle timeout likewise. Requests that are read after a shutdown are not handled. A shortened idle timeout is counted from the change.

--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include <LibTransport/H2O.h>
 #include <LibTransport/Http2FrameCounter.h>
 #include <LibTransport/HttpServer.h>
+#include <LibTransport/IdleTimeout.h>
 #include <cstring>
 #include <fcntl.h>
 #include <linux/sockios.h>
@@ -63,6 +64,8 @@
     // The HTTP/1.1 request that is being handled, if any, and whether the client has disconnected.
     std::weak_ptr<ExchangeImplementation> exchange {};
     bool hasDisconnected { false };
+    // Whether the socket was shut down. Nothing that is read from then on could be answered.
+    bool isShutDown { false };
     // A request that is being received or an answer that is being sent, as seen by the latest timeout checks. `number` tells whether it is
     // the same one as before.
     struct Transfer {
@@ -111,6 +114,7 @@
     std::vector<std::weak_ptr<ExchangeImplementation>> trackedExchanges;
     std::map<h2o_socket_t*, ConnectionState> connections;
     Timeouts timeouts;
+    IdleTimeout idleTimeout { timeouts.idle };
     Instant nextTimeoutCheck {};
     std::unique_ptr<Timer> connectionCheckTimer;
     std::unique_ptr<DisconnectWatch> disconnectWatch;
@@ -150,6 +154,9 @@
     void trackExchange(const std::shared_ptr<ExchangeImplementation>&);
     void closeIdleConnections();
     void closeTimedOutConnections();
+    void closeIfQuiet(h2o_socket_t*);
+    void close(h2o_socket_t*);
+    void shutDown(h2o_socket_t*);
     [[nodiscard]] std::vector<h2o_socket_t*> idleConnections() const;
     [[nodiscard]] bool updateAndCheckTimeouts(const h2o_socket_t*, ConnectionState&, Instant now) const;
 };
@@ -246,6 +253,13 @@
         return count == 0 || hasFailed;
     }
 
+    // Whether the server shut the connection down before it read the request.
+    bool isShutDown() const
+    {
+        const auto* state = this->connectionState();
+        return state && state->isShutDown;
+    }
+
     void notifyIfDisconnected()
     {
         if (this->hasClientDisconnected())
@@ -416,6 +430,10 @@
         return refuse(request, 503);
     }
     auto exchange = std::make_shared<ExchangeImplementation>(request, server);
+    if (exchange->isShutDown()) {
+        exchange->respond(HttpResponse { 503, {}, {} });
+        return 0;
+    }
     if (hasAmbiguousLength(receivedHead(*exchange, request))) {
         exchange->closeConnection();
         exchange->respond(HttpResponse { 400, {}, "the length of the body is given more than once" });
@@ -548,9 +566,35 @@
     return idle;
 }
 
+static size_t kernelBytes(const h2o_socket_t* socket, unsigned long request)
+{
+    int bytes = 0;
+    int descriptor = h2o_socket_get_fd(const_cast<h2o_socket_t*>(socket));
+    return ioctl(descriptor, request, &bytes) == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
+}
+
+// Closes an idle connection unless a request has arrived, also one that h2o has not read yet, or an answer is on its way.
+void HttpServer::Implementation::closeIfQuiet(h2o_socket_t* socket)
+{
+    bool isQuiet = socket->input->size == 0 && kernelBytes(socket, FIONREAD) == 0 && kernelBytes(socket, SIOCOUTQ) == 0;
+    if (isQuiet)
+        this->close(socket);
+}
+
+// Closes a connection at once, so that no request is read from it that could not be answered any more. h2o closes it as after a failed read;
+// while it handles a request, it does not read.
+void HttpServer::Implementation::close(h2o_socket_t* socket)
+{
+    if (socket->_cb.read)
+        socket->_cb.read(socket, h2o_socket_error_closed);
+    else
+        this->shutDown(socket);
+}
+
 // Shuts down the socket. h2o sees the end of the stream at its next read and then closes the connection.
-static void shutDownConnection(h2o_socket_t* socket)
+void HttpServer::Implementation::shutDown(h2o_socket_t* socket)
 {
+    this->connections.at(socket).isShutDown = true;
     shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
 }
 
@@ -563,7 +607,7 @@
     bool isAddressLimit = admission == ConnectionBudget::Admission::AddressLimit;
     if (auto replaced = this->budget.takeReplaced(admission, address)) {
         this->report(isAddressLimit ? "address-connections-replaced" : "connections-replaced");
-        shutDownConnection(static_cast<h2o_socket_t*>(const_cast<void*>(*replaced)));
+        this->close(static_cast<h2o_socket_t*>(const_cast<void*>(*replaced)));
         return true;
     }
     this->report(isAddressLimit ? "address-connections-refused" : "connections-refused");
@@ -595,13 +639,6 @@
     this->relieveMemory();
 }
 
-static size_t kernelBytes(const h2o_socket_t* socket, unsigned long request)
-{
-    int bytes = 0;
-    int descriptor = h2o_socket_get_fd(const_cast<h2o_socket_t*>(socket));
-    return ioctl(descriptor, request, &bytes) == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
-}
-
 // Whether a client sends a head without an end. h2o itself accepts up to 408 KiB (H2O_MAX_REQLEN).
 bool HttpServer::Implementation::hasTooLongHead(const h2o_socket_t* socket, const ConnectionState& state) const
 {
@@ -617,7 +654,7 @@
     this->followUpgrade(socket, state);
     if (this->hasTooLongHead(socket, state)) {
         this->report("header-size");
-        return shutDownConnection(socket);
+        return this->shutDown(socket);
     }
     bool isWriting = h2o_socket_is_writing(socket) != 0;
     // Returns a large buffer that is empty. h2o would keep it until the connection is closed.
@@ -655,7 +692,7 @@
     for (auto key : this->budget.takeEvictions()) {
         this->report("memory-closed");
         auto* socket = static_cast<h2o_socket_t*>(const_cast<void*>(key));
-        shutDownConnection(socket);
+        this->shutDown(socket);
         // While a request is handled, h2o does not see the end of the stream. The handler gives the request up.
         this->loop->defer([weak = this->connections.at(socket).exchange] {
             if (auto exchange = weak.lock())
@@ -713,7 +750,7 @@
         state.frames->feed(input.substr(state.leftInput));
         if (state.frames->isAbusive()) {
             this->report("http2-abuse");
-            shutDownConnection(socket);
+            this->shutDown(socket);
         }
     }
     bool mayBecomeHttp2 = state.frames || (!input.empty() && Http2FrameCounter::preface.starts_with(input));
@@ -733,7 +770,7 @@
     for (auto* socket : this->idleConnections()) {
         bool isNew = socket->bytes_written == 0 && now - this->connections.at(socket).acceptedAt < firstRequestTimeout;
         if (!isNew)
-            shutDownConnection(socket);
+            this->closeIfQuiet(socket);
     }
 }
 
@@ -772,7 +809,7 @@
         state.incompleteHeadSince = now;
     if (state.incompleteHeadSince && now - *state.incompleteHeadSince >= this->timeouts.head)
         return true;
-    return received.empty() && now - state.lastActivityAt >= this->timeouts.idle;
+    return received.empty() && this->idleTimeout.hasExpired(state.lastActivityAt, now) && kernelBytes(socket, FIONREAD) == 0;
 }
 
 void HttpServer::Implementation::closeTimedOutConnections()
@@ -785,13 +822,13 @@
         if (!this->updateAndCheckTimeouts(socket, this->connections.at(socket), now))
             continue;
         this->report("idle-timeout");
-        shutDownConnection(socket);
+        this->close(socket);
     }
     if (!this->isLimited())
         return;
     for (auto& [socket, state] : this->connections) {
         if (this->hasTimedOutTransfer(socket, state, now))
-            shutDownConnection(socket);
+            this->shutDown(socket);
         this->measure(socket, state, Measurement::Periodic, now);
     }
     this->relieveMemory();
@@ -900,6 +937,7 @@
 
 void HttpServer::setTimeouts(Timeouts timeouts)
 {
+    this->implementation->idleTimeout.set(timeouts.idle, this->implementation->loop->now());
     this->implementation->timeouts = timeouts;
 }
 
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -61,7 +61,7 @@
     struct Timeouts {
         /// The time from the first byte of a request's head to the last.
         Milliseconds head { 60'000 };
-        /// The time during which no byte is received or sent.
+        /// The time during which no byte is received or sent. A shorter time than before is counted from the change on.
         Milliseconds idle { 60'000 };
         /// The time from the first byte of a request to the last, including its body.
         Milliseconds request { 60'000 };
@@ -84,8 +84,8 @@
     /// Ends each open connection after its next response.
     void closeGracefully();
 
-    /// Closes the connections that have no request in progress and no response left to write, except new ones whose first
-    /// request may be in transit.
+    /// Closes the connections that have no request in progress, nothing of one received and no response left to write, except new ones
+    /// whose first request may be in transit.
     void closeIdleConnections();
 
     void setTimeouts(Timeouts);
--- a/Tests/LibTransport/TestTransport.cpp
+++ b/Tests/LibTransport/TestTransport.cpp
@@ -2,6 +2,7 @@
 #include <LibTransport/CodecFields.h>
 #include <LibTransport/HttpClient.h>
 #include <LibTransport/HttpServer.h>
+#include <LibTransport/IdleTimeout.h>
 #include <LibTransport/PeerHub.h>
 #include <boost/test/unit_test.hpp>
 #include <netinet/in.h>
@@ -429,6 +430,58 @@
     BOOST_TEST(finishRequest(*this->loop, connection).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a request that arrives in the moment in which idle connections are closed, is read whole and handled, and cannot be
+// answered: its caller cannot tell whether it has run.
+BOOST_FIXTURE_TEST_CASE(request_that_has_arrived_when_idle_connections_are_closed_is_answered, Fixture)
+{
+    size_t served = 0;
+    this->serve([&](const auto& exchange) {
+        ++served;
+        exchange->respond(HttpResponse { 200, {}, {} });
+    });
+    int connection = openPendingConnection();
+    std::string received;
+    std::thread client([&] {
+        std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        (void)!send(connection, request.data(), request.size(), MSG_NOSIGNAL);
+        char buffer[4096];
+        auto count = read(connection, buffer, sizeof(buffer));
+        BOOST_TEST(count > 0);
+        this->loop->post([&, request] {
+            // The loop reads nothing between these two calls.
+            (void)!send(connection, request.data(), request.size(), MSG_NOSIGNAL);
+            this->server->closeIdleConnections();
+        });
+        count = read(connection, buffer, sizeof(buffer));
+        received.assign(buffer, static_cast<size_t>(std::max<ssize_t>(count, 0)));
+        this->loop->post([&] { this->loop->stop(); });
+    });
+    this->loop->run();
+    client.join();
+    close(connection);
+    BOOST_TEST(served == 2U);
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"), received);
+}
+
+// Guards against closing the connections of many clients in the moment in which the idle timeout is shortened: those that were idle for
+// longer get the new time from then on.
+BOOST_AUTO_TEST_CASE(shortened_idle_timeout_is_counted_from_the_change)
+{
+    Instant start { 1h };
+    IdleTimeout timeout(15s);
+    timeout.set(15s, start);
+    BOOST_TEST(!timeout.hasExpired(start, start + 14'999ms));
+    BOOST_TEST(timeout.hasExpired(start, start + 15s));
+    timeout.set(2s, start + 10s);
+    timeout.set(2s, start + 11s);
+    BOOST_TEST(!timeout.hasExpired(start, start + 11'999ms));
+    BOOST_TEST(timeout.hasExpired(start, start + 12s));
+    BOOST_TEST(!timeout.hasExpired(start + 11s, start + 12'999ms));
+    timeout.set(20s, start + 12s);
+    BOOST_TEST(!timeout.hasExpired(start + 1s, start + 20'999ms));
+    BOOST_TEST(timeout.hasExpired(start + 1s, start + 30s));
+}
+
 BOOST_FIXTURE_TEST_CASE(connection_without_a_request_is_closed_after_the_idle_timeout, Fixture)
 {
     this->serve([&](const auto& exchange) { exchange->respond(HttpResponse { 200, {}, {} }); });
