--- a/Tests/LibLedger/TestRetirement.cpp
+++ b/Tests/LibLedger/TestRetirement.cpp
@@ -69,7 +69,8 @@
 
     void receive(const std::string& from, const std::string& fromHost, MessageBody body)
     {
-        BOOST_TEST(this->replica.receive(Message { 0, from, fromHost, "a", "host-a", std::move(body) }, this->now));
+        bool isAccepted = this->replica.receive(Message { 0, from, fromHost, "a", "host-a", std::move(body) }, this->now);
+        BOOST_TEST(isAccepted);
         this->store();
     }
 
