LibScheduler: Bound the payloads of unanswered start orders

Cause: each start order copies the payload of its job. With bounded passes there are 256 copies in one pass, and those of earlier passes that wait for their answers.

Evidence: payloads_of_unanswered_start_orders_are_bounded failed on the code with bounded passes, and holds now.

Change: UnansweredStarts counts the payload bytes of start orders without an answer; beyond 8 MB no task is started until there is one. With payloads of 4,000 bytes 2,000 starts may be unanswered.

--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.cpp
@@ -19,6 +19,7 @@
 TaskScheduler::TaskScheduler(Options options)
     : options(options)
     , finishedJobs(options.outcomeRetention)
+    , unansweredStarts(options.maximumUnansweredPayload)
     , shares({})
     , interference({})
 {
@@ -67,6 +68,7 @@
     this->latestStarts.clear();
     this->finishedJobs.clear();
     this->lapsedRuns.clear();
+    this->unansweredStarts.clear();
     this->shares.clear();
     this->interference = InterferenceModel({});
     this->isHomeSuperseded = false;
@@ -678,6 +680,8 @@
 
 void TaskScheduler::onStartAnswer(const TargetInstance& instance, const RunId& run, const OrderAnswer& answer, Instant now)
 {
+    this->unansweredStarts.remove(run);
+    this->needsPlacement = this->needsPlacement || std::exchange(this->isPlacementHeldUp, false);
     auto* target = this->findTarget(instance);
     if (!target)
         return;
--- a/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
+++ b/Libraries/LibScheduler/Dispatcher/TaskScheduler.h
@@ -9,6 +9,7 @@
 #include <LibScheduler/Dispatcher/JobRank.h>
 #include <LibScheduler/Dispatcher/LapsedRuns.h>
 #include <LibScheduler/Dispatcher/SpeedEstimator.h>
+#include <LibScheduler/Dispatcher/UnansweredStarts.h>
 #include <LibScheduler/Dispatcher/WaitingJobs.h>
 #include <LibScheduler/Dispatcher/WorkSums.h>
 #include <LibScheduler/Home/PlacedJobs.h>
@@ -47,6 +48,8 @@
         size_t maximumTasks { 200'000 };
         /// The number of runs on one target beyond which no task is started there. Each list of the runs on a target is read as a whole.
         size_t maximumRunsPerTarget { 1000 };
+        /// The bytes of payloads in start orders that were not answered, beyond which no further task is started.
+        size_t maximumUnansweredPayload { 8 * 1024 * 1024 };
         /// The processor time that this dispatcher needs at least for each task, at the share of the processor that it has. A job whose
         /// tasks need more than the time to its deadline is refused. Zero refuses none.
         Microseconds minimumTimePerTask { 0 };
@@ -403,6 +406,7 @@
     std::vector<FreeTarget> freeTargets;
     FinishedJobs finishedJobs;
     LapsedRuns lapsedRuns;
+    UnansweredStarts unansweredStarts;
     EvacuationFilter evacuations;
     bool knowsAllTargets { true };
     Milliseconds answerDelay { 0 };
@@ -423,6 +427,8 @@
     /// Whether state that affects placement may have changed since tasks were last placed.
     bool needsPlacement { false };
     bool isPassIncomplete { false };
+    /// Whether a task was not started since too many start orders were not answered.
+    bool isPlacementHeldUp { false };
     Effects effects;
 };
 
--- a/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
+++ b/Libraries/LibScheduler/Dispatcher/TaskSchedulerPlacement.cpp
@@ -137,6 +137,10 @@
         auto& task = job.tasks[index];
         if (task.state != TaskState::Waiting || this->mayHaveBeenTakenOver(job, task))
             continue;
+        if (!this->unansweredStarts.admits(job.submission.payload.size())) {
+            this->isPlacementHeldUp = true;
+            break;
+        }
         choice = this->chooseTarget(job, expectedRunTimes, now);
         if (!choice.target)
             break;
@@ -151,6 +155,7 @@
             this->shares.onStarted(job.share);
         }
         RunId run { TaskId { job.submission.job, 0, 0, static_cast<uint32_t>(index) }, task.run };
+        this->unansweredStarts.add(run, job.submission.payload.size());
         session.start(run, job.submission.needs, job.submission.payload, job.lease, now);
         choice.target->free = session.freeCapacity();
         this->separatedTasks += choice.isSeparated ? 1 : 0;
--- a/Tests/LibScheduler/TestLargeJobs.cpp
+++ b/Tests/LibScheduler/TestLargeJobs.cpp
@@ -182,6 +182,39 @@
     BOOST_TEST(dispatcher.runs() == 130U);
 }
 
+// Guards against a dispatcher that exceeds the memory of its host, since each start order that waits for its answer holds a copy of the
+// payload of its job.
+BOOST_AUTO_TEST_CASE(payloads_of_unanswered_start_orders_are_bounded)
+{
+    static constexpr size_t payloadBytes = 256 * 1024;
+    TaskScheduler::Options options;
+    Dispatcher dispatcher(options);
+    auto submission = manySmallTasks("job", 2000);
+    submission.payload.assign(payloadBytes, 'x');
+    dispatcher.scheduler.submit("entry", submission, dispatcher.now);
+    std::vector<StartOrder> unanswered;
+    auto collect = [&] {
+        do {
+            auto effects = dispatcher.scheduler.takeEffects(dispatcher.now);
+            unanswered.insert(unanswered.end(), effects.orders.starts.begin(), effects.orders.starts.end());
+        } while (dispatcher.scheduler.hasMoreEffects());
+    };
+    collect();
+    BOOST_TEST(unanswered.size() == options.maximumUnansweredPayload / payloadBytes);
+    // Each answer makes room for another order, whatever it says.
+    size_t started = 0;
+    while (!unanswered.empty()) {
+        auto order = unanswered.back();
+        unanswered.pop_back();
+        ++started;
+        dispatcher.scheduler.onStartAnswer(order.instance, order.run, Acknowledged { dispatcher.clock() }, dispatcher.now);
+        collect();
+        BOOST_REQUIRE(unanswered.size() <= options.maximumUnansweredPayload / payloadBytes);
+    }
+    BOOST_TEST(started == 2000U);
+    BOOST_TEST(dispatcher.scheduler.waitingTasks() == 0U);
+}
+
 // Guards against a start whose cost grows with the runs that are there: what a start asks of the runs as a whole costs a step for each
 // job, not for each run.
 BOOST_AUTO_TEST_CASE(runs_of_one_job_are_one_entry_in_the_index_of_leases)
