LibScheduler: Send deferred stop orders under the present claim

Cause: a pass leaves stop orders beyond its bound to the next one. If the target is claimed with a higher fencing token in between, or restarts, they carried the token and the incarnation of the time when they were made, and a target that refuses them looks as if another dispatcher had claimed it.

Change: stop orders that were left are given the present token and incarnation when they are taken. stop_orders_that_wait_for_a_later_pass_carry_the_present_fencing_token failed before.

--- a/Libraries/LibScheduler/Target/TargetSession.cpp
+++ b/Libraries/LibScheduler/Target/TargetSession.cpp
@@ -550,7 +550,13 @@
 TargetSession::Orders TargetSession::takeOrders(size_t maximumStops)
 {
     auto taken = std::exchange(this->orders, {});
+    // The target may have been claimed again, or have restarted, since stop orders were left here.
+    if (std::exchange(this->hasDeferredStops, false)) {
+        for (auto& order : taken.stops)
+            order = StopOrder { this->instance(), this->fence, order.run };
+    }
     if (taken.stops.size() > maximumStops) {
+        this->hasDeferredStops = true;
         auto firstLeft = taken.stops.begin() + static_cast<ptrdiff_t>(maximumStops);
         this->orders.stops.assign(std::make_move_iterator(firstLeft), std::make_move_iterator(taken.stops.end()));
         taken.stops.erase(firstLeft, taken.stops.end());
--- a/Libraries/LibScheduler/Target/TargetSession.h
+++ b/Libraries/LibScheduler/Target/TargetSession.h
@@ -255,6 +255,8 @@
 
     std::vector<Event> events;
     Orders orders;
+    /// Whether stop orders were left by takeOrders().
+    bool hasDeferredStops { false };
 };
 
 }
--- a/Tests/LibScheduler/TestLargeJobs.cpp
+++ b/Tests/LibScheduler/TestLargeJobs.cpp
@@ -150,6 +150,24 @@
     BOOST_TEST(dispatcher.passes - firstStopPass <= 3000 / maximumOrdersPerPass + 2);
 }
 
+// Guards against stop orders that wait for a later pass and carry a fencing token that the target refuses by then, so that it seems to be
+// claimed by another dispatcher.
+BOOST_AUTO_TEST_CASE(stop_orders_that_wait_for_a_later_pass_carry_the_present_fencing_token)
+{
+    Dispatcher dispatcher;
+    dispatcher.scheduler.submit("entry", manySmallTasks("job", 3000), dispatcher.now);
+    dispatcher.passUntilDone();
+    dispatcher.scheduler.cancel("entry", "job", dispatcher.now);
+    dispatcher.pass();
+    BOOST_REQUIRE(dispatcher.scheduler.hasMoreEffects());
+    dispatcher.scheduler.activate(2, dispatcher.now);
+    do {
+        auto effects = dispatcher.pass();
+        BOOST_REQUIRE(std::all_of(effects.orders.stops.begin(), effects.orders.stops.end(), [](const auto& order) { return order.fence == 2; }));
+    } while (dispatcher.scheduler.hasMoreEffects());
+    BOOST_TEST(dispatcher.runs() == 0U);
+}
+
 // Guards against lists of runs whose length, and so the time to read one, has no bound.
 BOOST_AUTO_TEST_CASE(target_gets_no_more_runs_than_its_list_may_have)
 {
