Tests: Expect that a group of processes keeps two silent voters

It waits instead until the leader reports that it can lose no other voter, and checks for 3 s, longer than the time after which a voter may be removed, that six voters are kept. What follows is unchanged: two disks are lost, and the document has to be accepted once all are back.

--- a/Tests/Cluster/losses.py
+++ b/Tests/Cluster/losses.py
@@ -7,11 +7,29 @@
 import signal
 import sys
 import tempfile
+import time
 
 from executors import call
 from run import WAIT_LIMIT_SECONDS, Member, document, wait_until
 
 
+# Longer than the time after which a voter may be removed for its silence.
+SILENCE_SECONDS = 3
+
+
+class LedgerMember(Member):
+    """A host with a ledger replica that serves its metrics."""
+
+    def write_settings(self, first_start):
+        super().write_settings(first_start)
+        with open(self.settings_path, "a") as file:
+            file.write(f'metricsAddress: "{self.address}:7505"\n')
+
+    def metrics(self):
+        lines = call(f"{self.address}:7505", "GET", "/metrics", timeout=1)[1].splitlines()
+        return dict(line.split() for line in lines if line.startswith("sassafrasshift_ledger_"))
+
+
 class Group:
     """Hosts with a replica each, the first three of which are the seeds."""
 
@@ -24,7 +42,7 @@
     def add(self):
         address = f"{self.network}.{len(self.members) + 1}"
         seeds = [f"{self.network}.{number}" for number in (1, 2, 3)]
-        self.members.append(Member(self.folder, address, True, seeds, self.tolerated_disk_losses))
+        self.members.append(LedgerMember(self.folder, address, True, seeds, self.tolerated_disk_losses))
         return self.members[-1]
 
     def has_logged(self, *texts):
@@ -42,6 +60,23 @@
         texts = ["ledger-membership-changed", f'"kind": "{kind}"', f'"voters": "{voters}"'] + ([f'"host": "{member.address}:7501"'] if member else [])
         wait_until(lambda: self.has_logged(*texts), f"{texts} is logged")
 
+    def leader_metrics(self):
+        """The metrics of the member that leads; empty if none does."""
+        for member in self.members:
+            metrics = member.metrics() if member.process and member.process.poll() is None else {}
+            if metrics.get("sassafrasshift_ledger_leads") == "1":
+                return metrics
+        return {}
+
+    def check_that_voters_are_kept(self, voters):
+        """Waits until the leader can lose no other voter, and checks that it removes none of the silent ones."""
+        wait_until(lambda: self.leader_metrics().get("sassafrasshift_ledger_tolerable_losses") == "0", "the leader can lose no other voter")
+        end = time.monotonic() + SILENCE_SECONDS
+        while time.monotonic() < end:
+            seen = self.leader_metrics().get("sassafrasshift_ledger_voters", str(voters))
+            assert seen == str(voters), f"the leader has {seen} voters, not {voters}"
+            time.sleep(0.1)
+
     def publish(self, version):
         """Publishes a document through any member."""
         running = [member for member in self.members if member.process and member.process.poll() is None]
@@ -94,7 +129,7 @@
         dark, unlucky = group.members[4:], group.members[:2]
         for member in dark:
             kill(member)
-        group.wait_for_change("silence", None, 5)
+        group.check_that_voters_are_kept(6)
         group.publish(2)
         for member in unlucky:
             lose_disk(member)
