--- a/Libraries/LibScheduler/Target/RunTable.cpp
+++ b/Libraries/LibScheduler/Target/RunTable.cpp
@@ -3,9 +3,9 @@
 
 namespace Sassafrasshift::Scheduler {
 
-static bool isUnsettled(const TargetRun& run)
+RunTable::IndexedState RunTable::IndexedState::of(const TargetRun& run)
 {
-    return run.state == RunState::Unadopted || run.awaitsStop();
+    return IndexedState { run.mayBeExtended() ? run.jobLease : nullptr, !run.knownStartedAt, run.state == RunState::Unadopted || run.awaitsStop() };
 }
 
 const TargetRun* RunTable::find(const RunId& id) const
@@ -18,36 +18,36 @@
 {
     auto [position, isNew] = this->runs.emplace(id, std::move(run));
     VERIFY(isNew);
-    this->addToIndexes(position->first, position->second);
+    this->addToIndexes(id, IndexedState::of(position->second));
 }
 
 void RunTable::remove(const RunId& id)
 {
     auto position = this->runs.find(id);
     VERIFY(position != this->runs.end());
-    this->removeFromIndexes(position->first, position->second);
+    this->removeFromIndexes(id, IndexedState::of(position->second));
     this->runs.erase(position);
 }
 
-void RunTable::addToIndexes(const RunId& id, const TargetRun& run)
+void RunTable::addToIndexes(const RunId& id, const IndexedState& state)
 {
-    if (run.mayBeExtended())
-        ++this->runsByLease[run.jobLease];
+    if (state.lease)
+        ++this->runsByLease[state.lease];
     else
         ++this->unextendableRuns;
-    this->unconfirmedStarts += run.knownStartedAt ? 0 : 1;
-    if (isUnsettled(run))
+    this->unconfirmedStarts += state.isStartUnconfirmed ? 1 : 0;
+    if (state.isUnsettled)
         this->unsettledRuns.insert(id);
 }
 
-void RunTable::removeFromIndexes(const RunId& id, const TargetRun& run)
+void RunTable::removeFromIndexes(const RunId& id, const IndexedState& state)
 {
-    if (!run.mayBeExtended())
+    if (!state.lease)
         --this->unextendableRuns;
-    else if (auto position = this->runsByLease.find(run.jobLease); --position->second == 0)
+    else if (auto position = this->runsByLease.find(state.lease); --position->second == 0)
         this->runsByLease.erase(position);
-    this->unconfirmedStarts -= run.knownStartedAt ? 0 : 1;
-    if (isUnsettled(run))
+    this->unconfirmedStarts -= state.isStartUnconfirmed ? 1 : 0;
+    if (state.isUnsettled)
         this->unsettledRuns.erase(id);
 }
 
--- a/Libraries/LibScheduler/Target/RunTable.h
+++ b/Libraries/LibScheduler/Target/RunTable.h
@@ -75,9 +75,14 @@
     {
         auto position = this->runs.find(id);
         VERIFY(position != this->runs.end());
-        this->removeFromIndexes(position->first, position->second);
-        change(position->second);
-        this->addToIndexes(position->first, position->second);
+        auto& run = position->second;
+        auto before = IndexedState::of(run);
+        change(run);
+        auto after = IndexedState::of(run);
+        if (after == before)
+            return;
+        this->removeFromIndexes(id, before);
+        this->addToIndexes(id, after);
     }
 
     /// Whether there is a run for which the lease may not be extended.
@@ -90,8 +95,19 @@
     [[nodiscard]] const std::set<RunId>& unsettled() const { return this->unsettledRuns; }
 
 private:
-    void addToIndexes(const RunId&, const TargetRun&);
-    void removeFromIndexes(const RunId&, const TargetRun&);
+    // What the indexes know of a run.
+    struct IndexedState {
+        /// The lease that the run may extend; null if it may extend none.
+        std::shared_ptr<const JobLease> lease;
+        bool isStartUnconfirmed { false };
+        bool isUnsettled { false };
+
+        static IndexedState of(const TargetRun&);
+        friend bool operator==(const IndexedState&, const IndexedState&) = default;
+    };
+
+    void addToIndexes(const RunId&, const IndexedState&);
+    void removeFromIndexes(const RunId&, const IndexedState&);
 
     Runs runs;
     std::map<std::shared_ptr<const JobLease>, size_t> runsByLease;
